--- /dev/null
+++ b/cmds/cmds.go
@@ -0,0 +1,62 @@
+// Package cmds is the command line, one file a command.
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"quetzalpier/setup"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// out is where commands print their results.
+var out io.Writer = os.Stdout
+
+// Run runs the command that args name and returns the exit code.
+func Run(args []string) int {
+	parser := flags.NewNamedParser("quetzalpier", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Rollout service for reinforcement learning."
+	for _, add := range []func(*flags.Parser) error{
+		addNode, addCheck, addConfig, addStatus, addDrain, addLoad, addAudit, addStand, addVersion,
+	} {
+		if err := add(parser); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	var settings *setup.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(out, err)
+		return exitOK
+	case errors.As(err, &usage), errors.As(err, &settings):
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	default:
+		fmt.Fprintln(os.Stderr, "quetzalpier:", err)
+		return exitFailed
+	}
+}
+
+func add(parser *flags.Parser, name, short string, data any) error {
+	_, err := parser.AddCommand(name, short, "", data)
+	return errors.Wrap(err, name)
+}
--- /dev/null
+++ b/cmds/version.go
@@ -0,0 +1,21 @@
+package cmds
+
+import (
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+
+	"quetzalpier/node"
+)
+
+type versionCommand struct{}
+
+func addVersion(p *flags.Parser) error {
+	return add(p, "version", "Print the version", &versionCommand{})
+}
+
+// Execute prints the version.
+func (*versionCommand) Execute([]string) error {
+	fmt.Fprintln(out, "quetzalpier", node.Version)
+	return nil
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,151 @@
+package quetzalpier
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// KeptIDs is how many patch ids the configuration document keeps, so that a
+// lost answer can be settled by reading back.
+const KeptIDs = 64
+
+// Config is the operators' configuration. Number rises by one with each
+// accepted patch; IDs names the last patches, newest last.
+type Config struct {
+	Number  uint64            `json:"number"`
+	IDs     []string          `json:"ids,omitempty"`
+	Pools   map[string]Pool   `json:"pools,omitempty"`
+	Callers map[string]Caller `json:"callers,omitempty"`
+}
+
+// Pool binds upstreams to a model name.
+type Pool struct {
+	// Kind is KindEngine or KindPlain.
+	Kind string `json:"kind"`
+	// Trainer owns the pool's weights; empty for pools that no trainer feeds.
+	Trainer string `json:"trainer,omitempty"`
+	// Serving is the least share of the pool's engines that stay up while
+	// versions are swapped, 0 to 1.
+	Serving float64 `json:"serving,omitempty"`
+	// Idle weighs trainer idle time against staleness, 0 (only staleness
+	// counts) to 1 (only idle time counts).
+	Idle float64 `json:"idle,omitempty"`
+	// Once lists "METHOD /path-prefix" of calls that are not idempotent.
+	Once []string `json:"once,omitempty"`
+	// Slots is how many requests one upstream runs at a time.
+	Slots int `json:"slots,omitempty"`
+}
+
+// DefaultSlots is used for a pool that sets none.
+const DefaultSlots = 32
+
+// Concurrent is how many requests one upstream of the pool runs at a time.
+func (p Pool) Concurrent() int {
+	if p.Slots == 0 {
+		return DefaultSlots
+	}
+	return p.Slots
+}
+
+// NonIdempotent tells whether the pool marks the call as one that must run at
+// most once.
+func (p Pool) NonIdempotent(method, path string) bool {
+	for _, rule := range p.Once {
+		verb, prefix, _ := strings.Cut(rule, " ")
+		if verb == method && strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Caller binds a caller's name to its class.
+type Caller struct {
+	Class Class `json:"class"`
+	// Weight is the caller's share among callers of its class.
+	Weight float64 `json:"weight,omitempty"`
+}
+
+// Class orders callers; a lower number goes first.
+type Class int
+
+// The classes.
+const (
+	ClassInteractive Class = iota
+	ClassRollout
+	ClassInternal
+)
+
+var classNames = []string{"interactive", "rollout", "internal"}
+
+// String returns the class's name.
+func (c Class) String() string {
+	if c < 0 || int(c) >= len(classNames) {
+		return fmt.Sprintf("class-%d", int(c))
+	}
+	return classNames[c]
+}
+
+// MarshalText writes the class's name.
+func (c Class) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText reads a class's name.
+func (c *Class) UnmarshalText(text []byte) error {
+	for i, name := range classNames {
+		if name == string(text) {
+			*c = Class(i)
+			return nil
+		}
+	}
+	return &FieldError{"class", "must be one of " + strings.Join(classNames, ", ")}
+}
+
+// UnmarshalJSON decodes a configuration and checks it.
+func (c *Config) UnmarshalJSON(data []byte) error {
+	type bare Config
+	if err := json.Unmarshal(data, (*bare)(c)); err != nil {
+		return err
+	}
+	return c.Check()
+}
+
+// Check reports the first fault of the configuration.
+func (c *Config) Check() error {
+	for name, p := range c.Pools {
+		if p.Kind != KindEngine && p.Kind != KindPlain {
+			return &FieldError{"pools." + name + ".kind", `must be "engine" or "plain"`}
+		}
+		if p.Serving < 0 || p.Serving > 1 {
+			return &FieldError{"pools." + name + ".serving", "must be 0 to 1"}
+		}
+		if p.Idle < 0 || p.Idle > 1 {
+			return &FieldError{"pools." + name + ".idle", "must be 0 to 1"}
+		}
+		if p.Slots < 0 {
+			return &FieldError{"pools." + name + ".slots", "must not be negative"}
+		}
+		for i, rule := range p.Once {
+			if _, path, ok := strings.Cut(rule, " "); !ok || !strings.HasPrefix(path, "/") {
+				return &FieldError{fmt.Sprintf("pools.%s.once[%d]", name, i), `must be "METHOD /path"`}
+			}
+		}
+	}
+	for name, caller := range c.Callers {
+		if caller.Weight < 0 {
+			return &FieldError{"callers." + name + ".weight", "must not be negative"}
+		}
+	}
+	return nil
+}
+
+// Applied tells whether the patch with this id is part of the configuration,
+// as far back as its ids go.
+func (c *Config) Applied(id string) bool {
+	for _, known := range c.IDs {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/gate/caller.go
@@ -0,0 +1,66 @@
+package gate
+
+import (
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"quetzalpier"
+	"quetzalpier/board"
+)
+
+// identity is who sent a request, by the configuration.
+type identity struct {
+	name   string
+	tenant string
+	class  quetzalpier.Class
+	weight float64
+}
+
+const (
+	callerHeader  = "Quetzalpier-Caller"
+	timeoutHeader = "Quetzalpier-Timeout"
+	// otherTenant labels callers that the configuration does not name.
+	otherTenant = "other"
+)
+
+// caller finds out who sent the request: by its own header, or by the API key
+// that OpenAI clients send.
+func (g *Gate) caller(c fiber.Ctx) identity {
+	name := c.Get(callerHeader)
+	if name == "" {
+		name = strings.TrimPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	}
+	who := identity{name: name, tenant: otherTenant, class: quetzalpier.ClassInternal}
+	g.Board.Do(func(s *board.State) {
+		if known, ok := s.Config.Callers[name]; ok {
+			who.tenant, who.class, who.weight = name, known.Class, known.Weight
+		}
+	})
+	return who
+}
+
+// deadline is when the caller stops waiting: its own word, or the limit.
+func (g *Gate) deadline(c fiber.Ctx, now time.Time) (time.Time, error) {
+	text := c.Get(timeoutHeader)
+	if text == "" {
+		return now.Add(g.Wait), nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return now, quetzalpier.Invalid(timeoutHeader, `must be a duration as "2s"`)
+	}
+	return now.Add(d), nil
+}
+
+// pool finds a pool of a kind in the configuration.
+func (g *Gate) pool(name, kind string) (quetzalpier.Pool, error) {
+	var p quetzalpier.Pool
+	ok := false
+	g.Board.Do(func(s *board.State) { p, ok = s.Config.Pools[name] })
+	if !ok || p.Kind != kind {
+		return p, quetzalpier.Missing("pool", "there is no "+kind+" pool "+name)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/gate/config.go
@@ -0,0 +1,90 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/conf"
+)
+
+const (
+	patchTimeout = 8 * time.Second
+	patchHeader  = "Quetzalpier-Patch"
+)
+
+// getConfig answers with the configuration in force at this node.
+func (g *Gate) getConfig(c fiber.Ctx) error {
+	var config quetzalpier.Config
+	g.Board.Do(func(s *board.State) { config = s.Config })
+	return sendConfig(c, config)
+}
+
+func sendConfig(c fiber.Ctx, config quetzalpier.Config) error {
+	c.Set(fiber.HeaderETag, strconv.Quote(strconv.FormatUint(config.Number, 10)))
+	return c.JSON(config)
+}
+
+// patchConfig applies a JSON merge patch against the number in If-Match. The
+// patch's id comes from the caller or is made here; it settles a lost answer.
+func (g *Gate) patchConfig(c fiber.Ctx) error {
+	number, err := strconv.ParseUint(strings.Trim(c.Get(fiber.HeaderIfMatch), `"`), 10, 64)
+	if err != nil {
+		return quetzalpier.Invalid(fiber.HeaderIfMatch, "must be the number that the patch was written against")
+	}
+	id := c.Get(patchHeader)
+	if id == "" {
+		id = uuid.NewString()
+	}
+	c.Set(patchHeader, id)
+	body := append([]byte(nil), c.Body()...)
+	if !json.Valid(body) {
+		return quetzalpier.Invalid("body", "must be a JSON merge patch")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patchTimeout)
+	defer cancel()
+	config, err := conf.Patch(ctx, g.KV, number, id, body)
+	if err != nil {
+		return patchRefusal(err)
+	}
+	g.take(config)
+	return sendConfig(c, config)
+}
+
+// take puts an accepted configuration in force here and tells the others.
+func (g *Gate) take(config quetzalpier.Config) {
+	taken := false
+	g.Board.Update(func(s *board.State) { taken = s.SetConfig(config) })
+	if taken {
+		g.Tell()
+	}
+}
+
+func patchRefusal(err error) error {
+	const after = 2 * time.Second
+	var stale *conf.StaleError
+	var fault *conf.PatchError
+	var unsure *quetzalpier.UnsureError
+	switch {
+	case errors.As(err, &stale):
+		return &quetzalpier.Refusal{
+			Type: "number", Title: "patch against an outdated number", Status: fasthttp.StatusPreconditionFailed,
+			Detail: stale.Error(), Number: stale.Number, Ran: quetzalpier.RanNo,
+		}
+	case errors.As(err, &fault):
+		return quetzalpier.Malformed(fault.Err)
+	case errors.As(err, &unsure):
+		return quetzalpier.Busy("platform", "whether the patch was accepted is not known; send it again with the same "+patchHeader, quetzalpier.RanUnknown, after)
+	default:
+		return quetzalpier.Busy("platform", "the configuration can't be changed now: "+err.Error(), quetzalpier.RanNo, after)
+	}
+}
--- /dev/null
+++ b/link/conn.go
@@ -0,0 +1,70 @@
+// Package link carries one attempt of a request to an upstream. It never
+// retries, it knows whether a byte of the request may have left, and it finds
+// a silent connection by a deadline that each read moves.
+package link
+
+import (
+	"bufio"
+	"net"
+	"time"
+)
+
+const (
+	dialTimeout   = 1 * time.Second
+	writeTimeout  = 5 * time.Second
+	idleLimit     = 5 * time.Second
+	maxIdle       = 64
+	keepIdle      = 5 * time.Second
+	keepInterval  = 2 * time.Second
+	keepCount     = 3
+	readerBuffer  = 16 << 10
+	probeInterval = 20 * time.Millisecond
+)
+
+// conn counts what is written and moves its read deadline with each read.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	sent   int
+	limit  time.Duration
+	used   time.Time
+}
+
+func dial(addr string) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepIdle,
+			Interval: keepInterval,
+			Count:    keepCount,
+		},
+	}
+	inner, err := dialer.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner}
+	c.reader = bufio.NewReaderSize(c, readerBuffer)
+	c.writer = bufio.NewWriter(c)
+	return c, nil
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	c.sent += n
+	return n, err
+}
--- /dev/null
+++ b/node/calls.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/claim"
+	"quetzalpier/hash"
+	"quetzalpier/peer"
+	"quetzalpier/setup"
+	"quetzalpier/wire"
+)
+
+const (
+	ownerTimeout = 5 * time.Second
+	askTimeout   = time.Second
+	// ownerAfter is when to come back after the owner of a trainer's steps
+	// could not be reached.
+	ownerAfter = 300 * time.Millisecond
+)
+
+// handle answers the calls of other nodes that concern a role.
+func (n *Node) handle(ctx context.Context, call *wire.Call) *wire.Reply {
+	switch kind := call.GetKind().(type) {
+	case *wire.Call_Trainer:
+		return &wire.Reply{Kind: &wire.Reply_Answer{Answer: n.owner.Handle(ctx, kind.Trainer)}}
+	case *wire.Call_Ask:
+		return n.handleAsk(kind.Ask)
+	case *wire.Call_Copy:
+		return n.handleCopy(kind.Copy)
+	case *wire.Call_Recall:
+		return n.handleRecall(kind.Recall)
+	case *wire.Call_Handover:
+		if err := n.owner.Accept(kind.Handover); err != nil {
+			return &wire.Reply{Fault: err.Error()}
+		}
+		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+	default:
+		return &wire.Reply{Fault: "unknown call"}
+	}
+}
+
+func (n *Node) handleAsk(ask *wire.Ask) *wire.Reply {
+	answer := &wire.Claim{}
+	if held, ok := n.claims.Answer(ask.GetKey(), ask.GetToken()); ok {
+		body, err := json.Marshal(held)
+		if err != nil {
+			return &wire.Reply{Fault: err.Error()}
+		}
+		answer.Known = true
+		answer.Body = body
+	}
+	return &wire.Reply{Kind: &wire.Reply_Claim{Claim: answer}}
+}
+
+func (n *Node) handleCopy(c *wire.Copy) *wire.Reply {
+	if n.store == nil {
+		return &wire.Reply{Fault: "this node keeps no copies"}
+	}
+	key := quetzalpier.StepKey{Trainer: c.GetTrainer(), Number: c.GetStep()}
+	if c.GetClose() {
+		n.store.Drop(key)
+	} else if err := n.store.Keep(key, c.GetHash(), c.GetSamples(), time.Now()); err != nil {
+		return &wire.Reply{Fault: err.Error()}
+	}
+	return &wire.Reply{Kind: &wire.Reply_Copied{Copied: &wire.Copied{}}}
+}
+
+func (n *Node) handleRecall(r *wire.Recall) *wire.Reply {
+	if n.store == nil {
+		return &wire.Reply{Fault: "this node keeps no copies"}
+	}
+	samples, err := n.store.Recall(quetzalpier.StepKey{Trainer: r.GetTrainer(), Number: r.GetStep()}, r.GetHash())
+	if err != nil {
+		return &wire.Reply{Fault: err.Error()}
+	}
+	return &wire.Reply{Kind: &wire.Reply_Copies{Copies: &wire.Copies{Samples: samples}}}
+}
+
+// Call makes a call to another node.
+func (n *Node) Call(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
+	return n.peers.Call(ctx, addr, call)
+}
+
+// askHolder asks the node that holds a claim for its state.
+func (n *Node) askHolder(ctx context.Context, node, key, token string) (claim.Claim, bool) {
+	if node == n.Settings.Name {
+		return n.claims.Answer(key, token)
+	}
+	addr := ""
+	n.Board.Do(func(s *board.State) { addr = s.Members[node].Peer })
+	if addr == "" {
+		return claim.Claim{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := n.peers.Call(ctx, addr, &wire.Call{Kind: &wire.Call_Ask{Ask: &wire.Ask{Key: key, Token: token}}})
+	if err != nil || !reply.GetClaim().GetKnown() {
+		return claim.Claim{}, false
+	}
+	var held claim.Claim
+	if err := json.Unmarshal(reply.GetClaim().GetBody(), &held); err != nil {
+		return claim.Claim{}, false
+	}
+	return held, true
+}
+
+// stepOwner is the node that the steps of a trainer fall to. Nodes that
+// disagree cost work only, since the trainer says what it has.
+func (n *Node) stepOwner(trainer string) (id, addr string) {
+	n.Board.Do(func(s *board.State) {
+		id = hash.Owner("steps/"+trainer, peer.Usable(s, setup.RoleStep))
+		addr = s.Members[id].Peer
+	})
+	return id, addr
+}
+
+// trainer carries a trainer's call to the owner of its steps.
+func (n *Node) trainer(ctx context.Context, call *wire.Trainer) *wire.Answer {
+	id, addr := n.stepOwner(call.GetTrainer())
+	if id == n.Settings.Name {
+		return n.owner.Handle(ctx, call)
+	}
+	if addr == "" {
+		return unreachable("no node runs the step role")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout+waitOf(call))
+	defer cancel()
+	reply, err := n.peers.Call(ctx, addr, &wire.Call{Kind: &wire.Call_Trainer{Trainer: call}})
+	if err != nil {
+		return unreachable("the owner of the trainer's steps does not answer: " + err.Error())
+	}
+	return reply.GetAnswer()
+}
+
+func waitOf(call *wire.Trainer) time.Duration {
+	var pull quetzalpier.Pull
+	if call.GetOp() != wire.Trainer_PULL || json.Unmarshal(call.GetBody(), &pull) != nil {
+		return 0
+	}
+	return time.Duration(pull.Wait) * time.Millisecond
+}
+
+func unreachable(detail string) *wire.Answer {
+	refusal := quetzalpier.Busy("owner", detail, quetzalpier.RanUnknown, ownerAfter)
+	body, _ := json.Marshal(refusal)
+	return &wire.Answer{Status: http.StatusServiceUnavailable, Body: body, After: uint64(ownerAfter.Milliseconds())}
+}
+
+// pass gives a step to its next owner.
+func (n *Node) pass(ctx context.Context, trainer string, h *wire.Handover) error {
+	id, addr := n.stepOwner(trainer)
+	if addr == "" || id == n.Settings.Name {
+		return errors.New("no other node runs the step role")
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	_, err := n.peers.Call(ctx, addr, &wire.Call{Kind: &wire.Call_Handover{Handover: h}})
+	return err
+}
+
+// struck spreads strikes before the callers hear of the crash, so that a
+// request sent again to another node is known there.
+func (n *Node) struck(prints []uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), strikeWait)
+	defer cancel()
+	n.Log.Warn().Int("requests", len(prints)).Msg("upstream crashed with requests in flight")
+	n.peers.TellStrikes(ctx, prints)
+}
+
+// leaving spreads that an upstream leaves, which the platform's list shows late.
+func (n *Node) leaving(id string) { n.peers.TellLeaving(id) }
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,282 @@
+// Package node puts the roles of one node together and runs them until its
+// planned stop.
+package node
+
+import (
+	"context"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/claim"
+	"quetzalpier/conf"
+	"quetzalpier/engine"
+	"quetzalpier/gate"
+	"quetzalpier/hash"
+	"quetzalpier/lease"
+	"quetzalpier/link"
+	"quetzalpier/meter"
+	"quetzalpier/owner"
+	"quetzalpier/peer"
+	"quetzalpier/pilot"
+	"quetzalpier/plat"
+	"quetzalpier/send"
+	"quetzalpier/setup"
+	"quetzalpier/sleep"
+	"quetzalpier/store"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+const (
+	// strikeWait bounds how long a caller waits for peers to hear of a crash.
+	strikeWait = 500 * time.Millisecond
+	// leaveWait is how long a node that leaves tells its peers so.
+	leaveWait = 300 * time.Millisecond
+	flushWait = 3 * time.Second
+)
+
+// Node is a running node.
+type Node struct {
+	Settings setup.Node
+	Board    *board.Board
+	Meter    *meter.Meter
+	Log      zerolog.Logger
+
+	kv      quetzalpier.KV
+	peers   *peer.Node
+	watcher *conf.Watcher
+	claims  *claim.Book
+	links   *link.Links
+	sender  *send.Sender
+	owner   *owner.Owner
+	remote  *store.Remote
+	store   *store.Store
+	pilot   *pilot.Pilot
+	gate    *gate.Gate
+
+	drain   chan struct{}
+	drained sync.Once
+	workers conc.WaitGroup
+	pilots  conc.WaitGroup
+}
+
+// New opens a node's addresses. Logs go to out.
+func New(settings setup.Node, out io.Writer) (*Node, error) {
+	level, err := zerolog.ParseLevel(settings.Log)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	n := &Node{
+		Settings: settings, Meter: meter.New(), drain: make(chan struct{}),
+		Log: zerolog.New(out).Level(level).With().Timestamp().Str("node", settings.Name).Logger(),
+		kv:  plat.NewKV(settings.Platform.KV),
+	}
+	n.Board = board.New(board.Member{
+		ID: settings.Name, HTTP: settings.HTTP, Domain: settings.Domain, Region: settings.Region, Roles: settings.Roles,
+		// A restarted node must outlive what peers remember of its last life.
+		Incarnation: uint64(time.Now().UnixMilli()),
+	})
+	if err := n.open(); err != nil {
+		n.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) open() error {
+	seed := hash.Text(n.Settings.Name + time.Now().String())
+	n.watcher = &conf.Watcher{Board: n.Board, KV: n.kv, VMs: plat.NewVMs(n.Settings.Platform.VMs), Log: n.Log, Seed: seed, Tell: func() { n.peers.Tell() }}
+	n.claims = &claim.Book{KV: n.kv, Node: n.Settings.Name, Ask: n.askHolder, Log: n.Log, Token: uuid.NewString}
+	n.links = link.New()
+	n.sender = send.New(n.Board, n.links, n.Meter, seed)
+	n.sender.Struck = n.struck
+	if n.has(setup.RoleStore) {
+		opened, err := store.Open(n.Settings.Data)
+		if err != nil {
+			return err
+		}
+		n.store = opened
+	}
+	n.remote = store.NewRemote(n.Board, n, n.Log)
+	engines := &engine.Client{Links: n.links}
+	n.owner = owner.New(n.Board, n.sender, engines, n.remote, n.Meter, n.Log, func() { n.peers.Tell() })
+	if n.has(setup.RolePilot) {
+		n.pilot = &pilot.Pilot{
+			Board: n.Board, Lease: &lease.Holder{KV: n.kv, Node: n.Settings.Name}, Orders: plat.NewOrders(),
+			Meter: n.Meter, Log: n.Log, Loads: n.Settings.Platform.Loads, Leaving: n.leaving,
+		}
+	}
+	if err := n.openPeers(seed); err != nil {
+		return err
+	}
+	if !n.has(setup.RoleGate) {
+		return nil
+	}
+	return n.openGate(engines)
+}
+
+func (n *Node) openPeers(seed uint64) error {
+	peers, err := peer.New(peer.Options{
+		Board: n.Board, Listen: n.Settings.Peer, Seeds: n.seeds(), Seed: seed, Log: n.Log,
+		Count: n.countControl, Handle: n.handle, Cut: n.watcher.Cut,
+	})
+	if err != nil {
+		return err
+	}
+	n.peers = peers
+	n.Board.Do(func(s *board.State) { s.Self.Peer = peers.Addr() })
+	return nil
+}
+
+func (n *Node) seeds() []string {
+	var seeds []string
+	for _, seed := range n.Settings.Seeds {
+		if seed != n.Settings.Peer {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+func (n *Node) openGate(engines *engine.Client) error {
+	token, err := readToken(n.Settings.Token)
+	if err != nil {
+		return err
+	}
+	opened, err := gate.New(n.Settings.HTTP, gate.Options{
+		Board: n.Board, Sender: n.sender, Engine: engines, Links: n.links, Claims: n.claims, KV: n.kv,
+		Meter: n.Meter, Log: n.Log, Trainer: n.trainer, Tell: n.peers.Tell, AllCut: n.peers.AllCut, Drain: n.Drain,
+		Token: token, Keep: n.Settings.Keep.D(), Bound: n.Settings.Bound.D(), ServeStale: n.Settings.Stale == "serve",
+		Wait: n.Settings.Limits.Wait.D(), Body: n.Settings.Limits.Body, Version: Version,
+	})
+	if err != nil {
+		return err
+	}
+	n.gate = opened
+	n.Board.Do(func(s *board.State) { s.Self.HTTP = opened.Addr() })
+	return nil
+}
+
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Wrap(err, "read token")
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", errors.Errorf("token file %s is empty", file)
+	}
+	return token, nil
+}
+
+func (n *Node) has(role string) bool {
+	for _, r := range n.Settings.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Addr is the node's address for callers; empty without the gate role.
+func (n *Node) Addr() string {
+	if n.gate == nil {
+		return ""
+	}
+	return n.gate.Addr()
+}
+
+// PeerAddr is the node's address for other nodes.
+func (n *Node) PeerAddr() string { return n.peers.Addr() }
+
+// Drain starts the planned stop.
+func (n *Node) Drain() { n.drained.Do(func() { close(n.drain) }) }
+
+// Run runs the node until ctx ends or it is drained, then stops it as planned.
+func (n *Node) Run(ctx context.Context) {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	pilots, stopPilots := context.WithCancel(work)
+	defer stopPilots()
+	n.start(work)
+	if n.pilot != nil {
+		n.pilots.Go(func() { n.pilot.Run(pilots) })
+	}
+	n.Log.Info().Str("http", n.Addr()).Str("peer", n.PeerAddr()).Msg("node started")
+	select {
+	case <-ctx.Done():
+	case <-n.drain:
+	}
+	n.stop(work, stopPilots)
+}
+
+func (n *Node) start(ctx context.Context) {
+	n.workers.Go(func() { n.peers.Run(ctx) })
+	n.workers.Go(func() { n.watcher.RunConfig(ctx) })
+	n.workers.Go(func() { n.watcher.RunList(ctx) })
+	n.workers.Go(func() { n.claims.Run(ctx) })
+	n.workers.Go(func() { n.sender.Run(ctx) })
+	n.workers.Go(func() { n.poll(ctx) })
+	n.workers.Go(func() { n.gauge(ctx) })
+}
+
+// stop withdraws the node's addresses, hands its duties over, waits out the
+// answers that callers have kept, and ends when no request is in flight.
+func (n *Node) stop(work context.Context, stopPilots context.CancelFunc) {
+	n.Log.Info().Msg("node drains")
+	n.setState(board.Draining)
+	stopPilots()
+	n.pilots.Wait()
+	handover, cancel := context.WithTimeout(work, n.Settings.Limits.Drain.D())
+	defer cancel()
+	n.owner.HandOver(handover, n.pass)
+	if n.gate != nil {
+		sleep.For(handover, n.Settings.Keep.D())
+		if err := n.gate.Close(handover); err != nil {
+			n.Log.Warn().Err(err).Msg("requests were cut off")
+		}
+		n.gate = nil
+	}
+	flush, cancelFlush := context.WithTimeout(work, flushWait)
+	defer cancelFlush()
+	n.claims.Flush(flush)
+	n.setState(board.Left)
+	sleep.For(work, leaveWait)
+	n.Log.Info().Msg("node stopped")
+}
+
+func (n *Node) setState(state board.MemberState) {
+	n.Board.Update(func(s *board.State) { s.Self.State = state })
+	n.peers.TellMember(n.Settings.Name)
+}
+
+// Close ends whatever is left of the node. Run must have returned, if it was
+// called.
+func (n *Node) Close() {
+	if n.gate != nil {
+		now, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = n.gate.Close(now)
+	}
+	n.owner.Close()
+	n.remote.Close()
+	if n.peers != nil {
+		n.peers.Close()
+	}
+	n.workers.Wait()
+	n.links.Close()
+}
--- /dev/null
+++ b/peer/conns.go
@@ -0,0 +1,330 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"quetzalpier/wire"
+)
+
+const (
+	dialTimeout   = time.Second
+	writeTimeout  = 2 * time.Second
+	sessionIdle   = 45 * time.Second
+	acceptIdle    = 2 * time.Minute
+	maxMessage    = 32 << 20
+	streamBuffer  = 4 << 10
+	maxConcurrent = 1024
+)
+
+// lane separates control traffic from bulk, so that a connection stuck on a
+// large message never holds up a heartbeat.
+type lane byte
+
+const (
+	control lane = 'c'
+	bulk    lane = 'b'
+)
+
+// Count is told of bytes of control traffic.
+type Count func(received, sent int)
+
+// Handler answers calls of other nodes.
+type Handler func(ctx context.Context, call *wire.Call) *wire.Reply
+
+// conns holds yamux sessions to other nodes, dialed on demand.
+type conns struct {
+	handle Handler
+	count  Count
+
+	mu       sync.Mutex
+	sessions map[sessionKey]*session
+	accepted map[*yamux.Session]struct{}
+	workers  conc.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+	listener net.Listener
+}
+
+type sessionKey struct {
+	addr string
+	lane lane
+}
+
+type session struct {
+	mux  *yamux.Session
+	used time.Time
+	busy int
+}
+
+func listen(addr string, handle Handler, count Count) (*conns, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &conns{
+		handle: handle, count: count, listener: listener, ctx: ctx, cancel: cancel,
+		sessions: map[sessionKey]*session{},
+		accepted: map[*yamux.Session]struct{}{},
+	}
+	c.workers.Go(c.accept)
+	return c, nil
+}
+
+func muxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.StreamOpenTimeout = writeTimeout
+	cfg.StreamCloseTimeout = writeTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// call makes one call. A session on which it fails is closed, so that the next
+// call dials anew.
+func (c *conns) call(ctx context.Context, addr string, l lane, call *wire.Call) (*wire.Reply, error) {
+	key := sessionKey{addr, l}
+	s, err := c.session(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	defer c.release(s)
+	reply, err := exchange(ctx, s.mux, call)
+	if err != nil {
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.discard(key, s)
+		}
+		return nil, errors.Wrapf(err, "call %s", addr)
+	}
+	if reply.GetFault() != "" {
+		return nil, &FaultError{Addr: addr, Fault: reply.GetFault()}
+	}
+	return reply, nil
+}
+
+// FaultError reports a call that the other node could not carry out.
+type FaultError struct {
+	Addr  string
+	Fault string
+}
+
+// Error implements error.
+func (e *FaultError) Error() string { return e.Addr + ": " + e.Fault }
+
+func exchange(ctx context.Context, mux *yamux.Session, call *wire.Call) (*wire.Reply, error) {
+	stream, err := mux.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err := protodelim.MarshalTo(stream, call); err != nil {
+		return nil, err
+	}
+	reply := &wire.Reply{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
+	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, streamBuffer), reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (c *conns) session(ctx context.Context, key sessionKey) (*session, error) {
+	if s := c.known(key); s != nil {
+		return s, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", key.addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial peer")
+	}
+	if _, err := conn.Write([]byte{byte(key.lane)}); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "greet peer")
+	}
+	mux, err := yamux.Client(c.counted(conn, key.lane), muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "open session")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.sessions[key]; old != nil && !old.mux.IsClosed() {
+		_ = mux.Close()
+		old.busy++
+		return old, nil
+	}
+	s := &session{mux: mux, used: time.Now(), busy: 1}
+	c.sessions[key] = s
+	return s, nil
+}
+
+func (c *conns) known(key sessionKey) *session {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.sessions[key]
+	if s == nil || s.mux.IsClosed() {
+		return nil
+	}
+	s.used = time.Now()
+	s.busy++
+	return s
+}
+
+func (c *conns) release(s *session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.busy--
+	s.used = time.Now()
+}
+
+func (c *conns) discard(key sessionKey, s *session) {
+	c.mu.Lock()
+	if c.sessions[key] == s {
+		delete(c.sessions, key)
+	}
+	c.mu.Unlock()
+	_ = s.mux.Close()
+}
+
+// prune closes sessions that have long been idle.
+func (c *conns) prune(now time.Time) {
+	c.mu.Lock()
+	var idle []*session
+	for key, s := range c.sessions {
+		if s.mux.IsClosed() || (s.busy == 0 && now.Sub(s.used) > sessionIdle) {
+			delete(c.sessions, key)
+			idle = append(idle, s)
+		}
+	}
+	c.mu.Unlock()
+	for _, s := range idle {
+		_ = s.mux.Close()
+	}
+}
+
+func (c *conns) accept() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		c.workers.Go(func() { c.serve(conn) })
+	}
+}
+
+func (c *conns) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	var greeting [1]byte
+	_ = conn.SetReadDeadline(time.Now().Add(dialTimeout))
+	if _, err := io.ReadFull(conn, greeting[:]); err != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	mux, err := yamux.Server(c.counted(conn, lane(greeting[0])), muxConfig())
+	if err != nil {
+		return
+	}
+	if !c.admit(mux) {
+		_ = mux.Close()
+		return
+	}
+	defer c.forget(mux)
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		c.workers.Go(func() { c.answer(stream) })
+	}
+}
+
+func (c *conns) admit(mux *yamux.Session) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil || len(c.accepted) >= maxConcurrent {
+		return false
+	}
+	c.accepted[mux] = struct{}{}
+	return true
+}
+
+func (c *conns) forget(mux *yamux.Session) {
+	c.mu.Lock()
+	delete(c.accepted, mux)
+	c.mu.Unlock()
+	_ = mux.Close()
+}
+
+func (c *conns) answer(stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetReadDeadline(time.Now().Add(acceptIdle))
+	call := &wire.Call{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
+	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, streamBuffer), call); err != nil {
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	reply := c.handle(c.ctx, call)
+	_ = stream.SetWriteDeadline(time.Now().Add(acceptIdle))
+	_, _ = protodelim.MarshalTo(stream, reply)
+}
+
+func (c *conns) close() {
+	c.cancel()
+	_ = c.listener.Close()
+	c.mu.Lock()
+	var open []*yamux.Session
+	for _, s := range c.sessions {
+		open = append(open, s.mux)
+	}
+	for mux := range c.accepted {
+		open = append(open, mux)
+	}
+	c.mu.Unlock()
+	for _, mux := range open {
+		_ = mux.Close()
+	}
+	c.workers.Wait()
+}
+
+// tcpOverhead is the bytes of IP and TCP headers that one segment adds.
+const tcpOverhead = 52
+
+type countedConn struct {
+	net.Conn
+	count Count
+}
+
+func (c *conns) counted(conn net.Conn, l lane) net.Conn {
+	if l != control || c.count == nil {
+		return conn
+	}
+	return &countedConn{conn, c.count}
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count(n+tcpOverhead, 0)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(0, n+tcpOverhead)
+	return n, err
+}
--- /dev/null
+++ b/pilot/pilot.go
@@ -0,0 +1,340 @@
+// Package pilot holds the leases of the pools and orders their engines to the
+// weight versions that trainers publish.
+package pilot
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/hash"
+	"quetzalpier/lease"
+	"quetzalpier/meter"
+	"quetzalpier/peer"
+	"quetzalpier/setup"
+	"quetzalpier/swap"
+)
+
+const (
+	// quick and slow are the times between two looks at a pool while its
+	// engines are behind and while they are not.
+	quick = 100 * time.Millisecond
+	slow  = time.Second
+	// readers bounds the engines whose state is read at a time.
+	readers      = 16
+	stateTimeout = 1500 * time.Millisecond
+	// takeEvery is the time between two tries to take a pool's lease.
+	takeEvery = 2 * time.Second
+)
+
+// Pilot orders engines.
+type Pilot struct {
+	Board  *board.Board
+	Lease  *lease.Holder
+	Orders quetzalpier.Orders
+	Meter  *meter.Meter
+	Log    zerolog.Logger
+	// Loads is how many loads a second the weight store serves.
+	Loads float64
+	// Leaving is called when an engine says that it leaves.
+	Leaving func(id string)
+
+	mu      sync.Mutex
+	pools   map[string]*fleet
+	workers conc.WaitGroup
+}
+
+// fleet is what the pilot knows of a pool that it holds.
+type fleet struct {
+	pool    string
+	fence   uint64
+	since   time.Time
+	engines map[string]*swap.Engine
+	store   swap.Bucket
+	readAt  time.Time
+}
+
+// Run takes and serves pools until ctx ends, and gives them up then.
+func (p *Pilot) Run(ctx context.Context) {
+	p.pools = map[string]*fleet{}
+	tick := time.NewTicker(quick)
+	defer tick.Stop()
+	var takeAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			p.workers.Wait()
+			p.release()
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		if err := p.Lease.Keep(ctx, now); err != nil {
+			p.Log.Warn().Err(err).Msg("leases not renewed")
+		}
+		if now.After(takeAt) {
+			takeAt = now.Add(takeEvery)
+			p.take(ctx)
+		}
+		for _, f := range p.held(time.Now()) {
+			p.serve(ctx, f)
+		}
+	}
+}
+
+func (p *Pilot) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	for _, name := range p.Lease.Names() {
+		if err := p.Lease.Release(ctx, name); err != nil {
+			p.Log.Warn().Err(err).Str("lease", name).Msg("lease not released")
+		}
+	}
+}
+
+// take tries to take the pools that fall to this node, and gives up those
+// that fall to another.
+func (p *Pilot) take(ctx context.Context) {
+	mine, others := p.share()
+	for _, pool := range mine {
+		if _, err := p.Lease.Take(ctx, leaseName(pool), time.Now()); err != nil {
+			p.Log.Warn().Err(err).Str("pool", pool).Msg("lease not taken")
+		}
+	}
+	for _, pool := range others {
+		if _, ok := p.Lease.Fence(leaseName(pool), time.Now()); !ok {
+			continue
+		}
+		if err := p.Lease.Release(ctx, leaseName(pool)); err != nil {
+			p.Log.Warn().Err(err).Str("pool", pool).Msg("lease not released")
+		}
+	}
+}
+
+func (p *Pilot) share() (mine, others []string) {
+	p.Board.Do(func(s *board.State) {
+		nodes := peer.Usable(s, setup.RolePilot)
+		for name, pool := range s.Config.Pools {
+			if pool.Kind != quetzalpier.KindEngine {
+				continue
+			}
+			if hash.Owner("pilot/"+name, nodes) == s.Self.ID {
+				mine = append(mine, name)
+				continue
+			}
+			others = append(others, name)
+		}
+	})
+	return mine, others
+}
+
+func leaseName(pool string) string { return "pilot/" + pool }
+
+// held returns the fleets of the pools whose lease this node holds.
+func (p *Pilot) held(now time.Time) []*fleet {
+	var pools []string
+	p.Board.Do(func(s *board.State) {
+		for name := range s.Config.Pools {
+			pools = append(pools, name)
+		}
+	})
+	var fleets []*fleet
+	for _, pool := range pools {
+		fence, ok := p.Lease.Fence(leaseName(pool), now)
+		f := p.pools[pool]
+		if !ok {
+			delete(p.pools, pool)
+			continue
+		}
+		if f == nil || f.fence != fence {
+			f = &fleet{pool: pool, fence: fence, since: now, engines: map[string]*swap.Engine{}}
+			p.pools[pool] = f
+			p.Log.Info().Str("pool", pool).Uint64("fence", fence).Msg("pool taken")
+		}
+		fleets = append(fleets, f)
+	}
+	return fleets
+}
+
+// serve reads the engines' states if it is time to, and sends the orders due.
+func (p *Pilot) serve(ctx context.Context, f *fleet) {
+	now := time.Now()
+	plan := p.plan(f)
+	pause := slow
+	if plan.Target > 0 && !swap.Settled(plan, now) {
+		pause = quick
+	}
+	if now.Sub(f.readAt) >= pause {
+		f.readAt = now
+		p.read(ctx, f)
+		plan = p.plan(f)
+	}
+	if plan.Target == 0 || !p.settled(f, time.Now()) {
+		return
+	}
+	p.mu.Lock()
+	ids := swap.Plan(plan, &f.store, time.Now())
+	for _, id := range ids {
+		e := f.engines[id]
+		e.Ordered = plan.Target
+		e.OrderedAt = time.Now()
+		e.EndedAt = time.Time{}
+	}
+	p.mu.Unlock()
+	for _, id := range ids {
+		p.workers.Go(func() { p.order(ctx, f, id, plan.Target) })
+	}
+}
+
+// settled tells whether orders may be sent. Where engines ignore the fencing
+// number, an order of the last holder may still be under way: it is waited out.
+func (p *Pilot) settled(f *fleet, now time.Time) bool {
+	fenced := true
+	p.Board.Do(func(s *board.State) {
+		for _, u := range s.Upstreams {
+			fenced = fenced && (u.VM.Pool != f.pool || u.VM.Fenced)
+		}
+	})
+	return fenced || now.Sub(f.since) >= swap.OrderLife
+}
+
+// plan returns the planner's input for a fleet.
+func (p *Pilot) plan(f *fleet) swap.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	plan := swap.Pool{Rate: p.Loads}
+	p.Board.Do(func(s *board.State) {
+		plan.Target = s.Targets[f.pool]
+		plan.Serving = s.Config.Pools[f.pool].Serving
+		listed := map[string]bool{}
+		for id, u := range s.Upstreams {
+			if u.VM.Pool != f.pool || u.Leaving() {
+				continue
+			}
+			listed[id] = true
+			if f.engines[id] == nil {
+				f.engines[id] = &swap.Engine{ID: id}
+			}
+			f.engines[id].Made, f.engines[id].MadeAt = u.Newest, u.NewestAt
+		}
+		for id := range f.engines {
+			if !listed[id] {
+				delete(f.engines, id)
+			}
+		}
+	})
+	for _, e := range f.engines {
+		plan.Engines = append(plan.Engines, *e)
+	}
+	return plan
+}
+
+// read reads the state of all engines of a fleet.
+func (p *Pilot) read(ctx context.Context, f *fleet) {
+	vms := p.vms(f)
+	work := pool.New().WithMaxGoroutines(readers)
+	for _, vm := range vms {
+		work.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+			defer cancel()
+			state, err := p.Orders.State(ctx, vm.Addr)
+			p.note(f, vm.ID, state, err)
+		})
+	}
+	work.Wait()
+}
+
+func (p *Pilot) vms(f *fleet) []quetzalpier.VM {
+	var vms []quetzalpier.VM
+	p.Board.Do(func(s *board.State) {
+		for id := range f.engines {
+			if u := s.Upstreams[id]; u != nil {
+				vms = append(vms, u.VM)
+			}
+		}
+	})
+	return vms
+}
+
+func (p *Pilot) note(f *fleet, id string, state quetzalpier.EngineState, err error) {
+	now := time.Now()
+	p.mu.Lock()
+	e := f.engines[id]
+	if e != nil {
+		e.Known = err == nil
+		if err == nil {
+			e.State = state
+		}
+	}
+	p.mu.Unlock()
+	if err != nil {
+		return
+	}
+	p.Board.Do(func(s *board.State) { s.SetReport(id, state, now) })
+	if state.Leaving {
+		p.Leaving(id)
+	}
+}
+
+// order sends one order. The lease is checked just before; a freeze between
+// the check and the sending is caught by the engine's check of the fencing
+// number, or by the successor's waiting and reading back.
+func (p *Pilot) order(ctx context.Context, f *fleet, id string, target quetzalpier.Version) {
+	ctx, cancel := context.WithTimeout(ctx, swap.OrderLife)
+	defer cancel()
+	err := p.sendOrder(ctx, f, id, target)
+	now := time.Now()
+	p.Meter.Orders.WithLabelValues(f.pool, orderLabel(err)).Inc()
+	if err != nil {
+		p.Log.Warn().Err(err).Str("engine", id).Uint64("version", uint64(target)).Msg("order failed")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := f.engines[id]
+	if e == nil {
+		return
+	}
+	e.EndedAt = now
+	// The order's own answer is no evidence: the next reading of the state is.
+	e.Known = false
+	if err != nil {
+		e.Failures++
+		return
+	}
+	e.Failures = 0
+}
+
+func (p *Pilot) sendOrder(ctx context.Context, f *fleet, id string, target quetzalpier.Version) error {
+	var addr string
+	p.Board.Do(func(s *board.State) {
+		if u := s.Upstreams[id]; u != nil {
+			addr = u.VM.Addr
+		}
+	})
+	if addr == "" {
+		return errors.Errorf("engine %s is gone", id)
+	}
+	if fence, ok := p.Lease.Fence(leaseName(f.pool), time.Now()); !ok || fence != f.fence {
+		return &quetzalpier.LostError{Lease: leaseName(f.pool)}
+	}
+	return p.Orders.Order(ctx, addr, quetzalpier.Order{Fence: f.fence, Version: target})
+}
+
+func orderLabel(err error) string {
+	var fenced *quetzalpier.FenceError
+	switch {
+	case err == nil:
+		return "done"
+	case errors.As(err, &fenced):
+		return "fenced"
+	default:
+		return "failed"
+	}
+}
--- /dev/null
+++ b/plat/orders.go
@@ -0,0 +1,52 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"quetzalpier"
+)
+
+// Orders gives orders to model engines.
+type Orders struct{ caller }
+
+// NewOrders returns a client for engine orders.
+func NewOrders() *Orders { return &Orders{newCaller()} }
+
+var _ quetzalpier.Orders = (*Orders)(nil)
+
+// State implements quetzalpier.Orders.
+func (o *Orders) State(ctx context.Context, addr string) (quetzalpier.EngineState, error) {
+	var state quetzalpier.EngineState
+	r, err := o.do(ctx, http.MethodGet, "http://"+addr+"/state", nil)
+	if err != nil {
+		return state, err
+	}
+	if err := r.fault("state", addr); err != nil {
+		return state, err
+	}
+	return state, errors.Wrap(json.Unmarshal(r.body, &state), "decode engine state")
+}
+
+// Order implements quetzalpier.Orders.
+func (o *Orders) Order(ctx context.Context, addr string, order quetzalpier.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	r, err := o.do(ctx, http.MethodPost, "http://"+addr+"/order", body)
+	if err != nil {
+		return err
+	}
+	if r.status != http.StatusPreconditionFailed {
+		return r.fault("order", addr)
+	}
+	var state quetzalpier.EngineState
+	if err := json.Unmarshal(r.body, &state); err != nil {
+		return errors.Wrap(err, "decode engine state")
+	}
+	return &quetzalpier.FenceError{Upstream: addr, Fence: order.Fence, Seen: state.Fence}
+}
--- /dev/null
+++ b/plat/vms.go
@@ -0,0 +1,35 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"quetzalpier"
+)
+
+// VMs reads the platform's list of VMs.
+type VMs struct {
+	base string
+	caller
+}
+
+// NewVMs returns a reader of the list at addr.
+func NewVMs(addr string) *VMs { return &VMs{base: "http://" + addr, caller: newCaller()} }
+
+var _ quetzalpier.VMs = (*VMs)(nil)
+
+// List implements quetzalpier.VMs.
+func (v *VMs) List(ctx context.Context) (quetzalpier.VMList, error) {
+	var list quetzalpier.VMList
+	r, err := v.do(ctx, http.MethodGet, v.base+"/vms", nil)
+	if err != nil {
+		return list, err
+	}
+	if err := r.fault("list", "vms"); err != nil {
+		return list, err
+	}
+	return list, errors.Wrap(json.Unmarshal(r.body, &list), "decode VM list")
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,194 @@
+// Package route chooses the upstream that runs a request next.
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/hash"
+)
+
+const (
+	// reportHalfLife is the age at which a load report counts half.
+	reportHalfLife = 2 * time.Second
+	// boundedLoad is how far above the mean an upstream may be loaded and
+	// still be preferred for its prefix cache.
+	boundedLoad = 1.25
+	// domainCost is what another failure domain costs, in requests.
+	domainCost = 0.5
+	// reserveShare is the share of an upstream's slots kept for interactive
+	// requests.
+	reserveShare = 8
+)
+
+// Ask is a request to be placed.
+type Ask struct {
+	Pool  string
+	Class quetzalpier.Class
+	// Prefix is the hash of the prompt's start; zero for none.
+	Prefix uint64
+	// Alone asks for an upstream without other requests, on behalf of Ticket.
+	Alone  bool
+	Ticket uint64
+	// Least is the lowest version wanted; upstreams known to be older are
+	// used only if there is no other.
+	Least quetzalpier.Version
+	// Floor is the lowest version that is any use; upstreams known to be
+	// older are not used at all.
+	Floor quetzalpier.Version
+	Avoid map[string]bool
+}
+
+// Pick returns the upstream to use; false if none has room now.
+func Pick(s *board.State, ask Ask, now time.Time, rnd *rand.Rand) (string, bool) {
+	candidates := Eligible(s, ask, now)
+	if len(candidates) == 0 {
+		return "", false
+	}
+	costs := make([]float64, len(candidates))
+	pace := meanPace(candidates)
+	total := 0.0
+	for i, u := range candidates {
+		costs[i] = cost(s, u, pace, now)
+		total += costs[i]
+	}
+	limit := boundedLoad*total/float64(len(candidates)) + 1
+	if i, ok := preferred(candidates, costs, ask.Prefix, limit); ok {
+		return candidates[i].VM.ID, true
+	}
+	return candidates[cheapest(costs, rnd)].VM.ID, true
+}
+
+// Eligible returns the upstreams that may take the request, in order of id:
+// those that this node works with, or any other if none of them can.
+func Eligible(s *board.State, ask Ask, now time.Time) []*board.Upstream {
+	if near := eligible(s, ask, s.Near, now); len(near) > 0 || s.Near == nil {
+		return near
+	}
+	return eligible(s, ask, nil, now)
+}
+
+func eligible(s *board.State, ask Ask, near map[string]bool, now time.Time) []*board.Upstream {
+	var fit, old []*board.Upstream
+	limit := slots(s.Config.Pools[ask.Pool], ask.Class)
+	for _, u := range s.Upstreams {
+		if near != nil && !near[u.VM.ID] {
+			continue
+		}
+		if u.VM.Pool != ask.Pool || !open(u, ask, now) || u.Outstanding >= limit || ask.Avoid[u.VM.ID] {
+			continue
+		}
+		if ask.Alone && (u.Outstanding > 0 || u.Trial != ask.Ticket) {
+			continue
+		}
+		if ask.Floor > 0 && served(u) < ask.Floor {
+			continue
+		}
+		if served(u) < ask.Least {
+			old = append(old, u)
+			continue
+		}
+		fit = append(fit, u)
+	}
+	if len(fit) == 0 {
+		fit = old
+	}
+	sort.Slice(fit, func(i, j int) bool { return fit[i].VM.ID < fit[j].VM.ID })
+	return fit
+}
+
+// open tells whether the upstream takes new work of this kind.
+func open(u *board.Upstream, ask Ask, now time.Time) bool {
+	if u.Trial != 0 && (!ask.Alone || u.Trial != ask.Ticket) {
+		return false
+	}
+	return !u.Leaving() && !now.Before(u.Health.EjectedUntil)
+}
+
+// slots is how many requests of a class one upstream may run for this node.
+func slots(pool quetzalpier.Pool, class quetzalpier.Class) int {
+	all := pool.Concurrent()
+	if class == quetzalpier.ClassInteractive {
+		return all
+	}
+	return all - max(1, all/reserveShare)
+}
+
+func served(u *board.Upstream) quetzalpier.Version { return max(u.Made, u.Report.Version) }
+
+// cost is the expected wait on an upstream, in requests of mean pace.
+func cost(s *board.State, u *board.Upstream, pace time.Duration, now time.Time) float64 {
+	load := float64(u.Outstanding) + foreign(u, now)
+	if u.VM.Domain != s.Self.Domain {
+		load += domainCost
+	}
+	if u.Pace > 0 && pace > 0 {
+		return (load + 1) * float64(u.Pace) / float64(pace)
+	}
+	return load + 1
+}
+
+// foreign estimates other nodes' requests from the last report, which counts
+// for less the older it is.
+func foreign(u *board.Upstream, now time.Time) float64 {
+	if u.ReportAt.IsZero() {
+		return 0
+	}
+	others := max(0, u.Report.Running+u.Report.Queued-u.Own)
+	age := max(0, now.Sub(u.ReportAt))
+	return float64(others) * math.Exp2(-float64(age)/float64(reportHalfLife))
+}
+
+func meanPace(us []*board.Upstream) time.Duration {
+	var total time.Duration
+	known := 0
+	for _, u := range us {
+		if u.Pace > 0 {
+			total += u.Pace
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return total / time.Duration(known)
+}
+
+// preferred finds the upstream that rendezvous hashing gives to the prefix,
+// skipping those loaded beyond limit.
+func preferred(us []*board.Upstream, costs []float64, prefix uint64, limit float64) (int, bool) {
+	if prefix == 0 {
+		return 0, false
+	}
+	best, at := uint64(0), -1
+	for i, u := range us {
+		if costs[i] > limit {
+			continue
+		}
+		if weight := hash.Pair(prefix, u.VM.ID); at < 0 || weight > best {
+			best, at = weight, i
+		}
+	}
+	return at, at >= 0
+}
+
+// cheapest returns a random one of the least costly.
+func cheapest(costs []float64, rnd *rand.Rand) int {
+	at, ties := 0, 1
+	for i := 1; i < len(costs); i++ {
+		switch {
+		case costs[i] < costs[at]:
+			at, ties = i, 1
+		case costs[i] == costs[at]:
+			ties++
+			if rnd.IntN(ties) == 0 {
+				at = i
+			}
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/sample.go
@@ -0,0 +1,284 @@
+package quetzalpier
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/bits"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Version numbers a model's weights; a later version has a higher number.
+type Version uint64
+
+// Span names the version that produced the tokens From (included) to To
+// (excluded) of a sample.
+type Span struct {
+	Version Version `json:"version"`
+	From    int     `json:"from"`
+	To      int     `json:"to"`
+}
+
+// Spans covers a sample's tokens in order.
+type Spans []Span
+
+// Check reports whether the spans cover exactly tokens, without gap or overlap.
+func (s Spans) Check(tokens int) error {
+	next := 0
+	for i, span := range s {
+		if span.From != next || span.To <= span.From {
+			return &FieldError{fmt.Sprintf("spans[%d]", i), fmt.Sprintf("must start at token %d and not be empty", next)}
+		}
+		next = span.To
+	}
+	if next != tokens {
+		return &FieldError{"spans", fmt.Sprintf("cover %d of %d tokens", next, tokens)}
+	}
+	return nil
+}
+
+// Oldest returns the lowest version of the spans; false if there are none.
+func (s Spans) Oldest() (Version, bool) {
+	if len(s) == 0 {
+		return 0, false
+	}
+	oldest := s[0].Version
+	for _, span := range s[1:] {
+		oldest = min(oldest, span.Version)
+	}
+	return oldest, true
+}
+
+// Append adds tokens made by version, joining them to the last span if it is
+// of the same version.
+func (s Spans) Append(version Version, tokens int) Spans {
+	if tokens <= 0 {
+		return s
+	}
+	from := 0
+	if n := len(s); n > 0 {
+		from = s[n-1].To
+		if s[n-1].Version == version {
+			s[n-1].To += tokens
+			return s
+		}
+	}
+	return append(s, Span{Version: version, From: from, To: from + tokens})
+}
+
+// Sample is one finished rollout.
+type Sample struct {
+	Index  int     `json:"index"`
+	Group  string  `json:"group"`
+	Text   string  `json:"text"`
+	Tokens int     `json:"tokens"`
+	Spans  Spans   `json:"spans"`
+	Finish string  `json:"finish"`
+	Reward float64 `json:"reward,omitempty"`
+}
+
+// Age is how many versions the sample's oldest span lies behind current. A
+// sample without spans has no age and must not be delivered.
+func (s Sample) Age(current Version) (uint64, bool) {
+	oldest, ok := s.Spans.Oldest()
+	if !ok {
+		return 0, false
+	}
+	if oldest >= current {
+		return 0, true
+	}
+	return uint64(current - oldest), true
+}
+
+// Fresh tells whether the sample may be delivered to a trainer at version
+// current that accepts samples up to bound versions old.
+func (s Sample) Fresh(current Version, bound uint64) bool {
+	age, ok := s.Age(current)
+	return ok && age <= bound
+}
+
+// UnmarshalJSON decodes a sample and checks its spans.
+func (s *Sample) UnmarshalJSON(data []byte) error {
+	type bare Sample
+	if err := json.Unmarshal(data, (*bare)(s)); err != nil {
+		return err
+	}
+	if s.Index < 0 {
+		return &FieldError{"index", "must not be negative"}
+	}
+	return s.Spans.Check(s.Tokens)
+}
+
+// Limits of a step's size.
+const (
+	MaxSamples = 16384
+	MaxTokens  = 131072
+)
+
+// Group is a prompt to be sampled Count times.
+type Group struct {
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+	Count  int    `json:"count"`
+	Tokens int    `json:"tokens"`
+}
+
+// Step is the set of samples that a trainer needs next.
+type Step struct {
+	Trainer string  `json:"trainer"`
+	Number  uint64  `json:"number"`
+	Pool    string  `json:"pool"`
+	Bound   uint64  `json:"bound"`
+	Version Version `json:"version"`
+	Groups  []Group `json:"groups"`
+}
+
+// Samples is the number of samples that the step asks for.
+func (s Step) Samples() int {
+	total := 0
+	for _, g := range s.Groups {
+		total += g.Count
+	}
+	return total
+}
+
+// Key identifies the step among all trainers' steps.
+func (s Step) Key() StepKey { return StepKey{s.Trainer, s.Number} }
+
+// Hash identifies the step's content. The version is left out, since a
+// trainer that puts a step again may have moved on.
+func (s Step) Hash() uint64 {
+	s.Version = 0
+	data, _ := json.Marshal(s)
+	return xxhash.Sum64(data)
+}
+
+// StepKey names a step.
+type StepKey struct {
+	Trainer string
+	Number  uint64
+}
+
+// String returns "trainer/number".
+func (k StepKey) String() string { return k.Trainer + "/" + strconv.FormatUint(k.Number, 10) }
+
+// UnmarshalJSON decodes a step and checks it.
+func (s *Step) UnmarshalJSON(data []byte) error {
+	type bare Step
+	if err := json.Unmarshal(data, (*bare)(s)); err != nil {
+		return err
+	}
+	return s.Check()
+}
+
+// Check reports the first fault of the step.
+func (s Step) Check() error {
+	if s.Pool == "" {
+		return &FieldError{"pool", "must not be empty"}
+	}
+	if len(s.Groups) == 0 {
+		return &FieldError{"groups", "must not be empty"}
+	}
+	total := 0
+	for i, g := range s.Groups {
+		if g.Count < 1 || g.Count > MaxSamples {
+			return &FieldError{fmt.Sprintf("groups[%d].count", i), fmt.Sprintf("must be 1 to %d", MaxSamples)}
+		}
+		if g.Tokens < 1 || g.Tokens > MaxTokens {
+			return &FieldError{fmt.Sprintf("groups[%d].tokens", i), fmt.Sprintf("must be 1 to %d", MaxTokens)}
+		}
+		total += g.Count
+	}
+	if total > MaxSamples {
+		return &FieldError{"groups", fmt.Sprintf("ask for %d samples, at most %d", total, MaxSamples)}
+	}
+	return nil
+}
+
+// Bitmap is a set of sample indexes, one bit each.
+type Bitmap []byte
+
+// Has tells whether index i is in the set.
+func (b Bitmap) Has(i int) bool { return i>>3 < len(b) && b[i>>3]&(1<<(i&7)) != 0 }
+
+// Set returns the set with index i added.
+func (b Bitmap) Set(i int) Bitmap {
+	for i>>3 >= len(b) {
+		b = append(b, 0)
+	}
+	b[i>>3] |= 1 << (i & 7)
+	return b
+}
+
+// Count is the number of indexes in the set.
+func (b Bitmap) Count() int {
+	total := 0
+	for _, octet := range b {
+		total += bits.OnesCount8(octet)
+	}
+	return total
+}
+
+// Pull asks for finished samples of a step. Have is what the trainer already
+// holds and Version the weights that it has published last; both are the
+// trainer's word and go before whatever the service believes.
+type Pull struct {
+	Have    Bitmap  `json:"have"`
+	Version Version `json:"version"`
+	// Bound goes before the step's own, if it is given.
+	Bound *uint64 `json:"bound,omitempty"`
+	// Wait is how long to wait for the first sample, in milliseconds.
+	Wait int64 `json:"wait"`
+	Max  int   `json:"max,omitempty"`
+}
+
+// MaxWait bounds a pull's wait, in milliseconds.
+const MaxWait = 60_000
+
+// UnmarshalJSON decodes a pull and checks it.
+func (p *Pull) UnmarshalJSON(data []byte) error {
+	type bare Pull
+	if err := json.Unmarshal(data, (*bare)(p)); err != nil {
+		return err
+	}
+	if p.Wait < 0 || p.Wait > MaxWait {
+		return &FieldError{"wait", fmt.Sprintf("must be 0 to %d", MaxWait)}
+	}
+	if len(p.Have) > MaxSamples/8 {
+		return &FieldError{"have", fmt.Sprintf("must have at most %d bytes", MaxSamples/8)}
+	}
+	if p.Max < 0 {
+		return &FieldError{"max", "must not be negative"}
+	}
+	return nil
+}
+
+// Batch answers a pull. Version is the one that the samples' age was judged
+// by; Left counts the samples of the step that the trainer still lacks.
+type Batch struct {
+	Samples []Sample `json:"samples"`
+	Version Version  `json:"version"`
+	Left    int      `json:"left"`
+}
+
+// Publish tells that a pool's weights have a new version.
+type Publish struct {
+	Pool    string  `json:"pool"`
+	Version Version `json:"version"`
+}
+
+// UnmarshalJSON decodes a publication and checks it.
+func (p *Publish) UnmarshalJSON(data []byte) error {
+	type bare Publish
+	if err := json.Unmarshal(data, (*bare)(p)); err != nil {
+		return err
+	}
+	if p.Pool == "" {
+		return &FieldError{"pool", "must not be empty"}
+	}
+	if p.Version == 0 {
+		return &FieldError{"version", "must be at least 1"}
+	}
+	return nil
+}
--- /dev/null
+++ b/setup/setup.go
@@ -0,0 +1,210 @@
+// Package setup reads a node's settings: decoded, defaulted and checked here
+// and nowhere else.
+package setup
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// Roles of a node.
+const (
+	RoleGate  = "gate"
+	RoleStep  = "step"
+	RolePilot = "pilot"
+	RoleStore = "store"
+)
+
+// Node is a node's settings.
+type Node struct {
+	Name   string   `toml:"name" validate:"required,hostname_rfc1123"`
+	Domain string   `toml:"domain" validate:"required"`
+	Region string   `toml:"region"`
+	Roles  []string `toml:"roles" validate:"required,min=1,unique,dive,oneof=gate step pilot store"`
+	// HTTP is the address for callers, trainers and operators.
+	HTTP string `toml:"http" validate:"required,hostport"`
+	// Peer is the address for other nodes.
+	Peer  string   `toml:"peer" validate:"required,hostport"`
+	Seeds []string `toml:"seeds" validate:"dive,hostport"`
+	// Data is the folder for bulk data; empty on a VM without a disk.
+	Data string `toml:"data"`
+	// Token is the file that holds the operators' token. Without one,
+	// operators' calls are taken from the loopback interface alone.
+	Token string `toml:"token"`
+	// Log is the least level that is logged.
+	Log string `toml:"log" validate:"oneof=debug info warn error"`
+	// Keep is how long callers keep an answer to which addresses to use.
+	Keep Duration `toml:"keep" validate:"min=1000000000,max=600000000000"`
+	// Bound is how old the word that the configuration is current may be.
+	Bound Duration `toml:"bound" validate:"min=1000000000,max=600000000000"`
+	// Stale tells what a node does whose configuration is not confirmed
+	// within the bound: "refuse" or "serve".
+	Stale    string   `toml:"stale" validate:"oneof=refuse serve"`
+	Platform Platform `toml:"platform"`
+	Limits   Limits   `toml:"limits"`
+}
+
+// Platform is where the platform's services are.
+type Platform struct {
+	KV  string `toml:"kv" validate:"required,hostport"`
+	VMs string `toml:"vms" validate:"required,hostport"`
+	// Loads is how many loads a second the weight store serves; zero for no limit.
+	Loads float64 `toml:"loads" validate:"min=0"`
+}
+
+// Limits bound what a node takes.
+type Limits struct {
+	// Body is the largest request body, in bytes.
+	Body int `toml:"body" validate:"min=1024,max=268435456"`
+	// Wait is how long an interactive request may wait for a slot.
+	Wait Duration `toml:"wait" validate:"min=100000000,max=600000000000"`
+	// Drain bounds how long a planned stop waits for requests in flight.
+	Drain Duration `toml:"drain" validate:"min=1000000000,max=7200000000000"`
+}
+
+// Duration is a time.Duration written as text, as "250ms" or "10s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// MarshalText writes a duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// D is the duration as the standard library's type.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Error lists every fault of a settings file.
+type Error struct {
+	File   string
+	Faults []string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return e.File + ":\n  " + strings.Join(e.Faults, "\n  ")
+}
+
+// Defaults are the settings that a file need not give.
+func Defaults() Node {
+	return Node{
+		Log: "info", Stale: "refuse",
+		Keep: Duration(30 * time.Second), Bound: Duration(12 * time.Second),
+		Limits: Limits{Body: 4 << 20, Wait: Duration(30 * time.Second), Drain: Duration(30 * time.Minute)},
+	}
+}
+
+// Read reads and checks a settings file.
+func Read(file string) (Node, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Node{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse decodes and checks settings. An Error lists all faults at once, with
+// their places.
+func Parse(file string, data []byte) (Node, error) {
+	node := Defaults()
+	decoder := toml.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	faults := decodeFaults(decoder.Decode(&node))
+	faults = append(faults, checkFaults(node)...)
+	if len(faults) > 0 {
+		return node, &Error{File: file, Faults: faults}
+	}
+	return node, nil
+}
+
+func decodeFaults(err error) []string {
+	var strict *toml.StrictMissingError
+	var one *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &strict):
+		var faults []string
+		for _, fault := range strict.Errors {
+			row, col := fault.Position()
+			faults = append(faults, fmt.Sprintf("%d:%d: unknown key %q", row, col, strings.Join(fault.Key(), ".")))
+		}
+		return faults
+	case errors.As(err, &one):
+		row, col := one.Position()
+		return []string{fmt.Sprintf("%d:%d: %s", row, col, one.Error())}
+	default:
+		return []string{err.Error()}
+	}
+}
+
+func checkFaults(node Node) []string {
+	var faults []string
+	var found validator.ValidationErrors
+	if errors.As(newValidator().Struct(node), &found) {
+		for _, fault := range found {
+			_, name, _ := strings.Cut(fault.Namespace(), ".")
+			faults = append(faults, fmt.Sprintf("%s: %v does not meet %s", name, show(fault.Value()), rule(fault)))
+		}
+	}
+	if node.Data == "" && contains(node.Roles, RoleStore) {
+		faults = append(faults, "data: the role store needs a data folder")
+	}
+	return faults
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(field reflect.StructField) string {
+		return strings.Split(field.Tag.Get("toml"), ",")[0]
+	})
+	_ = v.RegisterValidation("hostport", func(field validator.FieldLevel) bool {
+		host, port, err := net.SplitHostPort(field.Field().String())
+		return err == nil && net.ParseIP(host) != nil && port != ""
+	})
+	return v
+}
+
+func show(value any) string {
+	if d, ok := value.(Duration); ok {
+		return d.D().String()
+	}
+	return fmt.Sprintf("%q", fmt.Sprint(value))
+}
+
+func rule(fault validator.FieldError) string {
+	if fault.Tag() == "hostport" {
+		return "IP:port"
+	}
+	if fault.Param() == "" {
+		return fault.Tag()
+	}
+	if _, ok := fault.Value().(Duration); ok {
+		if d, err := time.ParseDuration(fault.Param() + "ns"); err == nil {
+			return fault.Tag() + "=" + d.String()
+		}
+	}
+	return fault.Tag() + "=" + fault.Param()
+}
+
+func contains(list []string, name string) bool {
+	for _, other := range list {
+		if other == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/stand/engine.go
@@ -0,0 +1,559 @@
+package stand
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"quetzalpier"
+	"quetzalpier/model"
+)
+
+// CrashMark in a prompt crashes the engine that runs it.
+const CrashMark = "<crash>"
+
+// heartbeatEvery is how often a queued or slow stream sends a comment line.
+const heartbeatEvery = 500 * time.Millisecond
+
+// EngineFaults are an engine's switches.
+type EngineFaults struct {
+	// Frozen stops all work and all answers.
+	Frozen bool `json:"frozen"`
+	// FailSwaps makes this many orders fail halfway.
+	FailSwaps int `json:"failswaps"`
+	// Lie makes orders look done without a change of the weights.
+	Lie bool `json:"lie"`
+	// Slow multiplies the step time.
+	Slow float64 `json:"slow"`
+	// Down is how long a crashed engine stays away, in milliseconds.
+	Down int `json:"down"`
+}
+
+// EngineOptions describe an engine.
+type EngineOptions struct {
+	Addr    string
+	Params  model.Params
+	Version quetzalpier.Version
+	// Fenced engines refuse orders with an old fencing number.
+	Fenced bool
+	// Swap is how long a change of weights takes.
+	Swap time.Duration
+	// Weights is the address of the weight store, if there is one.
+	Weights string
+	Delay   time.Duration
+}
+
+// Engine is the stand-in for a model engine.
+type Engine struct {
+	opts EngineOptions
+	addr string
+
+	mu      sync.Mutex
+	server  *Server
+	batch   *model.Batch
+	jobs    map[string]*engineJob
+	state   quetzalpier.EngineState
+	claimed quetzalpier.Version
+	faults  EngineFaults
+	runs    map[string]int
+	obeyed  []quetzalpier.Order
+	crashes int
+	lastRun time.Time
+	serial  uint64
+	wake    chan struct{}
+	stop    chan struct{}
+	workers conc.WaitGroup
+}
+
+type engineJob struct {
+	seq    *model.Seq
+	prompt string
+	poison bool
+	sent   int
+	event  chan struct{}
+	gone   bool
+}
+
+// NewEngine starts an engine.
+func NewEngine(opts EngineOptions) (*Engine, error) {
+	e := &Engine{opts: opts, addr: opts.Addr, runs: map[string]int{}, wake: make(chan struct{}, 1), stop: make(chan struct{})}
+	e.reset()
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.workers.Go(e.run)
+	return e, nil
+}
+
+// Addr is the engine's address.
+func (e *Engine) Addr() string { return e.addr }
+
+// Close stops the engine.
+func (e *Engine) Close() {
+	close(e.stop)
+	e.mu.Lock()
+	server := e.server
+	e.mu.Unlock()
+	if server != nil {
+		server.Close()
+	}
+	e.workers.Wait()
+}
+
+// Faults is the listener's switches; nil while the engine is down.
+func (e *Engine) Faults() *Listener {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil {
+		return nil
+	}
+	return e.server.Faults
+}
+
+// SetFaults sets the switches.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	e.faults = f
+	e.batch.Params.Slow = f.Slow
+	e.mu.Unlock()
+	e.signal()
+}
+
+// SetLeaving makes the engine report that it leaves.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	e.state.Leaving = leaving
+	e.mu.Unlock()
+}
+
+// Report is what an engine did, for checks from the outside.
+type Report struct {
+	Runs    map[string]int      `json:"runs"`
+	Obeyed  []quetzalpier.Order `json:"obeyed"`
+	Crashes int                 `json:"crashes"`
+	Version quetzalpier.Version `json:"version"`
+	// LastRun is when the last request arrived.
+	LastRun time.Time `json:"lastrun"`
+}
+
+// Report returns what the engine did so far.
+func (e *Engine) Report() Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make(map[string]int, len(e.runs))
+	for prompt, n := range e.runs {
+		runs[prompt] = n
+	}
+	return Report{runs, append([]quetzalpier.Order(nil), e.obeyed...), e.crashes, e.batch.Version, e.lastRun}
+}
+
+// Crash drops all connections and state; the engine comes back after down.
+func (e *Engine) Crash(down time.Duration) {
+	e.mu.Lock()
+	server := e.server
+	e.server = nil
+	e.crashes++
+	for _, job := range e.jobs {
+		job.gone = true
+		job.notify()
+	}
+	e.reset()
+	e.mu.Unlock()
+	if server == nil {
+		return
+	}
+	e.workers.Go(func() {
+		server.Close()
+		select {
+		case <-e.stop:
+		case <-time.After(down):
+			_ = e.listen()
+		}
+	})
+}
+
+// reset starts the engine's process state anew.
+func (e *Engine) reset() {
+	e.batch = model.New(e.opts.Params, e.opts.Version)
+	e.batch.Params.Slow = e.faults.Slow
+	e.jobs = map[string]*engineJob{}
+	e.claimed = e.opts.Version
+	e.state = quetzalpier.EngineState{Boot: strconv.FormatInt(time.Now().UnixNano(), 36)}
+}
+
+func (e *Engine) listen() error {
+	server, err := Serve(e.addr, e.handle)
+	if err != nil {
+		return err
+	}
+	server.Faults.Delay = e.opts.Delay
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server = server
+	e.addr = server.Addr
+	return nil
+}
+
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) run() {
+	for {
+		pause, idle := e.begin()
+		if idle {
+			select {
+			case <-e.stop:
+				return
+			case <-e.wake:
+			}
+			continue
+		}
+		select {
+		case <-e.stop:
+			return
+		case <-time.After(pause):
+			e.finish()
+		}
+	}
+}
+
+func (e *Engine) begin() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Frozen || e.state.Loading != 0 || e.server == nil {
+		return 20 * time.Millisecond, false
+	}
+	if e.batch.Idle() {
+		return 0, true
+	}
+	return e.batch.Begin(), false
+}
+
+func (e *Engine) finish() {
+	e.mu.Lock()
+	if e.faults.Frozen || e.state.Loading != 0 || e.server == nil {
+		e.mu.Unlock()
+		return
+	}
+	e.batch.Step()
+	crash := false
+	for _, job := range e.jobs {
+		job.notify()
+		crash = crash || (job.poison && job.seq.Made > 0)
+	}
+	down := time.Duration(e.faults.Down) * time.Millisecond
+	e.mu.Unlock()
+	if crash {
+		e.Crash(max(down, 100*time.Millisecond))
+	}
+}
+
+func (j *engineJob) notify() {
+	select {
+	case j.event <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) handle(c *fasthttp.RequestCtx) {
+	for e.frozen() {
+		time.Sleep(20 * time.Millisecond)
+	}
+	switch string(c.Path()) {
+	case "/v1/completions", "/v1/chat/completions":
+		e.handleGenerate(c)
+	case "/state":
+		body, _ := json.Marshal(e.currentState())
+		c.SetBody(body)
+	case "/order":
+		e.handleOrder(c)
+	case "/report":
+		body, _ := json.Marshal(e.Report())
+		c.SetBody(body)
+	case "/fault":
+		e.handleFault(c)
+	default:
+		c.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Engine) frozen() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Frozen
+}
+
+func (e *Engine) handleFault(c *fasthttp.RequestCtx) {
+	switch string(c.QueryArgs().Peek("kind")) {
+	case "crash":
+		e.Crash(time.Duration(c.QueryArgs().GetUintOrZero("down")) * time.Millisecond)
+	case "silence":
+		e.Faults().Silence()
+	case "leaving":
+		e.SetLeaving(true)
+	default:
+		var f EngineFaults
+		if err := json.Unmarshal(c.PostBody(), &f); err != nil {
+			c.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		e.SetFaults(f)
+	}
+}
+
+func (e *Engine) currentState() quetzalpier.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.state
+	state.Version = e.claimed
+	state.Running = len(e.batch.Running)
+	state.Queued = len(e.batch.Queue)
+	return state
+}
+
+type generateRequest struct {
+	Model    string `json:"model"`
+	Prompt   string `json:"prompt"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens int  `json:"max_tokens"`
+	Stream    bool `json:"stream"`
+	Priority  int  `json:"priority"`
+	// Every is how many tokens a chunk of the stream holds.
+	Every int `json:"every"`
+	// Seed varies the length of the answer.
+	Seed   int64         `json:"seed"`
+	Resume *resumeTokens `json:"resume"`
+}
+
+type resumeTokens struct {
+	Tokens int               `json:"tokens"`
+	Spans  quetzalpier.Spans `json:"spans"`
+}
+
+// Length is how many tokens the engine makes for a prompt: heavy-tailed, and
+// the same at every engine.
+func Length(prompt string, seed int64, most int) int {
+	h := xxhash.Sum64String(prompt + "#" + strconv.FormatInt(seed, 10))
+	u := float64(h%10_000)/10_000 + 0.0001
+	n := int(float64(most) / 16 / u)
+	return max(1, min(most, n))
+}
+
+// Words returns the tokens from (included) to to (excluded) of a prompt's answer.
+func Words(prompt string, from, to int) string {
+	var b strings.Builder
+	sum := xxhash.Sum64String(prompt) % 0xffff
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "%x.%d ", sum, i)
+	}
+	return b.String()
+}
+
+func (e *Engine) handleGenerate(c *fasthttp.RequestCtx) {
+	var req generateRequest
+	if err := json.Unmarshal(c.PostBody(), &req); err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	chat := strings.HasSuffix(string(c.Path()), "/chat/completions")
+	prompt := req.Prompt
+	for _, m := range req.Messages {
+		prompt += m.Role + ":" + m.Content + "\n"
+	}
+	job := e.start(req, prompt)
+	out := &engineStream{engine: e, job: job, chat: chat, every: max(1, req.Every), model: req.Model}
+	if !req.Stream {
+		out.whole(c)
+		return
+	}
+	c.SetContentType("text/event-stream")
+	c.SetBodyStreamWriter(out.stream)
+}
+
+func (e *Engine) start(req generateRequest, prompt string) *engineJob {
+	most := req.MaxTokens
+	if most <= 0 {
+		most = 64
+	}
+	seq := &model.Seq{
+		Priority: req.Priority,
+		Prefix:   xxhash.Sum64String(prompt[:min(len(prompt), 256)]),
+		Prompt:   len(prompt) / 4,
+		Want:     Length(prompt, req.Seed, most),
+	}
+	job := &engineJob{seq: seq, prompt: prompt, poison: strings.Contains(prompt, CrashMark), event: make(chan struct{}, 1)}
+	if req.Resume != nil {
+		seq.Made = min(req.Resume.Tokens, seq.Want)
+		seq.Spans = append(seq.Spans, req.Resume.Spans...)
+		job.sent = seq.Made
+	}
+	e.mu.Lock()
+	e.serial++
+	seq.ID = strconv.FormatUint(e.serial, 10)
+	e.runs[prompt]++
+	e.lastRun = time.Now()
+	e.jobs[seq.ID] = job
+	if !seq.Done() {
+		e.batch.Add(seq)
+	}
+	e.mu.Unlock()
+	e.signal()
+	return job
+}
+
+// progress waits for tokens; it returns how many are made, whether the
+// sequence has ended, and whether the engine has crashed meanwhile.
+func (e *Engine) progress(job *engineJob) (made int, spans quetzalpier.Spans, gone bool) {
+	select {
+	case <-job.event:
+	case <-e.stop:
+	case <-time.After(heartbeatEvery):
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return job.seq.Made, append(quetzalpier.Spans(nil), job.seq.Spans...), job.gone || stopped(e.stop)
+}
+
+func stopped(stop chan struct{}) bool {
+	select {
+	case <-stop:
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Engine) end(job *engineJob) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.jobs[job.seq.ID] == job {
+		e.batch.Cancel(job.seq.ID)
+		delete(e.jobs, job.seq.ID)
+	}
+}
+
+type engineStream struct {
+	engine *Engine
+	job    *engineJob
+	chat   bool
+	every  int
+	model  string
+}
+
+func (s *engineStream) whole(c *fasthttp.RequestCtx) {
+	defer s.engine.end(s.job)
+	for {
+		made, spans, gone := s.engine.progress(s.job)
+		if gone {
+			_ = c.Conn().Close()
+			return
+		}
+		if made >= s.job.seq.Want {
+			c.SetContentType("application/json")
+			c.SetBody(s.answer(spans))
+			return
+		}
+	}
+}
+
+func (s *engineStream) answer(spans quetzalpier.Spans) []byte {
+	want := s.job.seq.Want
+	text := Words(s.job.prompt, 0, want)
+	choice := map[string]any{"index": 0, "finish_reason": "stop", "text": text}
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion"
+		choice = map[string]any{"index": 0, "finish_reason": "stop", "message": map[string]string{"role": "assistant", "content": text}}
+	}
+	body, _ := json.Marshal(map[string]any{
+		"id": "cmpl-" + s.job.seq.ID, "object": object, "created": 0, "model": s.model,
+		"choices": []any{choice}, "spans": spans,
+		"usage": s.usage(),
+	})
+	return body
+}
+
+func (s *engineStream) usage() map[string]int {
+	prompt, made := s.job.seq.Prompt, s.job.seq.Want
+	return map[string]int{"prompt_tokens": prompt, "completion_tokens": made, "total_tokens": prompt + made}
+}
+
+func (s *engineStream) stream(w *bufio.Writer) {
+	defer s.engine.end(s.job)
+	for {
+		made, spans, gone := s.engine.progress(s.job)
+		if gone {
+			// The connection is cut by the crash; nothing may look like an end.
+			return
+		}
+		done := made >= s.job.seq.Want
+		if !done && made-s.job.sent < s.every {
+			if _, err := w.WriteString(": working\n\n"); err != nil || w.Flush() != nil {
+				return
+			}
+			continue
+		}
+		if s.events(w, made, spans, done) != nil || done {
+			return
+		}
+	}
+}
+
+// events writes the tokens made since the last call, one event a version.
+func (s *engineStream) events(w *bufio.Writer, made int, spans quetzalpier.Spans, done bool) error {
+	for _, span := range spans {
+		from, to := max(span.From, s.job.sent), min(span.To, made)
+		if from >= to {
+			continue
+		}
+		if err := s.event(w, from, to, span.Version, done && to == made); err != nil {
+			return err
+		}
+		s.job.sent = to
+	}
+	if done {
+		if _, err := w.WriteString("data: [DONE]\n\n"); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func (s *engineStream) event(w *bufio.Writer, from, to int, version quetzalpier.Version, last bool) error {
+	text := Words(s.job.prompt, from, to)
+	var finish any
+	if last {
+		finish = "stop"
+	}
+	choice := map[string]any{"index": 0, "finish_reason": finish, "text": text}
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion.chunk"
+		choice = map[string]any{"index": 0, "finish_reason": finish, "delta": map[string]string{"role": "assistant", "content": text}}
+	}
+	fields := map[string]any{
+		"id": "cmpl-" + s.job.seq.ID, "object": object, "created": 0, "model": s.model,
+		"choices": []any{choice}, "version": version, "tokens": to - from,
+	}
+	if last {
+		fields["usage"] = s.usage()
+	}
+	body, _ := json.Marshal(fields)
+	_, err := fmt.Fprintf(w, "data: %s\n\n", body)
+	return err
+}
--- /dev/null
+++ b/stand/trainer.go
@@ -0,0 +1,140 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"quetzalpier"
+	"quetzalpier/train"
+)
+
+// TrainerOptions describe a trainer.
+type TrainerOptions struct {
+	Name   string
+	Nodes  []string
+	Pool   string
+	Steps  int
+	Groups int
+	Count  int
+	Tokens int
+	Bound  uint64
+	// Learn is how long the trainer learns from a step before it publishes.
+	Learn time.Duration
+	// First is the first step's number, and Version the weights it starts from.
+	First   uint64
+	Version quetzalpier.Version
+}
+
+// Tally is the trainer's own account.
+type Tally struct {
+	Trainer string `json:"trainer"`
+	Steps   int    `json:"steps"`
+	Samples int    `json:"samples"`
+	Wanted  int    `json:"wanted"`
+	Doubled int    `json:"doubled"`
+	Stale   int    `json:"stale"`
+	// Unnamed counts samples whose spans don't cover their tokens, and Wrong
+	// those whose text is not the answer to their prompt.
+	Unnamed int `json:"unnamed"`
+	Wrong   int `json:"wrong"`
+	// Idle is how long the trainer waited for samples, in seconds.
+	Idle     float64                     `json:"idle"`
+	StepTime []float64                   `json:"steptime"`
+	Ages     map[uint64]int              `json:"ages"`
+	Versions map[quetzalpier.Version]int `json:"versions"`
+	Retries  int                         `json:"retries"`
+	Fault    string                      `json:"fault,omitempty"`
+}
+
+// pullWait is how long one pull waits for the first sample.
+const pullWait = 2 * time.Second
+
+// Train runs a trainer to its end and returns its account.
+func Train(ctx context.Context, o TrainerOptions) Tally {
+	client := train.New(o.Name, o.Nodes)
+	client.Version = max(1, o.Version)
+	client.Bound = o.Bound
+	tally := Tally{Trainer: o.Name, Ages: map[uint64]int{}, Versions: map[quetzalpier.Version]int{}}
+	for i := range o.Steps {
+		if err := trainStep(ctx, client, o, o.First+uint64(i), &tally); err != nil {
+			tally.Fault = err.Error()
+			break
+		}
+		tally.Steps++
+	}
+	tally.Retries = client.Retries
+	return tally
+}
+
+func trainStep(ctx context.Context, client *train.Client, o TrainerOptions, number uint64, tally *Tally) error {
+	s := makeStep(o, number)
+	start := time.Now()
+	if err := client.Put(ctx, s); err != nil {
+		return err
+	}
+	seen := map[int]bool{}
+	tally.Wanted += s.Samples()
+	for client.Left() > 0 {
+		samples, _, err := client.Pull(ctx, pullWait)
+		if err != nil {
+			return err
+		}
+		for _, sample := range samples {
+			tally.add(s, sample, seen, client)
+		}
+	}
+	waited := time.Since(start).Seconds()
+	tally.Idle += waited
+	tally.StepTime = append(tally.StepTime, waited)
+	if err := client.Close(ctx); err != nil {
+		return err
+	}
+	time.Sleep(o.Learn)
+	return client.Publish(ctx, o.Pool, client.Version+1)
+}
+
+func makeStep(o TrainerOptions, number uint64) quetzalpier.Step {
+	s := quetzalpier.Step{Number: number, Pool: o.Pool}
+	for g := range o.Groups {
+		s.Groups = append(s.Groups, quetzalpier.Group{
+			ID: fmt.Sprintf("g%d", g), Prompt: fmt.Sprintf("%s step %d group %d", o.Name, number, g),
+			Count: o.Count, Tokens: o.Tokens,
+		})
+	}
+	return s
+}
+
+func (t *Tally) add(s quetzalpier.Step, sample quetzalpier.Sample, seen map[int]bool, client *train.Client) {
+	t.Samples++
+	if seen[sample.Index] {
+		t.Doubled++
+	}
+	seen[sample.Index] = true
+	age, _ := sample.Age(client.Version)
+	t.Ages[age]++
+	if age > client.Bound {
+		t.Stale++
+	}
+	if sample.Spans.Check(sample.Tokens) != nil || sample.Tokens == 0 {
+		t.Unnamed++
+	}
+	for _, span := range sample.Spans {
+		t.Versions[span.Version]++
+	}
+	group := s.Groups[groupOf(s, sample.Index)]
+	if sample.Group != group.ID || sample.Text != Words(group.Prompt, 0, Length(group.Prompt, int64(sample.Index), group.Tokens)) {
+		t.Wrong++
+	}
+}
+
+func groupOf(s quetzalpier.Step, index int) int {
+	ends := make([]int, len(s.Groups))
+	total := 0
+	for g, group := range s.Groups {
+		total += group.Count
+		ends[g] = total
+	}
+	return sort.SearchInts(ends, index+1)
+}
--- /dev/null
+++ b/vms.go
@@ -0,0 +1,67 @@
+package quetzalpier
+
+import (
+	"encoding/json"
+	"net/netip"
+)
+
+// VM states as the platform lists them.
+const (
+	VMLive    = "live"
+	VMLeaving = "leaving"
+)
+
+// VM kinds.
+const (
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
+// VM is one upstream's entry in the platform's list.
+type VM struct {
+	ID     string `json:"id"`
+	Addr   string `json:"addr"`
+	Domain string `json:"domain"`
+	Kind   string `json:"kind"`
+	Pool   string `json:"pool"`
+	State  string `json:"state"`
+	// Fenced tells that the engine checks fencing numbers.
+	Fenced bool `json:"fenced,omitempty"`
+}
+
+// VMList is the platform's list; Number rises with each change.
+type VMList struct {
+	Number uint64 `json:"number"`
+	VMs    []VM   `json:"vms"`
+}
+
+// UnmarshalJSON decodes a list and checks each entry.
+func (l *VMList) UnmarshalJSON(data []byte) error {
+	type bare VMList
+	if err := json.Unmarshal(data, (*bare)(l)); err != nil {
+		return err
+	}
+	for _, vm := range l.VMs {
+		if err := vm.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Check reports the first fault of the entry.
+func (v VM) Check() error {
+	if v.ID == "" {
+		return &FieldError{"id", "must not be empty"}
+	}
+	if _, err := netip.ParseAddrPort(v.Addr); err != nil {
+		return &FieldError{"addr", v.ID + ": must be an IP address and port"}
+	}
+	if v.Kind != KindEngine && v.Kind != KindPlain {
+		return &FieldError{"kind", v.ID + `: must be "engine" or "plain"`}
+	}
+	if v.State != VMLive && v.State != VMLeaving {
+		return &FieldError{"state", v.ID + `: must be "live" or "leaving"`}
+	}
+	return nil
+}
