conf, claim, step, route, admit, retry, poison, swap, lease, plat, setup: Prove the decisions

Cause: no promise was proved. Change: tables, rapid and porcupine checks for each decision, each beside its naive version; the stand-in key-value service is split into its content (stand.Memory), its HTTP side and a faulty view (stand.Flaky). Also: a refusal of a keyed request that was decided without its claim says unknown, since an earlier copy may have run. Red runs: PatchNaive, OpenNaive, step.Naive, route.ListOnly and poison.CrashedNaive fail the checks that the real ones pass; the tests hold both. Conclusion: decisions hold under drawn faults; sockets and processes are not covered yet.

--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,150 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"quetzalpier"
+	"quetzalpier/admit"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const (
+	interactive = quetzalpier.ClassInteractive
+	rollout     = quetzalpier.ClassRollout
+	internal    = quetzalpier.ClassInternal
+)
+
+func offer(t require.TestingT, q *admit.Queue, class quetzalpier.Class, tenant string, weight float64) *admit.Ticket {
+	ticket := &admit.Ticket{Class: class, Tenant: tenant, Weight: weight}
+	_, ok := q.Offer(ticket, start)
+	require.True(t, ok)
+	return ticket
+}
+
+// grants grants n tickets and counts them by tenant.
+func grants(q *admit.Queue, n int) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		ticket := q.Next()
+		if ticket == nil {
+			break
+		}
+		q.Grant(ticket, start)
+		counts[ticket.Tenant]++
+	}
+	return counts
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("interactive requests go first and rollouts keep their share", func(t *testing.T) {
+		q := &admit.Queue{}
+		for range 100 {
+			offer(t, q, interactive, "app", 1)
+			offer(t, q, rollout, "trainer", 1)
+			offer(t, q, internal, "lookup", 1)
+		}
+		counts := grants(q, 100)
+		require.GreaterOrEqual(t, counts["app"], 70)
+		require.InDelta(t, 20, counts["trainer"], 2)
+		require.InDelta(t, 5, counts["lookup"], 2)
+	})
+	t.Run("tenants of a class share by weight", func(t *testing.T) {
+		q := &admit.Queue{}
+		for range 100 {
+			offer(t, q, rollout, "a", 1)
+			offer(t, q, rollout, "b", 3)
+		}
+		counts := grants(q, 100)
+		require.InDelta(t, 25, counts["a"], 2)
+		require.InDelta(t, 75, counts["b"], 2)
+	})
+	t.Run("a greedy tenant does not hold up another", func(t *testing.T) {
+		q := &admit.Queue{}
+		for range 500 {
+			offer(t, q, rollout, "greedy", 1)
+		}
+		for range 10 {
+			offer(t, q, rollout, "modest", 1)
+		}
+		require.Equal(t, 10, grants(q, 22)["modest"])
+	})
+	t.Run("every ticket is granted once, whatever the order of events", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			q := &admit.Queue{}
+			waiting := map[*admit.Ticket]bool{}
+			for range rapid.IntRange(1, 80).Draw(t, "events") {
+				class := quetzalpier.Class(rapid.IntRange(0, 2).Draw(t, "class"))
+				switch rapid.IntRange(0, 2).Draw(t, "event") {
+				case 0, 1:
+					waiting[offer(t, q, class, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "tenant"), 1)] = true
+				case 2:
+					if ticket := q.Next(); ticket != nil {
+						require.True(t, waiting[ticket])
+						delete(waiting, ticket)
+						q.Grant(ticket, start)
+					}
+				}
+			}
+			require.Equal(t, len(waiting), q.Waiting())
+			for range len(waiting) {
+				ticket := q.Next()
+				require.True(t, waiting[ticket])
+				delete(waiting, ticket)
+				q.Grant(ticket, start)
+			}
+			require.Nil(t, q.Next())
+		})
+	})
+}
+
+func TestRefusal(t *testing.T) {
+	busy := func(t *testing.T) (*admit.Queue, time.Time) {
+		q := &admit.Queue{}
+		now := start
+		for range 200 {
+			ticket := offer(t, q, rollout, "a", 1)
+			now = now.Add(100 * time.Millisecond)
+			q.Grant(ticket, now)
+		}
+		for range 50 {
+			offer(t, q, interactive, "a", 1)
+		}
+		return q, now
+	}
+	t.Run("a wait that can't be met is refused at once with when to come back", func(t *testing.T) {
+		q, now := busy(t)
+		after, ok := q.Offer(&admit.Ticket{Class: interactive, Deadline: now.Add(time.Second)}, now)
+		require.False(t, ok)
+		require.InDelta(t, 5, after.Seconds(), 1)
+		require.Equal(t, 50, q.Waiting())
+	})
+	t.Run("a wait that can be met is not", func(t *testing.T) {
+		q, now := busy(t)
+		_, ok := q.Offer(&admit.Ticket{Class: interactive, Deadline: now.Add(10 * time.Second)}, now)
+		require.True(t, ok)
+	})
+	t.Run("the queue is bounded", func(t *testing.T) {
+		q := &admit.Queue{}
+		refused := 0
+		for range 9000 {
+			if _, ok := q.Offer(&admit.Ticket{Class: internal}, start); !ok {
+				refused++
+			}
+		}
+		require.Equal(t, 9000-8192, refused)
+	})
+	t.Run("tickets past their deadline expire", func(t *testing.T) {
+		q := &admit.Queue{}
+		late := &admit.Ticket{Class: internal, Deadline: start.Add(time.Second)}
+		_, _ = q.Offer(late, start)
+		offer(t, q, internal, "a", 1)
+		require.Empty(t, q.Expire(start))
+		require.Equal(t, []*admit.Ticket{late}, q.Expire(start.Add(time.Second)))
+		require.Equal(t, 1, q.Waiting())
+	})
+}
--- a/claim/book.go
+++ b/claim/book.go
@@ -166,11 +166,14 @@
 	if o.refused != nil {
 		return outage(o.refused)
 	}
-	return quetzalpier.Busy("claim", "other copies of the request were faster", quetzalpier.RanNo, refuseAfter)
+	return quetzalpier.Busy("claim", "other copies of the request were faster", quetzalpier.RanUnknown, refuseAfter)
 }
 
+// outage refuses a request that could not be claimed. This copy was not
+// dispatched, but an earlier one with the same key may have been, and the
+// caller is told of the request, not of the copy.
 func outage(err error) *quetzalpier.Refusal {
-	return quetzalpier.Busy("claim", "the claim could not be made: "+err.Error(), quetzalpier.RanNo, refuseAfter)
+	return quetzalpier.Busy("claim", "the claim could not be made: "+err.Error(), quetzalpier.RanUnknown, refuseAfter)
 }
 
 // decide asks the holder where the service's word is not enough.
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,299 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/claim"
+	"quetzalpier/stand"
+)
+
+// opener is Open or its naive version.
+type opener func(b *claim.Book, ctx context.Context, key string, sum uint64, now time.Time) (*claim.Held, *claim.Claim, *quetzalpier.Refusal)
+
+// world is a fleet of nodes before one service that counts its runs.
+type world struct {
+	memory *stand.Memory
+	open   opener
+	seed   uint64
+
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	books map[string]*claim.Book
+	// away nodes don't answer when asked about a claim.
+	away  map[string]int
+	runs  map[string]int
+	ops   map[string][]porcupine.Operation
+	token int
+	lives int
+}
+
+const nodes = 3
+
+func newWorld(open opener, seed uint64) *world {
+	w := &world{
+		memory: stand.NewMemory(), open: open, seed: seed, rnd: rand.New(rand.NewPCG(seed, 99)),
+		books: map[string]*claim.Book{}, away: map[string]int{}, runs: map[string]int{}, ops: map[string][]porcupine.Operation{},
+	}
+	for i := range nodes {
+		w.boot(fmt.Sprintf("n%d", i))
+	}
+	return w
+}
+
+// boot starts a node, or starts it again without what it knew.
+func (w *world) boot(node string) {
+	w.lives++
+	kv := stand.NewFlaky(w.memory, w.seed*1000+uint64(w.lives))
+	kv.Lose, kv.Late, kv.Drop, kv.Lateness = 0.12, 0.08, 0.1, 800*time.Millisecond
+	w.books[node] = &claim.Book{KV: kv, Node: node, Ask: w.ask, Token: w.nextToken, Log: zerolog.Nop()}
+}
+
+func (w *world) nextToken() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.token++
+	return fmt.Sprintf("t%d", w.token)
+}
+
+func (w *world) ask(_ context.Context, node, key, token string) (claim.Claim, bool) {
+	w.mu.Lock()
+	book, away := w.books[node], w.away[node] > 0
+	w.mu.Unlock()
+	if away {
+		return claim.Claim{}, false
+	}
+	return book.Answer(key, token)
+}
+
+func (w *world) chance(p float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rnd.Float64() < p
+}
+
+// serve carries one copy of a request at a node; the result is how it was
+// answered: "ran", "replay", "no", "yes" or "unknown".
+func (w *world) serve(node, key string) string {
+	w.mu.Lock()
+	book := w.books[node]
+	w.mu.Unlock()
+	held, kept, refusal := w.open(book, context.Background(), key, 1, time.Now())
+	switch {
+	case refusal != nil:
+		return string(refusal.Ran)
+	case kept != nil:
+		return "replay"
+	}
+	if w.chance(0.15) {
+		w.freeze(node, 20*time.Second)
+	}
+	if w.chance(0.1) {
+		w.kill(node)
+		return "unknown"
+	}
+	return w.dispatch(node, book, held, key)
+}
+
+func (w *world) freeze(node string, d time.Duration) {
+	w.mu.Lock()
+	w.away[node]++
+	w.mu.Unlock()
+	time.Sleep(d)
+	w.mu.Lock()
+	w.away[node]--
+	w.mu.Unlock()
+}
+
+func (w *world) kill(node string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.boot(node)
+}
+
+func (w *world) dispatch(node string, book *claim.Book, held *claim.Held, key string) string {
+	if w.chance(0.15) {
+		book.Void(held, time.Now())
+		return "no"
+	}
+	w.mu.Lock()
+	w.runs[key]++
+	w.mu.Unlock()
+	time.Sleep(30 * time.Millisecond)
+	if w.chance(0.1) {
+		w.kill(node)
+		return "unknown"
+	}
+	if w.chance(0.15) {
+		book.Lost(held, time.Now())
+		return "unknown"
+	}
+	book.Done(held, 200, "text/plain", []byte(key), time.Now())
+	return "ran"
+}
+
+// callers sends copies of each key to random nodes, some at once.
+func (w *world) callers(keys, copies int) {
+	ctx, stop := context.WithCancel(context.Background())
+	var flushers, all conc.WaitGroup
+	flushers.Go(func() { w.flush(ctx) })
+	for k := range keys {
+		for c := range copies {
+			all.Go(func() { w.caller(fmt.Sprintf("claim/p/%d", k), k*copies+c) })
+		}
+	}
+	all.Wait()
+	stop()
+	flushers.Wait()
+}
+
+func (w *world) caller(key string, client int) {
+	for range 3 {
+		w.mu.Lock()
+		node := fmt.Sprintf("n%d", w.rnd.IntN(nodes))
+		wait := time.Duration(w.rnd.IntN(400)) * time.Millisecond
+		w.mu.Unlock()
+		time.Sleep(wait)
+		call := time.Now()
+		answer := w.serve(node, key)
+		w.mu.Lock()
+		w.ops[key] = append(w.ops[key], porcupine.Operation{ClientId: client, Input: key, Output: answer, Call: call.UnixNano(), Return: time.Now().UnixNano()})
+		w.mu.Unlock()
+	}
+}
+
+// flush writes the ends of claims, as each book's own loop does.
+func (w *world) flush(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		var books []*claim.Book
+		for _, book := range w.books {
+			books = append(books, book)
+		}
+		w.mu.Unlock()
+		for _, book := range books {
+			book.Flush(ctx)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// runModel says what copies of one request may answer; its state is whether
+// the request has run.
+var runModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{false} },
+	Step: func(state, _, output any) []any {
+		ran := state.(bool)
+		switch output.(string) {
+		case "ran":
+			return when(!ran, true)
+		case "replay", "yes":
+			return when(ran, true)
+		case "no":
+			return when(!ran, false)
+		default:
+			return []any{ran, true}
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func when(allowed bool, next bool) []any {
+	if !allowed {
+		return nil
+	}
+	return []any{next}
+}
+
+// broken counts the keys that ran twice or whose answers contradict each other.
+func (w *world) broken() int {
+	model := runModel.ToModel()
+	n := 0
+	for key, ops := range w.ops {
+		if w.runs[key] > 1 || !porcupine.CheckOperations(model, ops) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAtMostOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("lost answers, late writes, kills and freezes, seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld((*claim.Book).Open, seed)
+				w.callers(12, 3)
+				require.Zero(t, w.broken())
+				require.NotEmpty(t, w.runs)
+			})
+		})
+	}
+	t.Run("the naive version fails the same check", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld((*claim.Book).OpenNaive, 1)
+			w.callers(12, 3)
+			require.Positive(t, w.broken())
+		})
+	})
+}
+
+func TestDecide(t *testing.T) {
+	const mine, other = 1, 2
+	cases := []struct {
+		name   string
+		known  claim.Claim
+		asked  bool
+		action claim.Action
+		ran    quetzalpier.Ran
+	}{
+		{"other body", claim.Claim{Hash: other, State: claim.Done}, false, claim.Refuse, quetzalpier.RanNo},
+		{"void", claim.Claim{Hash: mine, State: claim.Void}, false, claim.Dispatch, ""},
+		{"done and kept", claim.Claim{Hash: mine, State: claim.Done, Kept: true}, false, claim.Replay, ""},
+		{"done, too large", claim.Claim{Hash: mine, State: claim.Done}, false, claim.Refuse, quetzalpier.RanYes},
+		{"lost", claim.Claim{Hash: mine, State: claim.Lost}, false, claim.Refuse, quetzalpier.RanUnknown},
+		{"open, holder not asked", claim.Claim{Hash: mine, State: claim.Open}, false, claim.Ask, ""},
+		{"open by its holder's word", claim.Claim{Hash: mine, State: claim.Open}, true, claim.Refuse, quetzalpier.RanUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			decision := claim.Decide(c.known, mine, c.asked)
+			require.Equal(t, c.action, decision.Action)
+			if c.action == claim.Refuse {
+				require.Equal(t, c.ran, decision.Refusal.Ran)
+			}
+		})
+	}
+}
+
+func TestOutage(t *testing.T) {
+	t.Run("a request that can't be claimed is refused and its claim voided later", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			memory := stand.NewMemory()
+			kv := stand.NewFlaky(memory, 1)
+			book := &claim.Book{KV: kv, Node: "n0", Token: func() string { return "t" }, Log: zerolog.Nop()}
+			_, _, refusal := book.Open(t.Context(), "warm", 1, time.Now())
+			require.Nil(t, refusal)
+			kv.Late, kv.Lateness = 1, time.Second
+			_, _, refusal = book.Open(t.Context(), "k", 1, time.Now())
+			require.Equal(t, quetzalpier.RanUnknown, refusal.Ran)
+			require.Positive(t, refusal.After)
+			time.Sleep(2 * time.Second)
+			kv.Late = 0
+			require.True(t, book.Flush(t.Context()))
+			held, _, refusal := book.Open(t.Context(), "k", 1, time.Now())
+			require.Nil(t, refusal)
+			require.NotNil(t, held)
+		})
+	})
+}
--- a/conf/watch.go
+++ b/conf/watch.go
@@ -17,11 +17,11 @@
 
 const (
 	// watchers is how many nodes of a failure domain ask the platform.
-	watchers   = 2
-	watchWait  = 4 * time.Second
-	listEvery  = 2 * time.Second
-	roleCheck  = time.Second
-	backoffBase = 500 * time.Millisecond
+	watchers     = 2
+	watchWait    = 4 * time.Second
+	listEvery    = 2 * time.Second
+	roleCheck    = time.Second
+	backoffBase  = 500 * time.Millisecond
 	backoffLimit = 5 * time.Second
 )
 
--- a/gate/problem.go
+++ b/gate/problem.go
@@ -22,7 +22,7 @@
 		c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
 		return c.Status(status.Status).Send(status.Body)
 	}
-	refusal := g.refusal(err)
+	refusal := keyed(c, g.refusal(err))
 	g.Meter.Refusals.WithLabelValues(refusal.Type, string(refusal.Ran)).Inc()
 	body, err := json.Marshal(refusal)
 	if err != nil {
@@ -46,6 +46,21 @@
 	return &quetzalpier.Refusal{Type: "internal", Title: "internal error", Status: fasthttp.StatusInternalServerError, Detail: err.Error(), Ran: quetzalpier.RanUnknown}
 }
 
+// claimed marks a request whose refusal was decided under its claim.
+const claimed = "claimed"
+
+// keyed corrects a refusal of a keyed request that was decided without its
+// claim: an earlier copy may have run, whatever is known of this one.
+func keyed(c fiber.Ctx, r *quetzalpier.Refusal) *quetzalpier.Refusal {
+	proved := c.Locals(claimed) != nil || r.Status != fasthttp.StatusServiceUnavailable
+	if c.Get(keyHeader) == "" || proved || r.Ran != quetzalpier.RanNo {
+		return r
+	}
+	corrected := *r
+	corrected.Ran = quetzalpier.RanUnknown
+	return &corrected
+}
+
 // setAfter tells when to come back, in whole seconds as the header wants, and
 // in milliseconds for callers that know the finer one.
 func setAfter(c fiber.Ctx, after time.Duration) {
--- a/gate/service.go
+++ b/gate/service.go
@@ -21,12 +21,13 @@
 )
 
 const (
+	keyHeader       = "Idempotency-Key"
 	serviceFirst    = 30 * time.Second
 	serviceProgress = 10 * time.Second
 	// reusedFactor times an upstream's pace, and reusedLeast at least, is how
 	// long a reused connection may stay silent before it counts as dead.
 	reusedFactor = 8
-	reusedLeast    = time.Second
+	reusedLeast  = time.Second
 )
 
 // service is one call of a plain service.
@@ -38,9 +39,11 @@
 	path   string
 	key    string
 	once   bool
-	sum    uint64
-	req    *fasthttp.Request
-	job    *send.Job
+	// held tells that the request was claimed.
+	held bool
+	sum  uint64
+	req  *fasthttp.Request
+	job  *send.Job
 
 	status int
 	header http.Header
@@ -55,6 +58,9 @@
 		return err
 	}
 	err = call.run()
+	if call.held {
+		c.Locals(claimed, true)
+	}
 	outcome := "ok"
 	if err != nil {
 		outcome = "refused"
@@ -81,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	call := &service{gate: g, who: g.caller(c), pool: name, method: c.Method(), path: "/" + c.Params("*"), key: c.Get("Idempotency-Key")}
+	call := &service{gate: g, who: g.caller(c), pool: name, method: c.Method(), path: "/" + c.Params("*"), key: c.Get(keyHeader)}
 	call.once = nonIdempotent(call.method) || pool.NonIdempotent(call.method, call.path)
 	call.req = forwarded(c, call.path)
 	call.sum = hash.Text(call.method + " " + string(call.req.RequestURI()) + "\n" + string(call.req.Body()))
@@ -140,6 +146,7 @@
 		s.replay(kept)
 		return nil
 	}
+	s.held = true
 	err := s.dispatch()
 	now := time.Now()
 	if err == nil {
--- /dev/null
+++ b/plat/kv_test.go
@@ -0,0 +1,147 @@
+package plat_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/plat"
+	"quetzalpier/stand"
+)
+
+func requireSwapFails(t *testing.T, err error, rev uint64) {
+	t.Helper()
+	var swap *quetzalpier.SwapError
+	require.True(t, errors.As(err, &swap), "got %v", err)
+	require.Equal(t, rev, swap.Rev)
+}
+
+func requireUnsure(t *testing.T, err error) {
+	t.Helper()
+	var unsure *quetzalpier.UnsureError
+	require.True(t, errors.As(err, &unsure), "got %v", err)
+}
+
+func requireRefused(t *testing.T, err error) {
+	t.Helper()
+	var refused *quetzalpier.RefusedError
+	require.True(t, errors.As(err, &refused), "got %v", err)
+}
+
+func newServer(t *testing.T) (*stand.KV, *plat.KV) {
+	t.Helper()
+	server, err := stand.NewKV("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server, plat.NewKV(server.Addr)
+}
+
+// TestContract holds every quetzalpier.KV to what the interface promises.
+func TestContract(t *testing.T) {
+	_, client := newServer(t)
+	services := map[string]quetzalpier.KV{"memory": stand.NewMemory(), "HTTP": client}
+	cases := []struct {
+		name string
+		run  func(t *testing.T, kv quetzalpier.KV, key string)
+	}{
+		{"a missing key has revision zero", func(t *testing.T, kv quetzalpier.KV, key string) {
+			entry, err := kv.Get(t.Context(), key)
+			require.NoError(t, err)
+			require.Zero(t, entry.Rev)
+		}},
+		{"a key is created once", func(t *testing.T, kv quetzalpier.KV, key string) {
+			rev, err := kv.Swap(t.Context(), key, []byte("1"), 0, "")
+			require.NoError(t, err)
+			_, err = kv.Swap(t.Context(), key, []byte("2"), 0, "")
+			requireSwapFails(t, err, rev)
+			entry, err := kv.Get(t.Context(), key)
+			require.NoError(t, err)
+			require.Equal(t, quetzalpier.Entry{Key: key, Value: []byte("1"), Rev: rev}, entry)
+		}},
+		{"revisions rise, also after a delete", func(t *testing.T, kv quetzalpier.KV, key string) {
+			first, err := kv.Swap(t.Context(), key, nil, 0, "")
+			require.NoError(t, err)
+			require.NoError(t, kv.Delete(t.Context(), key, first))
+			second, err := kv.Swap(t.Context(), key, nil, 0, "")
+			require.NoError(t, err)
+			require.Greater(t, second, first)
+			requireSwapFails(t, kv.Delete(t.Context(), key, first), second)
+		}},
+		{"a watch returns with the change", func(t *testing.T, kv quetzalpier.KV, key string) {
+			rev, err := kv.Swap(t.Context(), key, []byte("1"), 0, "")
+			require.NoError(t, err)
+			done := time.AfterFunc(100*time.Millisecond, func() { _, _ = kv.Swap(t.Context(), key, []byte("2"), rev, "") })
+			defer done.Stop()
+			entry, err := kv.Watch(t.Context(), key, rev, 30*time.Second)
+			require.NoError(t, err)
+			require.Equal(t, "2", string(entry.Value))
+		}},
+		{"a watch without a change returns what is there", func(t *testing.T, kv quetzalpier.KV, key string) {
+			rev, err := kv.Swap(t.Context(), key, []byte("1"), 0, "")
+			require.NoError(t, err)
+			entry, err := kv.Watch(t.Context(), key, rev, 50*time.Millisecond)
+			require.NoError(t, err)
+			require.Equal(t, rev, entry.Rev)
+		}},
+		{"a key goes with its lease", func(t *testing.T, kv quetzalpier.KV, key string) {
+			lease, err := kv.Grant(t.Context(), 150*time.Millisecond)
+			require.NoError(t, err)
+			rev, err := kv.Swap(t.Context(), key, nil, 0, lease)
+			require.NoError(t, err)
+			entry, err := kv.Watch(t.Context(), key, rev, 30*time.Second)
+			require.NoError(t, err)
+			require.Zero(t, entry.Rev)
+			var lost *quetzalpier.LostError
+			require.True(t, errors.As(kv.Renew(t.Context(), lease), &lost))
+			_, err = kv.Swap(t.Context(), key, nil, 0, lease)
+			require.True(t, errors.As(err, &lost))
+		}},
+		{"a value over a megabyte is refused", func(t *testing.T, kv quetzalpier.KV, key string) {
+			_, err := kv.Swap(t.Context(), key, make([]byte, stand.MaxValue+1), 0, "")
+			requireRefused(t, err)
+		}},
+	}
+	for name, kv := range services {
+		for i, c := range cases {
+			t.Run(name+": "+c.name, func(t *testing.T) { c.run(t, kv, fmt.Sprintf("key-%d", i)) })
+		}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	t.Run("a lost answer is unsure, and the write took effect", func(t *testing.T) {
+		server, client := newServer(t)
+		server.SetFaults(stand.KVFaults{Lose: 1})
+		_, err := client.Swap(t.Context(), "k", []byte("v"), 0, "")
+		requireUnsure(t, err)
+		entry, err := client.Get(t.Context(), "k")
+		require.NoError(t, err)
+		require.Equal(t, "v", string(entry.Value))
+	})
+	t.Run("an outage proves nothing", func(t *testing.T) {
+		server, client := newServer(t)
+		server.SetFaults(stand.KVFaults{Out: true})
+		_, err := client.Swap(t.Context(), "k", nil, 0, "")
+		requireUnsure(t, err)
+		_, err = client.Get(t.Context(), "k")
+		require.Error(t, err)
+	})
+	t.Run("a refused connection proves that nothing happened", func(t *testing.T) {
+		server, client := newServer(t)
+		server.Close()
+		_, err := client.Swap(t.Context(), "k", nil, 0, "")
+		requireRefused(t, err)
+	})
+	t.Run("calls and waiting watches are counted", func(t *testing.T) {
+		server, client := newServer(t)
+		_, err := client.Get(t.Context(), "k")
+		require.NoError(t, err)
+		_, err = client.Watch(t.Context(), "k", 0, 10*time.Millisecond)
+		require.NoError(t, err)
+		require.Equal(t, stand.KVCounts{Reads: 1, Watches: 1}, server.Counts())
+	})
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -3,6 +3,7 @@
 package poison
 
 import (
+	"sort"
 	"time"
 
 	"quetzalpier/board"
@@ -13,8 +14,10 @@
 	condemnAt = 2
 	// memory is how long a strike counts.
 	memory = 10 * time.Minute
-	// maxStrikes bounds the strikes kept; the oldest go first.
-	maxStrikes = 4096
+	// maxStrikes bounds the strikes; beyond it the oldest go, until only
+	// keptStrikes are left.
+	maxStrikes  = 4096
+	keptStrikes = 3072
 )
 
 // Verdict tells how a request may run.
@@ -97,18 +100,17 @@
 			delete(s.Poison, fingerprint)
 		}
 	}
-	for len(s.Poison) > maxStrikes {
-		delete(s.Poison, oldest(s))
+	if len(s.Poison) <= maxStrikes {
+		return
 	}
-}
-
-func oldest(s *board.State) uint64 {
-	var at uint64
-	var last time.Time
-	for fingerprint, strike := range s.Poison {
-		if last.IsZero() || strike.Last.Before(last) {
-			at, last = fingerprint, strike.Last
-		}
+	fingerprints := make([]uint64, 0, len(s.Poison))
+	for fingerprint := range s.Poison {
+		fingerprints = append(fingerprints, fingerprint)
+	}
+	sort.Slice(fingerprints, func(i, j int) bool {
+		return s.Poison[fingerprints[i]].Last.Before(s.Poison[fingerprints[j]].Last)
+	})
+	for _, fingerprint := range fingerprints[:len(fingerprints)-keptStrikes] {
+		delete(s.Poison, fingerprint)
 	}
-	return at
 }
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,107 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/retry"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name  string
+		f     retry.Failure
+		again bool
+	}{
+		{"not run, idempotent", retry.Failure{Ran: quetzalpier.RanNo, Idempotent: true, Attempts: 1}, true},
+		{"not run, not idempotent", retry.Failure{Ran: quetzalpier.RanNo, Attempts: 1}, true},
+		{"unknown, idempotent", retry.Failure{Ran: quetzalpier.RanUnknown, Idempotent: true, Attempts: 1}, true},
+		{"unknown, not idempotent", retry.Failure{Ran: quetzalpier.RanUnknown, Attempts: 1}, false},
+		{"ran, not idempotent", retry.Failure{Ran: quetzalpier.RanYes, Attempts: 1}, false},
+		{"a part was delivered", retry.Failure{Ran: quetzalpier.RanUnknown, Idempotent: true, Delivered: true, Attempts: 1}, false},
+		{"the upstream's answer stands", retry.Failure{Ran: quetzalpier.RanYes, Idempotent: true, Final: true, Attempts: 1}, false},
+		{"too many attempts", retry.Failure{Ran: quetzalpier.RanNo, Idempotent: true, Attempts: 3}, false},
+		{"past the deadline", retry.Failure{Ran: quetzalpier.RanNo, Idempotent: true, Attempts: 1, Deadline: start}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.again, retry.Decide(c.f, &retry.Budget{}, start).Again)
+		})
+	}
+}
+
+func TestBudget(t *testing.T) {
+	t.Run("work sent stays under 1.1 times work asked when everything fails", func(t *testing.T) {
+		budget := &retry.Budget{}
+		const asked = 10_000
+		sent := 0
+		for range asked {
+			budget.Earn()
+			for attempt := 1; ; attempt++ {
+				sent++
+				f := retry.Failure{Ran: quetzalpier.RanUnknown, Idempotent: true, Attempts: attempt}
+				if !retry.Decide(f, budget, start).Again {
+					break
+				}
+			}
+		}
+		require.Less(t, float64(sent)/asked, 1.1)
+	})
+}
+
+func TestEjection(t *testing.T) {
+	pool := func(n int) *board.State {
+		var s *board.State
+		board.New(board.Member{ID: "n"}).Do(func(state *board.State) { s = state })
+		for i := range n {
+			id := fmt.Sprintf("u%d", i)
+			s.Upstreams[id] = &board.Upstream{VM: quetzalpier.VM{ID: id, Pool: "m"}}
+		}
+		return s
+	}
+	ejected := func(s *board.State, now time.Time) int {
+		n := 0
+		for _, u := range s.Upstreams {
+			if now.Before(u.Health.EjectedUntil) {
+				n++
+			}
+		}
+		return n
+	}
+	t.Run("after three failures in a row", func(t *testing.T) {
+		s := pool(4)
+		retry.Failed(s, "u0", start)
+		retry.Failed(s, "u0", start)
+		retry.Succeeded(s, "u0")
+		retry.Failed(s, "u0", start)
+		retry.Failed(s, "u0", start)
+		require.Zero(t, ejected(s, start))
+		retry.Failed(s, "u0", start)
+		require.Equal(t, 1, ejected(s, start))
+	})
+	t.Run("never more than half of a pool", func(t *testing.T) {
+		s := pool(5)
+		for range 10 {
+			for id := range s.Upstreams {
+				retry.Failed(s, id, start)
+			}
+		}
+		require.Equal(t, 2, ejected(s, start))
+	})
+	t.Run("longer each time", func(t *testing.T) {
+		s := pool(4)
+		for range 3 {
+			retry.Failed(s, "u0", start)
+		}
+		first := s.Upstreams["u0"].Health.EjectedUntil
+		retry.Failed(s, "u0", first)
+		require.Greater(t, s.Upstreams["u0"].Health.EjectedUntil.Sub(first), first.Sub(start))
+	})
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,223 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/route"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// listOf returns the platform's list of n live upstreams.
+func listOf(number uint64, n int) quetzalpier.VMList {
+	list := quetzalpier.VMList{Number: number}
+	for i := range n {
+		list.VMs = append(list.VMs, quetzalpier.VM{ID: fmt.Sprintf("u%02d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i), Domain: "a", Kind: "engine", Pool: "m", State: quetzalpier.VMLive})
+	}
+	return list
+}
+
+func stateOf(n int) *board.State {
+	var state *board.State
+	b := board.New(board.Member{ID: "n0", Domain: "a", Roles: []string{"gate"}})
+	b.Do(func(s *board.State) { state = s })
+	state.Config = quetzalpier.Config{Number: 1, Pools: map[string]quetzalpier.Pool{"m": {Kind: "engine", Slots: 16}}}
+	state.SetVMs(listOf(1, n), start)
+	return state
+}
+
+func rnd() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func requirePick(t *testing.T, s *board.State, ask route.Ask, now time.Time, want string) {
+	t.Helper()
+	got, ok := route.Pick(s, ask, now, rnd())
+	require.Equal(t, want != "", ok)
+	require.Equal(t, want, got)
+}
+
+func TestPick(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(s *board.State)
+		ask  route.Ask
+		want string
+	}{
+		{"own outstanding work counts", func(s *board.State) { s.Upstreams["u00"].Outstanding = 3 }, route.Ask{Pool: "m"}, "u01"},
+		{"others' reported work counts", func(s *board.State) {
+			s.SetReport("u01", quetzalpier.EngineState{Running: 5}, start)
+		}, route.Ask{Pool: "m"}, "u00"},
+		{"a slow upstream costs more", func(s *board.State) {
+			s.Upstreams["u00"].Pace, s.Upstreams["u01"].Pace = 50*time.Millisecond, 10*time.Millisecond
+			s.Upstreams["u01"].Outstanding = 1
+		}, route.Ask{Pool: "m"}, "u01"},
+		{"an ejected one is left out", func(s *board.State) {
+			s.Upstreams["u00"].Health.EjectedUntil = start.Add(time.Minute)
+			s.Upstreams["u01"].Outstanding = 9
+		}, route.Ask{Pool: "m"}, "u01"},
+		{"a full one is left out", func(s *board.State) {
+			s.Upstreams["u00"].Outstanding, s.Upstreams["u01"].Outstanding = 16, 15
+		}, route.Ask{Pool: "m"}, "u01"},
+		{"slots are kept for interactive requests", func(s *board.State) {
+			s.Upstreams["u00"].Outstanding, s.Upstreams["u01"].Outstanding = 16, 15
+		}, route.Ask{Pool: "m", Class: quetzalpier.ClassRollout}, ""},
+		{"the newer version is preferred", func(s *board.State) {
+			s.Upstreams["u01"].Made, s.Upstreams["u01"].Outstanding = 4, 5
+		}, route.Ask{Pool: "m", Least: 4}, "u01"},
+		{"an older version will do if there is no other", func(s *board.State) {
+			s.Upstreams["u01"].Outstanding = 1
+		}, route.Ask{Pool: "m", Least: 4}, "u00"},
+		{"below the floor nothing will do", func(*board.State) {}, route.Ask{Pool: "m", Floor: 4}, ""},
+		{"avoided ones are left out", func(*board.State) {}, route.Ask{Pool: "m", Avoid: map[string]bool{"u00": true}}, "u01"},
+		{"the nearer failure domain is preferred", func(s *board.State) {
+			s.Upstreams["u00"].VM.Domain = "b"
+		}, route.Ask{Pool: "m"}, "u01"},
+		{"a suspect request needs an idle upstream", func(s *board.State) {
+			s.Upstreams["u00"].Trial, s.Upstreams["u00"].Outstanding = 7, 1
+		}, route.Ask{Pool: "m", Alone: true, Ticket: 7}, ""},
+		{"nothing runs beside a suspect request", func(s *board.State) {
+			s.Upstreams["u00"].Trial = 7
+			s.Upstreams["u01"].Outstanding = 5
+		}, route.Ask{Pool: "m"}, "u01"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := stateOf(2)
+			c.set(s)
+			requirePick(t, s, c.ask, start, c.want)
+		})
+	}
+	t.Run("an old report counts less", func(t *testing.T) {
+		s := stateOf(2)
+		s.SetReport("u01", quetzalpier.EngineState{Running: 4}, start)
+		s.Upstreams["u00"].Outstanding = 2
+		requirePick(t, s, route.Ask{Pool: "m"}, start, "u00")
+		requirePick(t, s, route.Ask{Pool: "m"}, start.Add(10*time.Second), "u01")
+	})
+	t.Run("a prefix keeps its upstream until that is overloaded", func(t *testing.T) {
+		s := stateOf(8)
+		ask := route.Ask{Pool: "m", Prefix: 42}
+		home, _ := route.Pick(s, ask, start, rnd())
+		s.Upstreams[home].Outstanding = 1
+		requirePick(t, s, ask, start, home)
+		s.Upstreams[home].Outstanding = 12
+		next, _ := route.Pick(s, ask, start, rnd())
+		require.NotEqual(t, home, next)
+	})
+}
+
+// leaver is a fleet in which one upstream leaves: it says so itself at once,
+// and the platform's list ten seconds later.
+func picksAfterLeaving(t *rapid.T, pick func(s *board.State, now time.Time) string) bool {
+	s := stateOf(rapid.IntRange(2, 6).Draw(t, "upstreams"))
+	gone := "u00"
+	leftAt := rapid.IntRange(0, 5).Draw(t, "left")
+	heard := leftAt + rapid.IntRange(0, 3).Draw(t, "heard")
+	stale := rapid.Bool().Draw(t, "list says live again")
+	for second := range 20 {
+		now := start.Add(time.Duration(second) * time.Second)
+		if second == heard {
+			s.SetReport(gone, quetzalpier.EngineState{Leaving: true}, now)
+		}
+		if stale && second == heard+1 {
+			s.SetVMs(listOf(2, len(s.Upstreams)), now)
+		}
+		if second == leftAt+10 {
+			list := listOf(3, len(s.Upstreams))
+			list.VMs[0].State = quetzalpier.VMLeaving
+			s.SetVMs(list, now)
+		}
+		for range 4 {
+			if pick(s, now) == gone && second >= leftAt+4 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func TestLeaving(t *testing.T) {
+	t.Run("gets no new work after a few seconds", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			require.False(t, picksAfterLeaving(t, func(s *board.State, now time.Time) string {
+				id, _ := route.Pick(s, route.Ask{Pool: "m"}, now, rnd())
+				return id
+			}))
+		})
+	})
+	t.Run("the naive version, which knows the list alone, fails the same check", func(t *testing.T) {
+		failed := rapid.Custom(func(t *rapid.T) bool {
+			naive := &route.ListOnly{}
+			return picksAfterLeaving(t, naive.Pick)
+		}).Example(3)
+		require.True(t, failed)
+	})
+}
+
+func TestSubset(t *testing.T) {
+	names := func(prefix string, n int) []string {
+		var list []string
+		for i := range n {
+			list = append(list, fmt.Sprintf("%s%03d", prefix, i))
+		}
+		return list
+	}
+	t.Run("spreads evenly at the target size", func(t *testing.T) {
+		upstreams, gates := names("u", 600), names("g", 390)
+		covered := map[string]int{}
+		for _, gate := range gates {
+			subset := route.Subset(upstreams, gates, gate)
+			require.Len(t, subset, 16)
+			for _, u := range subset {
+				covered[u]++
+			}
+		}
+		require.Len(t, covered, 600)
+		for _, n := range covered {
+			require.InDelta(t, 390.0*16/600, n, 1.5)
+		}
+	})
+	t.Run("covers every upstream with few gates", func(t *testing.T) {
+		upstreams, gates := names("u", 100), names("g", 3)
+		covered := map[string]bool{}
+		for _, gate := range gates {
+			for _, u := range route.Subset(upstreams, gates, gate) {
+				covered[u] = true
+			}
+		}
+		require.Len(t, covered, 100)
+	})
+	t.Run("a gate more moves few", func(t *testing.T) {
+		upstreams := names("u", 600)
+		before := route.Subset(upstreams, names("g", 390), "g200")
+		after := route.Subset(upstreams, names("g", 391), "g200")
+		kept := 0
+		for _, u := range after {
+			for _, v := range before {
+				if u == v {
+					kept++
+				}
+			}
+		}
+		require.GreaterOrEqual(t, kept, 14)
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{9, 16, 64, 600} {
+		b.Run(fmt.Sprintf("%d upstreams", n), func(b *testing.B) {
+			s := stateOf(n)
+			r := rnd()
+			for i := range b.N {
+				_, _ = route.Pick(s, route.Ask{Pool: "m", Prefix: uint64(i)}, start, r)
+			}
+		})
+	}
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -122,8 +122,12 @@
 	node := Defaults()
 	decoder := toml.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
-	faults := decodeFaults(decoder.Decode(&node))
-	faults = append(faults, checkFaults(node)...)
+	err := decoder.Decode(&node)
+	faults := decodeFaults(err)
+	// After a fault of syntax or type nothing further was decoded.
+	if stopped := (*toml.DecodeError)(nil); !errors.As(err, &stopped) {
+		faults = append(faults, checkFaults(node)...)
+	}
 	if len(faults) > 0 {
 		return node, &Error{File: file, Faults: faults}
 	}
--- a/stand/kv.go
+++ b/stand/kv.go
@@ -1,24 +1,18 @@
 package stand
 
 import (
+	"context"
 	"encoding/json"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-)
-
-// MaxValue is the largest value the key-value service takes, in bytes.
-const MaxValue = 1 << 20
 
-// KVCounts is what the key-value service counted.
-type KVCounts struct {
-	Reads   uint64 `json:"reads"`
-	Writes  uint64 `json:"writes"`
-	Watches uint64 `json:"watches"`
-	Waiting int    `json:"waiting"`
-}
+	"quetzalpier"
+)
 
 // KVFaults are the switches of the key-value service.
 type KVFaults struct {
@@ -30,33 +24,18 @@
 	Lose int `json:"lose"`
 }
 
-// KV is the stand-in for the platform's key-value service.
+// KV is the stand-in for the platform's key-value service, over HTTP.
 type KV struct {
 	*Server
+	*Memory
 
 	mu     sync.Mutex
-	rev    uint64
-	keys   map[string]*kvEntry
-	leases map[string]*kvLease
-	counts KVCounts
 	faults KVFaults
 }
 
-type kvEntry struct {
-	value   []byte
-	rev     uint64
-	lease   string
-	changed chan struct{}
-}
-
-type kvLease struct {
-	ttl  time.Duration
-	ends time.Time
-}
-
 // NewKV starts the service on addr.
 func NewKV(addr string) (*KV, error) {
-	k := &KV{keys: map[string]*kvEntry{}, leases: map[string]*kvLease{}}
+	k := &KV{Memory: NewMemory()}
 	server, err := Serve(addr, k.handle)
 	if err != nil {
 		return nil, err
@@ -65,13 +44,6 @@
 	return k, nil
 }
 
-// Counts returns the calls counted so far.
-func (k *KV) Counts() KVCounts {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.counts
-}
-
 // SetFaults sets the switches.
 func (k *KV) SetFaults(f KVFaults) {
 	k.mu.Lock()
@@ -79,194 +51,110 @@
 	k.faults = f
 }
 
-// Value reads a key past all switches, for checks from the outside.
-func (k *KV) Value(key string) ([]byte, uint64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	e := k.keys[key]
-	if e == nil {
-		return nil, 0
-	}
-	return e.value, e.rev
-}
-
 func (k *KV) handle(c *fasthttp.RequestCtx) {
-	path := string(c.Path())
-	switch {
-	case path == "/faults":
+	switch string(c.Path()) {
+	case "/faults":
 		var f KVFaults
-		if json.Unmarshal(c.PostBody(), &f) == nil {
-			k.SetFaults(f)
+		if err := json.Unmarshal(c.PostBody(), &f); err != nil {
+			c.Error(err.Error(), http.StatusBadRequest)
+			return
 		}
-		return
-	case path == "/counts":
+		k.SetFaults(f)
+	case "/counts":
 		body, _ := json.Marshal(k.Counts())
 		c.SetBody(body)
-		return
+	default:
+		k.handleCall(c)
 	}
+}
+
+func (k *KV) handleCall(c *fasthttp.RequestCtx) {
 	k.mu.Lock()
 	faults := k.faults
 	k.mu.Unlock()
 	time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
 	if faults.Out {
-		c.Error("out of service", fasthttp.StatusServiceUnavailable)
+		c.Error("out of service", http.StatusServiceUnavailable)
 		return
 	}
-	key := string(c.QueryArgs().Peek("key"))
-	switch path {
-	case "/kv":
-		k.handleKey(c, key)
-	case "/watch":
-		k.handleWatch(c, key)
-	case "/lease":
-		k.handleLease(c)
-	default:
-		c.Error("no such call", fasthttp.StatusNotFound)
-	}
-}
-
-func (k *KV) handleKey(c *fasthttp.RequestCtx, key string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.expire(time.Now())
-	if c.IsGet() {
-		k.counts.Reads++
-		k.answer(c, k.keys[key])
-		return
-	}
-	k.counts.Writes++
-	rev := uint64(c.QueryArgs().GetUintOrZero("rev"))
-	e := k.keys[key]
-	if current := revOf(e); current != rev {
-		c.Response.Header.Set("Rev", strconv.FormatUint(current, 10))
-		c.SetStatusCode(fasthttp.StatusConflict)
-		return
-	}
-	if c.IsDelete() {
-		k.remove(key)
-	} else if !k.put(c, key, e) {
+	err := k.call(c, string(c.Method())+" "+string(c.Path()))
+	if err != nil {
+		writeFault(c, err)
 		return
 	}
-	if k.faults.Lose > 0 {
-		k.faults.Lose--
+	if !c.IsGet() && k.lose() {
 		_ = c.Conn().Close()
 	}
 }
 
-func (k *KV) put(c *fasthttp.RequestCtx, key string, e *kvEntry) bool {
-	if len(c.PostBody()) > MaxValue {
-		c.Error("value too large", fasthttp.StatusRequestEntityTooLarge)
-		return false
-	}
-	lease := string(c.QueryArgs().Peek("lease"))
-	if lease != "" && k.leases[lease] == nil {
-		c.Error("no such lease", fasthttp.StatusGone)
+// lose tells whether the answer of a write that took effect is to be dropped.
+func (k *KV) lose() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.faults.Lose == 0 {
 		return false
 	}
-	if e != nil {
-		close(e.changed)
-	}
-	k.rev++
-	k.keys[key] = &kvEntry{
-		value:   append([]byte(nil), c.PostBody()...),
-		rev:     k.rev,
-		lease:   lease,
-		changed: make(chan struct{}),
-	}
-	c.Response.Header.Set("Rev", strconv.FormatUint(k.rev, 10))
+	k.faults.Lose--
 	return true
 }
 
-func (k *KV) remove(key string) {
-	if e := k.keys[key]; e != nil {
-		close(e.changed)
-		delete(k.keys, key)
-	}
-}
-
-func (k *KV) answer(c *fasthttp.RequestCtx, e *kvEntry) {
-	c.Response.Header.Set("Rev", strconv.FormatUint(revOf(e), 10))
-	if e == nil {
-		c.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	c.SetBody(e.value)
-}
-
-func (k *KV) handleWatch(c *fasthttp.RequestCtx, key string) {
-	rev := uint64(c.QueryArgs().GetUintOrZero("rev"))
-	wait := time.Duration(c.QueryArgs().GetUintOrZero("wait")) * time.Millisecond
-	deadline := time.Now().Add(wait)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.counts.Watches++
-	k.counts.Waiting++
-	defer func() { k.counts.Waiting-- }()
-	for {
-		k.expire(time.Now())
-		e := k.keys[key]
-		left := time.Until(deadline)
-		if revOf(e) != rev || left <= 0 || k.faults.Out {
-			k.answer(c, e)
-			return
-		}
-		k.waitChange(e, min(left, 50*time.Millisecond))
+func (k *KV) call(c *fasthttp.RequestCtx, name string) error {
+	args := c.QueryArgs()
+	key := string(args.Peek("key"))
+	rev, _ := strconv.ParseUint(string(args.Peek("rev")), 10, 64)
+	ctx := context.Background()
+	switch name {
+	case "GET /kv":
+		e, err := k.Get(ctx, key)
+		return writeEntry(c, e, err)
+	case "PUT /kv":
+		next, err := k.Swap(ctx, key, c.PostBody(), rev, string(args.Peek("lease")))
+		setRev(c, next)
+		return err
+	case "DELETE /kv":
+		return k.Delete(ctx, key, rev)
+	case "GET /watch":
+		e, err := k.Watch(ctx, key, rev, millis(args, "wait"))
+		return writeEntry(c, e, err)
+	case "POST /lease":
+		id, err := k.Grant(ctx, millis(args, "ttl"))
+		c.SetBodyString(id)
+		return err
+	case "PUT /lease":
+		return k.Renew(ctx, string(args.Peek("id")))
+	default:
+		return &quetzalpier.RefusedError{Call: name, Reason: "no such call"}
 	}
 }
 
-// waitChange gives up the lock until the entry changes or the time is over.
-func (k *KV) waitChange(e *kvEntry, limit time.Duration) {
-	var changed chan struct{}
-	if e != nil {
-		changed = e.changed
-	}
-	k.mu.Unlock()
-	select {
-	case <-changed:
-	case <-time.After(limit):
-	}
-	k.mu.Lock()
+func millis(args *fasthttp.Args, name string) time.Duration {
+	return time.Duration(args.GetUintOrZero(name)) * time.Millisecond
 }
 
-func (k *KV) handleLease(c *fasthttp.RequestCtx) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.expire(time.Now())
-	k.counts.Writes++
-	if c.IsPost() {
-		ttl := time.Duration(c.QueryArgs().GetUintOrZero("ttl")) * time.Millisecond
-		k.rev++
-		id := "l" + strconv.FormatUint(k.rev, 10)
-		k.leases[id] = &kvLease{ttl, time.Now().Add(ttl)}
-		c.SetBodyString(id)
-		return
-	}
-	lease := k.leases[string(c.QueryArgs().Peek("id"))]
-	if lease == nil {
-		c.Error("no such lease", fasthttp.StatusGone)
-		return
-	}
-	lease.ends = time.Now().Add(lease.ttl)
+func setRev(c *fasthttp.RequestCtx, rev uint64) {
+	c.Response.Header.Set("Rev", strconv.FormatUint(rev, 10))
 }
 
-// expire ends leases and removes their keys.
-func (k *KV) expire(now time.Time) {
-	for id, lease := range k.leases {
-		if now.Before(lease.ends) {
-			continue
-		}
-		delete(k.leases, id)
-		for key, e := range k.keys {
-			if e.lease == id {
-				k.remove(key)
-			}
-		}
+func writeEntry(c *fasthttp.RequestCtx, e quetzalpier.Entry, err error) error {
+	setRev(c, e.Rev)
+	c.SetBody(e.Value)
+	if err == nil && e.Rev == 0 {
+		c.SetStatusCode(http.StatusNotFound)
 	}
+	return err
 }
 
-func revOf(e *kvEntry) uint64 {
-	if e == nil {
-		return 0
+func writeFault(c *fasthttp.RequestCtx, err error) {
+	var swap *quetzalpier.SwapError
+	var lost *quetzalpier.LostError
+	c.Response.ResetBody()
+	switch {
+	case errors.As(err, &swap):
+		setRev(c, swap.Rev)
+		c.SetStatusCode(http.StatusConflict)
+	case errors.As(err, &lost):
+		c.SetStatusCode(http.StatusGone)
+	default:
+		c.Error(err.Error(), http.StatusBadRequest)
 	}
-	return e.rev
 }
