--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -11,6 +12,9 @@
 	"quetzalpier/admit"
 )
 
+// The drawn cases are the same in every run.
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
 var start = time.Unix(1_000_000, 0)
 
 const (
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -14,6 +15,9 @@
 	"quetzalpier/route"
 )
 
+// The drawn cases are the same in every run.
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
 var start = time.Unix(1_000_000, 0)
 
 // listOf returns the platform's list of n live upstreams.
--- a/step/ledger_test.go
+++ b/step/ledger_test.go
@@ -1,6 +1,7 @@
 package step_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -11,6 +12,9 @@
 	"quetzalpier/step"
 )
 
+// The drawn cases are the same in every run.
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
 var start = time.Unix(1_000_000, 0)
 
 func newStep(groups, count int, version quetzalpier.Version, bound uint64) quetzalpier.Step {
