link, route, gate, proof: Prove attempts at each stage and whole answers

Cause: (1) the HTTP library replaces a read timeout by an error of its own, so a connection silent before the header was not seen as silent and its upstream could count as crashed; (2) a request whose only upstream had been tried waited until its deadline; (3) a body over the limit was cut off without an answer. Change: the connection itself notes a timeout; upstreams already tried are used again if all open ones have been; bodies up to four times the limit get their 413. Ruled out: the progress deadline itself (it fired after 4 s).

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -78,7 +79,7 @@
 	}
 	g := &Gate{Options: options, listener: listener, flight: newFlight()}
 	g.app = fiber.New(fiber.Config{
-		BodyLimit:    options.Body,
+		BodyLimit:    bodySlack * options.Body,
 		ErrorHandler: g.fail,
 		IdleTimeout:  idleTimeout,
 		// Strings taken from a request must outlive its handler.
@@ -93,7 +94,12 @@
 	return g, nil
 }
 
-const idleTimeout = 30 * time.Second
+const (
+	idleTimeout = 30 * time.Second
+	// bodySlack times the limit is read before a connection is closed on a
+	// body, so that one somewhat too large gets its answer.
+	bodySlack = 4
+)
 
 // Addr is the gate's address.
 func (g *Gate) Addr() string { return g.listener.Addr().String() }
@@ -110,7 +116,7 @@
 func (g *Gate) InFlight() int { return g.flight.count() }
 
 func (g *Gate) routes() {
-	g.app.Use(g.track)
+	g.app.Use(g.track, g.limit)
 	g.app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	g.app.Get("/readyz", g.ready)
 	g.app.Get("/metrics", metrics(g.Meter))
@@ -151,6 +157,17 @@
 	return c.Next()
 }
 
+// limit refuses bodies that are too large.
+func (g *Gate) limit(c fiber.Ctx) error {
+	if len(c.Request().Body()) <= g.Body {
+		return c.Next()
+	}
+	return &quetzalpier.Refusal{
+		Type: "size", Title: "body too large", Status: fasthttp.StatusRequestEntityTooLarge,
+		Detail: "at most " + strconv.Itoa(g.Body) + " bytes", Ran: quetzalpier.RanNo,
+	}
+}
+
 func (g *Gate) draining() (yes bool) {
 	g.Board.Do(func(s *board.State) { yes = s.Self.State != board.Alive })
 	return yes
--- a/link/conn.go
+++ b/link/conn.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"net"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -29,6 +31,9 @@
 	sent   int
 	limit  time.Duration
 	used   time.Time
+	// silent is set once a read or write made no progress in time. The HTTP
+	// library does not pass the error on as it was.
+	silent bool
 }
 
 func dial(addr string) (*conn, error) {
@@ -56,7 +61,9 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.note(err)
+	return n, err
 }
 
 // Write implements net.Conn.
@@ -66,5 +73,13 @@
 	}
 	n, err := c.Conn.Write(b)
 	c.sent += n
+	c.note(err)
 	return n, err
 }
+
+func (c *conn) note(err error) {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		c.silent = true
+	}
+}
--- a/link/error.go
+++ b/link/error.go
@@ -1,11 +1,7 @@
 package link
 
 import (
-	"context"
 	"fmt"
-	"net"
-
-	"github.com/pkg/errors"
 
 	"quetzalpier"
 )
@@ -50,9 +46,3 @@
 	}
 	return quetzalpier.RanUnknown
 }
-
-func fail(ctx context.Context, addr string, stage Stage, sent int, err error) *Error {
-	var timeout net.Error
-	silent := errors.As(err, &timeout) && timeout.Timeout()
-	return &Error{Addr: addr, Stage: stage, Sent: sent, Silent: silent, Canceled: ctx.Err() != nil, Err: err}
-}
--- a/link/link.go
+++ b/link/link.go
@@ -49,11 +49,11 @@
 // connection, also while the body is read.
 func (l *Links) Do(ctx context.Context, call Call) (*Answer, error) {
 	if ctx.Err() != nil {
-		return nil, fail(ctx, call.Addr, StageConnect, 0, ctx.Err())
+		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: true, Err: ctx.Err()}
 	}
 	c, err := l.take(call)
 	if err != nil {
-		return nil, fail(ctx, call.Addr, StageConnect, 0, err)
+		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.sent = 0
@@ -92,7 +92,7 @@
 		a.whole = true
 		return n, io.EOF
 	}
-	return n, a.links.failed(a.ctx, a.addr, StageBody, a.conn.sent, err)
+	return n, a.links.failed(a.ctx, a.addr, StageBody, a.conn, err)
 }
 
 // Close gives the connection back if the body was read whole, and closes it
@@ -115,13 +115,13 @@
 func (l *Links) abandon(ctx context.Context, addr string, c *conn, stop func() bool, stage Stage, err error) *Error {
 	stop()
 	_ = c.Close()
-	return l.failed(ctx, addr, stage, c.sent, err)
+	return l.failed(ctx, addr, stage, c, err)
 }
 
 // failed makes the attempt's error. A silent connection condemns the idle
 // ones to the same upstream, so that new work opens new connections.
-func (l *Links) failed(ctx context.Context, addr string, stage Stage, sent int, err error) *Error {
-	failure := fail(ctx, addr, stage, sent, err)
+func (l *Links) failed(ctx context.Context, addr string, stage Stage, c *conn, err error) *Error {
+	failure := &Error{Addr: addr, Stage: stage, Sent: c.sent, Silent: c.silent, Canceled: ctx.Err() != nil, Err: err}
 	if failure.Silent && !failure.Canceled {
 		l.Forget(addr)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -40,7 +40,10 @@
 	// Floor is the lowest version that is any use; upstreams known to be
 	// older are not used at all.
 	Floor quetzalpier.Version
+	// Avoid names upstreams that must not be used, and Tried those that are
+	// used again only if all that are open have been tried.
 	Avoid map[string]bool
+	Tried map[string]bool
 }
 
 // Pick returns the upstream to use; false if none has room now.
@@ -66,38 +69,73 @@
 // Eligible returns the upstreams that may take the request, in order of id:
 // those that this node works with, or any other if none of them can.
 func Eligible(s *board.State, ask Ask, now time.Time) []*board.Upstream {
-	if near := eligible(s, ask, s.Near, now); len(near) > 0 || s.Near == nil {
-		return near
-	}
-	return eligible(s, ask, nil, now)
-}
-
-func eligible(s *board.State, ask Ask, near map[string]bool, now time.Time) []*board.Upstream {
-	var fit, old []*board.Upstream
-	limit := slots(s.Config.Pools[ask.Pool], ask.Class)
-	for _, u := range s.Upstreams {
-		if near != nil && !near[u.VM.ID] {
+	var near, far []*board.Upstream
+	for _, u := range untried(opened(s, ask, now), ask) {
+		if !fits(s, u, ask) {
 			continue
 		}
-		if u.VM.Pool != ask.Pool || !open(u, ask, now) || u.Outstanding >= limit || ask.Avoid[u.VM.ID] {
+		if s.Near == nil || s.Near[u.VM.ID] {
+			near = append(near, u)
 			continue
 		}
-		if ask.Alone && (u.Outstanding > 0 || u.Trial != ask.Ticket) {
-			continue
+		far = append(far, u)
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	near = newest(near, ask.Least)
+	sort.Slice(near, func(i, j int) bool { return near[i].VM.ID < near[j].VM.ID })
+	return near
+}
+
+// opened returns the upstreams of the pool that take new work at all.
+func opened(s *board.State, ask Ask, now time.Time) []*board.Upstream {
+	var list []*board.Upstream
+	for _, u := range s.Upstreams {
+		if u.VM.Pool == ask.Pool && open(u, ask, now) && !ask.Avoid[u.VM.ID] {
+			list = append(list, u)
 		}
-		if ask.Floor > 0 && served(u) < ask.Floor {
-			continue
+	}
+	return list
+}
+
+// untried leaves out those already tried, unless that leaves none.
+func untried(us []*board.Upstream, ask Ask) []*board.Upstream {
+	var fresh []*board.Upstream
+	for _, u := range us {
+		if !ask.Tried[u.VM.ID] {
+			fresh = append(fresh, u)
 		}
-		if served(u) < ask.Least {
-			old = append(old, u)
-			continue
+	}
+	if len(fresh) == 0 {
+		return us
+	}
+	return fresh
+}
+
+// fits tells whether the upstream has room for the request and is recent
+// enough.
+func fits(s *board.State, u *board.Upstream, ask Ask) bool {
+	if u.Outstanding >= slots(s.Config.Pools[ask.Pool], ask.Class) {
+		return false
+	}
+	if ask.Alone && (u.Outstanding > 0 || u.Trial != ask.Ticket) {
+		return false
+	}
+	return ask.Floor == 0 || served(u) >= ask.Floor
+}
+
+// newest leaves out those older than least, unless that leaves none.
+func newest(us []*board.Upstream, least quetzalpier.Version) []*board.Upstream {
+	var fit []*board.Upstream
+	for _, u := range us {
+		if served(u) >= least {
+			fit = append(fit, u)
 		}
-		fit = append(fit, u)
 	}
 	if len(fit) == 0 {
-		fit = old
+		return us
 	}
-	sort.Slice(fit, func(i, j int) bool { return fit[i].VM.ID < fit[j].VM.ID })
 	return fit
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -80,6 +80,13 @@
 		}, route.Ask{Pool: "m", Least: 4}, "u00"},
 		{"below the floor nothing will do", func(*board.State) {}, route.Ask{Pool: "m", Floor: 4}, ""},
 		{"avoided ones are left out", func(*board.State) {}, route.Ask{Pool: "m", Avoid: map[string]bool{"u00": true}}, "u01"},
+		{"tried ones are left out while there are others", func(*board.State) {}, route.Ask{Pool: "m", Tried: map[string]bool{"u00": true}}, "u01"},
+		{"a full one is not passed over for a tried one", func(s *board.State) {
+			s.Upstreams["u01"].Outstanding = 16
+		}, route.Ask{Pool: "m", Tried: map[string]bool{"u00": true}}, ""},
+		{"tried ones are used again if all have been", func(s *board.State) {
+			s.Upstreams["u01"].LeavingAt = start
+		}, route.Ask{Pool: "m", Tried: map[string]bool{"u00": true}}, "u00"},
 		{"the nearer failure domain is preferred", func(s *board.State) {
 			s.Upstreams["u00"].VM.Domain = "b"
 		}, route.Ask{Pool: "m"}, "u01"},
--- a/route/trial.go
+++ b/route/trial.go
@@ -39,12 +39,9 @@
 // that are open if none of the pool falls to this node.
 func trials(s *board.State, ask Ask, now time.Time) []*board.Upstream {
 	nodes := usable(s)
-	var own, all []*board.Upstream
-	for _, u := range s.Upstreams {
-		if u.VM.Pool != ask.Pool || ask.Avoid[u.VM.ID] || !open(u, ask, now) {
-			continue
-		}
-		all = append(all, u)
+	var own []*board.Upstream
+	all := untried(opened(s, ask, now), ask)
+	for _, u := range all {
 		if hash.Owner(u.VM.ID, nodes) == s.Self.ID {
 			own = append(own, u)
 		}
--- a/send/queue.go
+++ b/send/queue.go
@@ -27,7 +27,7 @@
 }
 
 // acquire waits for a slot for the job.
-func (s *Sender) acquire(ctx context.Context, job *Job, avoid map[string]bool) (slot, error) {
+func (s *Sender) acquire(ctx context.Context, job *Job, tried map[string]bool) (slot, error) {
 	start := time.Now()
 	verdict := s.judge(job, start)
 	if verdict == poison.Condemned {
@@ -39,7 +39,7 @@
 	w.ticket = &admit.Ticket{ID: s.tickets, Class: job.Class, Tenant: job.Tenant, Weight: job.Weight, Deadline: job.Deadline}
 	w.ask = route.Ask{
 		Pool: job.Pool, Class: job.Class, Prefix: job.Prefix, Least: job.Least, Floor: job.Floor,
-		Alone: verdict == poison.Alone, Ticket: s.tickets, Avoid: avoid,
+		Alone: verdict == poison.Alone, Ticket: s.tickets, Avoid: job.Avoid, Tried: tried,
 	}
 	q := s.queue(job.Pool)
 	after, ok := q.Offer(w.ticket, start)
--- a/send/send.go
+++ b/send/send.go
@@ -128,14 +128,11 @@
 // Do runs the job until an attempt ends well or no further one is allowed.
 // Its error is a Refusal, the runner's own final error, or the context's.
 func (s *Sender) Do(ctx context.Context, job *Job, run Runner) error {
-	avoid := map[string]bool{}
-	for id := range job.Avoid {
-		avoid[id] = true
-	}
+	tried := map[string]bool{}
 	s.budget(job.Pool, (*retry.Budget).Earn)
 	ran := quetzalpier.RanNo
 	for attempts := 1; ; attempts++ {
-		place, err := s.acquire(ctx, job, avoid)
+		place, err := s.acquire(ctx, job, tried)
 		if err != nil {
 			return refusedAs(err, ran)
 		}
@@ -152,7 +149,7 @@
 		if !verdict.Again {
 			return s.giveUp(err, f, ran)
 		}
-		avoid[place.vm.ID] = true
+		tried[place.vm.ID] = true
 		if !sleep.For(ctx, verdict.Wait) {
 			return ctx.Err()
 		}
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -557,3 +557,10 @@
 	_, err := fmt.Fprintf(w, "data: %s\n\n", body)
 	return err
 }
+
+// Busy counts the sequences that run or wait.
+func (e *Engine) Busy() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.batch.Running) + len(e.batch.Queue)
+}
