pilot, conf: Order engines on while the platform is out for everyone

Cause: a pilot whose lease lapsed in an outage of the key-value service sent no orders, so a trainer with a bound of one version waited for ever. Ruled out: the step's owner (it had work, no engine was recent enough). Change: while the platform is out for all that a majority hears, the node to which a pool falls orders under the number that each engine saw last. A node that does not watch no longer keeps an old word that the platform is out.

--- a/conf/watch.go
+++ b/conf/watch.go
@@ -75,6 +75,7 @@
 	for ctx.Err() == nil {
 		if !w.watches() {
 			rev = 0
+			w.cut.Store(false)
 			sleep.For(ctx, roleCheck)
 			continue
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -115,6 +115,7 @@
 		n.pilot = &pilot.Pilot{
 			Board: n.Board, Lease: &lease.Holder{KV: n.kv, Node: n.Settings.Name}, Orders: plat.NewOrders(),
 			Meter: n.Meter, Log: n.Log, Loads: n.Settings.Platform.Loads, Leaving: n.leaving,
+			AllCut: func(now time.Time) bool { return n.peers.AllCut(now) },
 		}
 	}
 	if err := n.openPeers(seed); err != nil {
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -45,13 +45,19 @@
 	Loads float64
 	// Leaving is called when an engine says that it leaves.
 	Leaving func(id string)
+	// AllCut tells whether the platform is out for everyone.
+	AllCut func(now time.Time) bool
 
 	mu      sync.Mutex
 	pools   map[string]*fleet
 	workers conc.WaitGroup
 }
 
-// fleet is what the pilot knows of a pool that it holds.
+// fleet is what the pilot knows of a pool that it serves. Without a lease,
+// while the platform is out for everyone, the fence is zero and each engine
+// is ordered under the number that it has seen last: nobody can get a higher
+// one then, and since all orders lead to the highest version published, two
+// nodes that both order do no harm.
 type fleet struct {
 	pool    string
 	fence   uint64
@@ -83,7 +89,7 @@
 			takeAt = now.Add(takeEvery)
 			p.take(ctx)
 		}
-		for _, f := range p.held(time.Now()) {
+		for _, f := range p.served(time.Now()) {
 			p.serve(ctx, f)
 		}
 	}
@@ -137,32 +143,39 @@
 
 func leaseName(pool string) string { return "pilot/" + pool }
 
-// held returns the fleets of the pools whose lease this node holds.
-func (p *Pilot) held(now time.Time) []*fleet {
-	var pools []string
-	p.Board.Do(func(s *board.State) {
-		for name := range s.Config.Pools {
-			pools = append(pools, name)
-		}
-	})
+// served returns the fleets of the pools that this node holds, or that fall to
+// it while nobody can hold them.
+func (p *Pilot) served(now time.Time) []*fleet {
+	mine, others := p.share()
+	cut := p.AllCut(now)
 	var fleets []*fleet
-	for _, pool := range pools {
-		fence, ok := p.Lease.Fence(leaseName(pool), now)
-		f := p.pools[pool]
-		if !ok {
-			delete(p.pools, pool)
+	for _, pool := range mine {
+		if fence, ok := p.Lease.Fence(leaseName(pool), now); ok || cut {
+			fleets = append(fleets, p.fleet(pool, fence, now))
 			continue
 		}
-		if f == nil || f.fence != fence {
-			f = &fleet{pool: pool, fence: fence, since: now, engines: map[string]*swap.Engine{}}
-			p.pools[pool] = f
-			p.Log.Info().Str("pool", pool).Uint64("fence", fence).Msg("pool taken")
+		delete(p.pools, pool)
+	}
+	for _, pool := range others {
+		if fence, ok := p.Lease.Fence(leaseName(pool), now); ok {
+			fleets = append(fleets, p.fleet(pool, fence, now))
+			continue
 		}
-		fleets = append(fleets, f)
+		delete(p.pools, pool)
 	}
 	return fleets
 }
 
+func (p *Pilot) fleet(pool string, fence uint64, now time.Time) *fleet {
+	f := p.pools[pool]
+	if f == nil || f.fence != fence {
+		f = &fleet{pool: pool, fence: fence, since: now, engines: map[string]*swap.Engine{}}
+		p.pools[pool] = f
+		p.Log.Info().Str("pool", pool).Uint64("fence", fence).Msg("pool taken")
+	}
+	return f
+}
+
 // serve reads the engines' states if it is time to, and sends the orders due.
 func (p *Pilot) serve(ctx context.Context, f *fleet) {
 	now := time.Now()
@@ -321,10 +334,28 @@
 	if addr == "" {
 		return errors.Errorf("engine %s is gone", id)
 	}
-	if fence, ok := p.Lease.Fence(leaseName(f.pool), time.Now()); !ok || fence != f.fence {
-		return &quetzalpier.LostError{Lease: leaseName(f.pool)}
+	fence, err := p.fence(f, id, time.Now())
+	if err != nil {
+		return err
+	}
+	return p.Orders.Order(ctx, addr, quetzalpier.Order{Fence: fence, Version: target})
+}
+
+// fence returns the number under which an engine may be ordered now.
+func (p *Pilot) fence(f *fleet, id string, now time.Time) (uint64, error) {
+	if fence, ok := p.Lease.Fence(leaseName(f.pool), now); ok && fence == f.fence {
+		return fence, nil
+	}
+	if f.fence != 0 || !p.AllCut(now) {
+		return 0, &quetzalpier.LostError{Lease: leaseName(f.pool)}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := f.engines[id]
+	if e == nil {
+		return 0, errors.Errorf("engine %s is gone", id)
 	}
-	return p.Orders.Order(ctx, addr, quetzalpier.Order{Fence: f.fence, Version: target})
+	return e.State.Fence, nil
 }
 
 func orderLabel(err error) string {
--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -189,6 +189,7 @@
 		require.NoError(r.t, os.WriteFile(file, []byte(settingsText(s)), 0o600))
 		cmd := exec.Command(os.Args[0], "node", "-c", file)
 		cmd.Env = append(os.Environ(), asProgram+"=1")
+		cmd.Stderr = nodeLog(s.Name)
 		require.NoError(r.t, cmd.Start())
 		run := &running{addr: s.HTTP, cmd: cmd, done: make(chan struct{})}
 		r.nodes[i] = run
@@ -335,3 +336,16 @@
 }
 
 func (r *rig) client() *plat.KV { return plat.NewKV(r.kv.Addr) }
+
+// nodeLog is where a spawned node's log goes: nowhere, unless LOGS names a folder.
+func nodeLog(name string) io.Writer {
+	dir := os.Getenv("LOGS")
+	if dir == "" {
+		return nil
+	}
+	file, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil
+	}
+	return file
+}
--- /dev/null
+++ b/proof/trainer_test.go
@@ -0,0 +1,200 @@
+package proof_test
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/hash"
+	"quetzalpier/stand"
+	"quetzalpier/train"
+)
+
+// trainerOptions describe a trainer whose steps outlast the faults.
+func trainerOptions(r *rig, steps int) stand.TrainerOptions {
+	return stand.TrainerOptions{
+		Name: "t", Nodes: r.addrs(), Pool: "m", Steps: steps, Groups: 6, Count: 6, Tokens: 256, Bound: 1, First: 1,
+		Learn: 50 * time.Millisecond,
+	}
+}
+
+func requireWhole(t *testing.T, tally stand.Tally) {
+	t.Helper()
+	require.Empty(t, tally.Fault)
+	require.Equal(t, tally.Wanted, tally.Samples)
+	require.Zero(t, tally.Doubled)
+	require.Zero(t, tally.Stale)
+	require.Zero(t, tally.Unnamed)
+	require.Zero(t, tally.Wrong)
+}
+
+// train runs a trainer while fault happens.
+func (r *rig) train(o stand.TrainerOptions, fault func()) stand.Tally {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var tally stand.Tally
+	var wait conc.WaitGroup
+	wait.Go(func() { tally = stand.Train(ctx, o) })
+	fault()
+	wait.Wait()
+	return tally
+}
+
+// owner is the number of the node that owns the trainer's steps.
+func (r *rig) owner(trainer string) int {
+	var names []string
+	byName := map[string]int{}
+	for i := range r.nodes {
+		name := fmt.Sprintf("n%d", i)
+		names = append(names, name)
+		byName[name] = i
+	}
+	return byName[hash.Owner("steps/"+trainer, names)]
+}
+
+func (r *rig) stepAtWork() {
+	r.t.Helper()
+	r.eventually("step to be at work", func() bool {
+		for _, e := range r.engines {
+			if e.Busy() > 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func TestTrainerUnderFaults(t *testing.T) {
+	slow := defaultParams()
+	slow.Base = 15 * time.Millisecond
+	cases := []struct {
+		name  string
+		fault func(r *rig)
+	}{
+		{"owner killed", func(r *rig) {
+			r.nodes[r.owner("t")].kill()
+		}},
+		{"owner frozen beyond its membership and back", func(r *rig) {
+			owner := r.nodes[r.owner("t")]
+			owner.signal(r.t, syscall.SIGSTOP)
+			time.Sleep(12 * time.Second)
+			owner.signal(r.t, syscall.SIGCONT)
+		}},
+		{"key-value service out throughout", func(r *rig) {
+			r.kv.SetFaults(stand.KVFaults{Out: true})
+		}},
+		{"engine crashes", func(r *rig) {
+			r.engines[0].Crash(2 * time.Second)
+			time.Sleep(time.Second)
+			r.engines[1].Crash(time.Second)
+		}},
+		{"engine frozen and back", func(r *rig) {
+			r.engines[0].SetFaults(stand.EngineFaults{Frozen: true})
+			time.Sleep(6 * time.Second)
+			r.engines[0].SetFaults(stand.EngineFaults{})
+		}},
+		{"swaps fail halfway and engines lie", func(r *rig) {
+			r.engines[0].SetFaults(stand.EngineFaults{FailSwaps: 2})
+			r.engines[1].SetFaults(stand.EngineFaults{Lie: true})
+			time.Sleep(8 * time.Second)
+			r.engines[1].SetFaults(stand.EngineFaults{})
+		}},
+		{"owner killed while the key-value service is out and an engine crashes", func(r *rig) {
+			r.kv.SetFaults(stand.KVFaults{Out: true})
+			r.engines[0].Crash(2 * time.Second)
+			r.nodes[r.owner("t")].kill()
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, rigOptions{engines: 3, params: slow, swap: 50 * time.Millisecond})
+			r.spawn(1, 2, 3)
+			tally := r.train(trainerOptions(r, 3), func() {
+				r.stepAtWork()
+				c.fault(r)
+			})
+			requireWhole(t, tally)
+		})
+	}
+}
+
+func TestTrainerRestart(t *testing.T) {
+	r := newRig(t, rigOptions{engines: 2})
+	r.start(nil, 1, 2)
+	s := quetzalpier.Step{Number: 1, Pool: "m"}
+	for range 4 {
+		s.Groups = append(s.Groups, quetzalpier.Group{ID: "g", Prompt: "p", Count: 4, Tokens: 64})
+	}
+	pullAll := func(client *train.Client) int {
+		total := 0
+		for client.Left() > 0 {
+			samples, _, err := client.Pull(t.Context(), time.Second)
+			require.NoError(t, err)
+			total += len(samples)
+		}
+		return total
+	}
+	first := train.New("t", r.addrs())
+	first.Version, first.Bound = 1, 1
+	require.NoError(t, first.Put(t.Context(), s))
+	require.Equal(t, 16, pullAll(first))
+	t.Run("a trainer back from its checkpoint gets what the checkpoint lacks", func(t *testing.T) {
+		var saved quetzalpier.Bitmap
+		for i := range 10 {
+			saved = saved.Set(i)
+		}
+		second := train.New("t", r.addrs())
+		second.Version, second.Bound = 1, 1
+		second.Restore(s, saved)
+		require.Equal(t, 6, pullAll(second))
+	})
+	t.Run("the same step again changes nothing, another body is refused", func(t *testing.T) {
+		require.NoError(t, first.Put(t.Context(), s))
+		other := s
+		other.Groups = s.Groups[:1]
+		require.ErrorContains(t, first.Put(t.Context(), other), "409")
+	})
+}
+
+// TestStaleness publishes versions while pulls wait and while answers are
+// under way.
+func TestStaleness(t *testing.T) {
+	slow := defaultParams()
+	slow.Base = 10 * time.Millisecond
+	r := newRig(t, rigOptions{engines: 2, params: slow, swap: 20 * time.Millisecond})
+	r.start(nil, 1, 2, 3)
+	bound := uint64(1)
+	s := quetzalpier.Step{Trainer: "t", Number: 1, Pool: "m", Version: 1, Bound: bound, Groups: []quetzalpier.Group{{ID: "g", Prompt: "p", Count: 40, Tokens: 512}}}
+	client := train.New("t", r.addrs())
+	client.Version, client.Bound = 1, bound
+	require.NoError(t, client.Put(t.Context(), s))
+	var wait conc.WaitGroup
+	ctx, stop := context.WithCancel(t.Context())
+	publisher := train.New("t", r.addrs())
+	wait.Go(func() {
+		for version := quetzalpier.Version(2); version < 8 && ctx.Err() == nil; version++ {
+			time.Sleep(400 * time.Millisecond)
+			_ = publisher.Publish(ctx, "m", version)
+		}
+	})
+	defer wait.Wait()
+	defer stop()
+	seen := 0
+	for client.Left() > 0 {
+		// The trainer's own version may rise while the pull waits.
+		samples, _, err := client.Pull(t.Context(), time.Second)
+		require.NoError(t, err)
+		for _, sample := range samples {
+			require.True(t, sample.Fresh(client.Version, bound))
+			seen++
+		}
+		client.Version = max(client.Version, publisher.Version)
+	}
+	require.Equal(t, 40, seen)
+}
