claim: Replay the holder's answer, not the service's record

Cause: a resend that was answered by asking the holder got status 200 with an empty body: the decision rested on the holder's word, the replay on the open claim that had been read. Ruled out: the claim's encoding (the same replay read from the service was whole). Change: deciding returns the claim on which it rests. Red first: proof TestAtMostOnce (kept answer, copies at once, lost answers) and the drawn claim histories, whose check now looks at the body, failed; all pass now.

--- a/claim/book.go
+++ b/claim/book.go
@@ -91,12 +91,12 @@
 		if found.Token == o.mine.Token {
 			return b.hold(key, o.mine), nil, nil
 		}
-		decision := b.decide(ctx, key, *found, sum)
+		word, decision := b.decide(ctx, key, *found, sum)
 		switch decision.Action {
 		case Dispatch:
 			continue
 		case Replay:
-			return nil, found, nil
+			return nil, &word, nil
 		default:
 			return nil, nil, decision.Refusal
 		}
@@ -176,16 +176,17 @@
 	return quetzalpier.Busy("claim", "the claim could not be made: "+err.Error(), quetzalpier.RanUnknown, refuseAfter)
 }
 
-// decide asks the holder where the service's word is not enough.
-func (b *Book) decide(ctx context.Context, key string, found Claim, sum uint64) Decision {
+// decide asks the holder where the service's word is not enough. It returns the
+// claim on which the decision rests.
+func (b *Book) decide(ctx context.Context, key string, found Claim, sum uint64) (Claim, Decision) {
 	decision := Decide(found, sum, false)
 	if decision.Action != Ask {
-		return decision
+		return found, decision
 	}
 	if word, ok := b.Ask(ctx, found.Node, key, found.Token); ok {
 		found = word
 	}
-	return Decide(found, sum, true)
+	return found, Decide(found, sum, true)
 }
 
 // retention returns the lease that bounds new claims' life. It is renewed by
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -93,6 +93,8 @@
 	switch {
 	case refusal != nil:
 		return string(refusal.Ran)
+	case kept != nil && string(kept.Body) != key:
+		return "replay of nothing"
 	case kept != nil:
 		return "replay"
 	}
@@ -202,8 +204,10 @@
 			return when(ran, true)
 		case "no":
 			return when(!ran, false)
-		default:
+		case "unknown":
 			return []any{ran, true}
+		default:
+			return nil
 		}
 	},
 	Equal: func(a, b any) bool { return a == b },
--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -82,7 +82,7 @@
 
 func newRig(t *testing.T, o rigOptions) *rig {
 	t.Helper()
-	r := &rig{t: t, net: fmt.Sprintf("127.60.%d", networks.Add(1)), nodes: map[int]*running{}}
+	r := &rig{t: t, net: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, networks.Add(1)), nodes: map[int]*running{}}
 	if o.params.Slots == 0 {
 		o.params = defaultParams()
 	}
