send, stand: Refuse at once when a pool has no upstream; fix a race in a stand-in

Cause: a request for a pool without upstreams waited until its deadline for a slot that could not come; the engine stand-in set its latency after it began to serve (found by the race detector). Change: such a request is refused as not run with when to come back; the latency is set before the first connection. Red first: proof TestNotRun (the pool has no upstream), and the race reports of TestPoison, TestStaleness and TestTrainerUnderFaults.

--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -170,6 +170,15 @@
 		require.Equal(t, quetzalpier.RanNo, a.refusal.Ran, a.body)
 		requireTrue(t, r, "closed", a)
 	})
+	t.Run("the pool has no upstream", func(t *testing.T) {
+		r := newRig(t, rigOptions{})
+		r.start(nil, 1)
+		start := time.Now()
+		a := pay(r.nodes[1].addr, "empty")
+		require.Equal(t, quetzalpier.RanNo, a.refusal.Ran, a.body)
+		require.NotEmpty(t, a.after)
+		require.Less(t, time.Since(start), 2*time.Second, "answered at once, not at the deadline of 5 s")
+	})
 	t.Run("no slot comes free in time", func(t *testing.T) {
 		r := newRig(t, rigOptions{plains: 1})
 		r.start(nil, 1)
--- a/send/queue.go
+++ b/send/queue.go
@@ -33,6 +33,9 @@
 	if verdict == poison.Condemned {
 		return slot{}, quetzalpier.Busy("poison", "copies of this request crashed upstreams that ran them", quetzalpier.RanNo, poisonAfter)
 	}
+	if s.empty(job) {
+		return slot{}, quetzalpier.Busy("empty", "the pool has no upstream now", quetzalpier.RanNo, s.Spread(emptyAfter))
+	}
 	w := &waiter{fingerprint: job.Print, grant: make(chan quetzalpier.VM, 1)}
 	s.mu.Lock()
 	s.tickets++
@@ -56,6 +59,18 @@
 	return slot{vm: vm, ticket: w.ticket.ID, alone: w.ask.Alone}, err
 }
 
+// empty tells whether no upstream of the pool takes new work at all, so that
+// waiting for a slot is in vain.
+func (s *Sender) empty(job *Job) bool {
+	empty := true
+	s.Board.Do(func(st *board.State) {
+		for _, u := range st.Upstreams {
+			empty = empty && (u.VM.Pool != job.Pool || u.Leaving())
+		}
+	})
+	return empty
+}
+
 func (s *Sender) judge(job *Job, now time.Time) (verdict poison.Verdict) {
 	if job.Print == 0 {
 		return poison.Free
--- a/send/send.go
+++ b/send/send.go
@@ -25,7 +25,9 @@
 const (
 	// poisonAfter is when a condemned request may be tried again.
 	poisonAfter = 10 * time.Minute
-	pumpEvery   = 100 * time.Millisecond
+	// emptyAfter is when to come back to a pool without upstreams.
+	emptyAfter = time.Second
+	pumpEvery  = 100 * time.Millisecond
 	// paceWeight smooths the moving average of an upstream's pace.
 	paceWeight = 0.2
 )
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -190,11 +190,10 @@
 }
 
 func (e *Engine) listen() error {
-	server, err := Serve(e.addr, e.handle)
+	server, err := Serve(e.addr, e.opts.Delay, e.handle)
 	if err != nil {
 		return err
 	}
-	server.Faults.Delay = e.opts.Delay
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.server = server
--- a/stand/kv.go
+++ b/stand/kv.go
@@ -36,7 +36,7 @@
 // NewKV starts the service on addr.
 func NewKV(addr string) (*KV, error) {
 	k := &KV{Memory: NewMemory()}
-	server, err := Serve(addr, k.handle)
+	server, err := Serve(addr, 0, k.handle)
 	if err != nil {
 		return nil, err
 	}
--- a/stand/listen.go
+++ b/stand/listen.go
@@ -16,8 +16,8 @@
 // Listener accepts connections that can be made to fail together.
 type Listener struct {
 	net.Listener
-	// Delay is added before each read of a request, as network latency.
-	Delay time.Duration
+	// delay is added before each read of a request, as network latency.
+	delay time.Duration
 
 	mu    sync.Mutex
 	conns map[*faultyConn]struct{}
@@ -32,12 +32,12 @@
 }
 
 // Listen opens a TCP address.
-func Listen(addr string) (*Listener, error) {
+func Listen(addr string, delay time.Duration) (*Listener, error) {
 	inner, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Listener: inner, conns: map[*faultyConn]struct{}{}}, nil
+	return &Listener{Listener: inner, delay: delay, conns: map[*faultyConn]struct{}{}}, nil
 }
 
 // Accept waits for a connection.
@@ -85,7 +85,7 @@
 			return n, err
 		}
 		if !c.silent.Load() {
-			time.Sleep(c.owner.Delay)
+			time.Sleep(c.owner.delay)
 			return n, nil
 		}
 	}
@@ -123,9 +123,9 @@
 	workers conc.WaitGroup
 }
 
-// Serve starts handler on addr.
-func Serve(addr string, handler fasthttp.RequestHandler) (*Server, error) {
-	listener, err := Listen(addr)
+// Serve starts handler on addr; delay is the network latency to it.
+func Serve(addr string, delay time.Duration, handler fasthttp.RequestHandler) (*Server, error) {
+	listener, err := Listen(addr, delay)
 	if err != nil {
 		return nil, err
 	}
--- a/stand/plain.go
+++ b/stand/plain.go
@@ -25,7 +25,7 @@
 // NewPlain starts the service on addr.
 func NewPlain(addr string) (*Plain, error) {
 	p := &Plain{runs: map[string]int{}}
-	server, err := Serve(addr, p.handle)
+	server, err := Serve(addr, 0, p.handle)
 	if err != nil {
 		return nil, err
 	}
--- a/stand/vms.go
+++ b/stand/vms.go
@@ -29,7 +29,7 @@
 // NewVMs starts the list on addr with the given entries, which show at once.
 func NewVMs(addr string, lag time.Duration, vms []quetzalpier.VM) (*VMs, error) {
 	v := &VMs{Lag: lag, history: []listedVMs{{list: quetzalpier.VMList{Number: 1, VMs: vms}}}}
-	server, err := Serve(addr, v.handle)
+	server, err := Serve(addr, 0, v.handle)
 	if err != nil {
 		return nil, err
 	}
--- a/stand/weights.go
+++ b/stand/weights.go
@@ -23,7 +23,7 @@
 // NewWeights starts the store on addr.
 func NewWeights(addr string, rate float64) (*Weights, error) {
 	w := &Weights{Rate: rate, tokens: rate, last: time.Now()}
-	server, err := Serve(addr, w.handle)
+	server, err := Serve(addr, 0, w.handle)
 	if err != nil {
 		return nil, err
 	}
