--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,8 @@
 
 	drain   chan struct{}
 	drained sync.Once
+	cut     chan struct{}
+	cutOnce sync.Once
 	workers conc.WaitGroup
 	pilots  conc.WaitGroup
 }
@@ -78,7 +80,7 @@
 		return nil, errors.Wrap(err, "log level")
 	}
 	n := &Node{
-		Settings: settings, Meter: meter.New(), drain: make(chan struct{}),
+		Settings: settings, Meter: meter.New(), drain: make(chan struct{}), cut: make(chan struct{}),
 		Log: zerolog.New(out).Level(level).With().Timestamp().Str("node", settings.Name).Logger(),
 		kv:  plat.NewKV(settings.Platform.KV),
 	}
@@ -207,6 +209,15 @@
 // Drain starts the planned stop.
 func (n *Node) Drain() { n.drained.Do(func() { close(n.drain) }) }
 
+// CutOff ends the node at once, as a crash would: nothing is handed over and
+// nobody is told.
+func (n *Node) CutOff() {
+	n.cutOnce.Do(func() {
+		close(n.cut)
+		n.peers.Close()
+	})
+}
+
 // Run runs the node until ctx ends or it is drained, then stops it as planned.
 func (n *Node) Run(ctx context.Context) {
 	work, cancel := context.WithCancel(context.Background())
@@ -221,6 +232,8 @@
 	select {
 	case <-ctx.Done():
 	case <-n.drain:
+	case <-n.cut:
+		return
 	}
 	n.stop(work, stopPilots)
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -206,7 +206,7 @@
 	return true
 }
 
-// next returns the members in turn, each once a round, in random order.
+// next returns the neighbours in turn, each once a round, in random order.
 func (n *Node) next() (board.Member, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -218,7 +218,7 @@
 				return m, true
 			}
 		}
-		n.opts.Board.Do(func(s *board.State) { n.round = Reachable(s) })
+		n.opts.Board.Do(func(s *board.State) { n.round = Neighbours(s) })
 		n.rnd.Shuffle(len(n.round), func(i, j int) { n.round[i], n.round[j] = n.round[j], n.round[i] })
 	}
 	return board.Member{}, false
@@ -266,11 +266,11 @@
 	return false
 }
 
-// sample returns up to k random members that are not out, without one.
+// sample returns up to k random neighbours, without one.
 func (n *Node) sample(k int, without string) []board.Member {
 	var members []board.Member
 	n.opts.Board.Do(func(s *board.State) {
-		for _, id := range Reachable(s) {
+		for _, id := range Neighbours(s) {
 			if id != without {
 				members = append(members, s.Members[id])
 			}
@@ -282,7 +282,7 @@
 	return members[:min(k, len(members))]
 }
 
-// push tells a few random peers of news; those to whom it is news push on.
+// push tells a few random neighbours of news; those to whom it is news push on.
 func (n *Node) push(ctx context.Context) {
 	var sends conc.WaitGroup
 	for _, m := range n.sample(fanout, "") {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -48,8 +48,9 @@
 	return &wire.Reply{Kind: &wire.Reply_Document{Document: &wire.Document{Number: number, Body: body}}}
 }
 
-// contactLimit is how old a peer's word may be to count as contact.
-const contactLimit = 10 * time.Second
+// contactLimit is how old a peer's word may be to count as contact. At the
+// largest fleets a round of heartbeats takes nine seconds.
+const contactLimit = 12 * time.Second
 
 // AllCut tells whether the platform is out for everyone that this node hears,
 // itself included, while it reaches a majority of the members it knows. No
--- a/peer/table.go
+++ b/peer/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalpier/board"
+	"quetzalpier/hash"
 )
 
 const (
@@ -98,6 +99,41 @@
 	return ids
 }
 
+// Neighbours returns the ids of the members that this node exchanges heartbeats
+// with: those at distances 1, 2, 4 and so on around a ring in the order of the
+// ids' hashes. Each node has as many neighbours as it is one to others, the
+// logarithm of the members, and news crosses the ring in as many steps.
+func Neighbours(s *board.State) []string {
+	ring := ringOf(append(Reachable(s), s.Self.ID))
+	self := 0
+	for i, place := range ring {
+		if place.id == s.Self.ID {
+			self = i
+		}
+	}
+	var ids []string
+	for distance := 1; distance < len(ring); distance *= 2 {
+		ids = append(ids, ring[(self+distance)%len(ring)].id)
+	}
+	return ids
+}
+
+type place struct {
+	hash uint64
+	id   string
+}
+
+func ringOf(ids []string) []place {
+	ring := make([]place, len(ids))
+	for i, id := range ids {
+		ring[i] = place{hash.Text(id), id}
+	}
+	sort.Slice(ring, func(i, j int) bool {
+		return ring[i].hash < ring[j].hash || (ring[i].hash == ring[j].hash && ring[i].id < ring[j].id)
+	})
+	return ring
+}
+
 // Usable returns the ids of the members that run a role and take new work,
 // this node included, sorted.
 func Usable(s *board.State, role string) []string {
--- a/stand/vms.go
+++ b/stand/vms.go
@@ -51,6 +51,13 @@
 	v.history = append(v.history, listedVMs{next, now.Add(v.Lag)})
 }
 
+// Calls counts the readings of the list.
+func (v *VMs) Calls() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.calls
+}
+
 func (v *VMs) handle(c *fasthttp.RequestCtx) {
 	if c.IsPost() {
 		v.Mark(string(c.QueryArgs().Peek("id")), string(c.QueryArgs().Peek("state")), time.Now())
