trial: Run the decisions in virtual time against their naive versions

Cause: no decision was measured against its naive version under load. Change: an event-driven model of engines (the stand-in's own batch model), callers and trainers around admit, route, retry, step and swap.

--- /dev/null
+++ b/cmds/trial.go
@@ -0,0 +1,69 @@
+package cmds
+
+import (
+	"encoding/json"
+	"runtime"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"quetzalpier/trial"
+)
+
+type trialCommand struct {
+	Places    []string `long:"place" default:"hraunmot" default:"redline" description:"deployment; may be given again"`
+	Scenarios []string `long:"scenario" description:"scenario; may be given again, all by default"`
+	Seeds     int      `long:"seeds" default:"10" description:"paired seeds"`
+	Policies  []string `long:"policy" default:"naive" default:"ours" description:"naive, ours, or naive with one decision of ours: route, admit, step, swap, retry"`
+	JSON      bool     `long:"json" description:"print JSON"`
+	Plot      string   `long:"plot" description:"file for a PNG picture of the idle times"`
+}
+
+func addTrial(p *flags.Parser) error {
+	return add(p, "trial", "Run the decisions in virtual time against their naive versions", &trialCommand{})
+}
+
+var policies = map[string]trial.Policy{
+	"naive": trial.Naive,
+	"ours":  trial.Ours,
+	"route": {Route: true},
+	"admit": {Admit: true},
+	"step":  {Step: true},
+	"swap":  {Swap: true},
+	"retry": {Retry: true},
+}
+
+// Execute plays the scenarios and prints a table.
+func (c *trialCommand) Execute([]string) error {
+	chosen := map[string]trial.Policy{}
+	for _, name := range c.Policies {
+		p, ok := policies[name]
+		if !ok {
+			return errors.Errorf("unknown policy %q", name)
+		}
+		chosen[name] = p
+	}
+	if len(c.Scenarios) == 0 {
+		c.Scenarios = trial.Names()
+	}
+	var scenarios []trial.Scenario
+	for _, place := range c.Places {
+		for _, name := range c.Scenarios {
+			scenarios = append(scenarios, trial.Make(place, name))
+		}
+	}
+	rows := trial.Table(scenarios, chosen, c.Seeds, runtime.NumCPU())
+	if c.Plot != "" {
+		if err := trial.Plot(rows, c.Policies, c.Plot); err != nil {
+			return err
+		}
+	}
+	if !c.JSON {
+		return trial.Print(out, rows)
+	}
+	body, err := json.Marshal(rows)
+	if err != nil {
+		return errors.Wrap(err, "encode rows")
+	}
+	return printJSON(body)
+}
