--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -47,7 +47,7 @@
 
 // rig is one deployment: a platform, upstreams and nodes on addresses of its own.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	net     string
 	kv      *stand.KV
 	vms     *stand.VMs
@@ -80,7 +80,7 @@
 	return model.Params{Base: 4 * time.Millisecond, PerSeq: 20 * time.Microsecond, Slots: 32, Cache: 32, Stride: 4}
 }
 
-func newRig(t *testing.T, o rigOptions) *rig {
+func newRig(t testing.TB, o rigOptions) *rig {
 	t.Helper()
 	r := &rig{t: t, net: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, networks.Add(1)), nodes: map[int]*running{}}
 	if o.params.Slots == 0 {
@@ -289,7 +289,7 @@
 	})
 }
 
-func (n *running) signal(t *testing.T, s syscall.Signal) {
+func (n *running) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	require.NoError(t, n.cmd.Process.Signal(s))
 }
