--- a/claim/book.go
+++ b/claim/book.go
@@ -49,6 +49,7 @@
 	leaseAt time.Time
 	held    map[string]*Held
 	pending []*Held
+	wake    chan struct{}
 }
 
 // Held is a claim that this node has made.
@@ -236,6 +237,16 @@
 	return h.Claim, true
 }
 
+// ended returns a channel that tells of ends to be written.
+func (b *Book) ended() chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.wake == nil {
+		b.wake = make(chan struct{}, 1)
+	}
+	return b.wake
+}
+
 // Done records the answer of a claimed request.
 func (b *Book) Done(h *Held, status int, contentType string, body []byte, now time.Time) {
 	claim := Claim{State: Done, Status: status, Type: contentType}
@@ -259,6 +270,10 @@
 	h.Claim = end
 	h.ended = now
 	b.pending = append(b.pending, h)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
 	if extra := len(b.pending) - maxPending; extra > 0 {
 		b.Log.Error().Int("count", extra).Msg("ends of claims dropped; resends will hear that the outcome is unknown")
 		b.pending = b.pending[extra:]
@@ -267,17 +282,18 @@
 
 // Run writes the ends of claims to the service until ctx ends.
 func (b *Book) Run(ctx context.Context) {
-	tick := time.NewTicker(retryEvery / 20)
+	tick := time.NewTicker(retryEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			if !b.Flush(ctx) {
-				sleep.For(ctx, retryEvery)
-			}
 			b.forget(now)
+		case <-b.ended():
+		}
+		if !b.Flush(ctx) {
+			sleep.For(ctx, retryEvery)
 		}
 	}
 }
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -30,8 +30,9 @@
 	// readers bounds the engines whose state is read at a time.
 	readers      = 16
 	stateTimeout = 1500 * time.Millisecond
-	// takeEvery is the time between two tries to take a pool's lease.
-	takeEvery = 2 * time.Second
+	// takeEvery is the time between two looks at which shards fall to this
+	// node, and two tries to take their leases.
+	takeEvery = time.Second
 )
 
 // Pilot orders engines.
@@ -48,18 +49,21 @@
 	// AllCut tells whether the platform is out for everyone.
 	AllCut func(now time.Time) bool
 
-	mu      sync.Mutex
-	pools   map[string]*fleet
+	mu     sync.Mutex
+	fleets map[Shard]*fleet
+	// mine and others are the shards that fall to this node, and the rest.
+	mine    []Shard
+	others  []Shard
 	workers conc.WaitGroup
 }
 
-// fleet is what the pilot knows of a pool that it serves. Without a lease,
+// fleet is what the pilot knows of a shard that it serves. Without a lease,
 // while the platform is out for everyone, the fence is zero and each engine
 // is ordered under the number that it has seen last: nobody can get a higher
 // one then, and since all orders lead to the highest version published, two
 // nodes that both order do no harm.
 type fleet struct {
-	pool    string
+	shard   Shard
 	fence   uint64
 	since   time.Time
 	engines map[string]*swap.Engine
@@ -67,9 +71,9 @@
 	readAt  time.Time
 }
 
-// Run takes and serves pools until ctx ends, and gives them up then.
+// Run takes and serves shards until ctx ends, and gives them up then.
 func (p *Pilot) Run(ctx context.Context) {
-	p.pools = map[string]*fleet{}
+	p.fleets = map[Shard]*fleet{}
 	tick := time.NewTicker(quick)
 	defer tick.Stop()
 	var takeAt time.Time
@@ -87,6 +91,7 @@
 		}
 		if now.After(takeAt) {
 			takeAt = now.Add(takeEvery)
+			p.mine, p.others = p.share()
 			p.take(ctx)
 		}
 		for _, f := range p.served(time.Now()) {
@@ -105,73 +110,67 @@
 	}
 }
 
-// take tries to take the pools that fall to this node, and gives up those
+// take tries to take the shards that fall to this node, and gives up those
 // that fall to another.
 func (p *Pilot) take(ctx context.Context) {
-	mine, others := p.share()
-	for _, pool := range mine {
-		if _, err := p.Lease.Take(ctx, leaseName(pool), time.Now()); err != nil {
-			p.Log.Warn().Err(err).Str("pool", pool).Msg("lease not taken")
+	for _, shard := range p.mine {
+		if _, err := p.Lease.Take(ctx, shard.lease(), time.Now()); err != nil {
+			p.Log.Warn().Err(err).Str("lease", shard.lease()).Msg("lease not taken")
 		}
 	}
-	for _, pool := range others {
-		if _, ok := p.Lease.Fence(leaseName(pool), time.Now()); !ok {
+	for _, shard := range p.others {
+		if _, ok := p.Lease.Fence(shard.lease(), time.Now()); !ok {
 			continue
 		}
-		if err := p.Lease.Release(ctx, leaseName(pool)); err != nil {
-			p.Log.Warn().Err(err).Str("pool", pool).Msg("lease not released")
+		if err := p.Lease.Release(ctx, shard.lease()); err != nil {
+			p.Log.Warn().Err(err).Str("lease", shard.lease()).Msg("lease not released")
 		}
 	}
 }
 
-func (p *Pilot) share() (mine, others []string) {
+// share returns the shards that fall to this node, and the others.
+func (p *Pilot) share() (mine, others []Shard) {
 	p.Board.Do(func(s *board.State) {
 		nodes := peer.Usable(s, setup.RolePilot)
-		for name, pool := range s.Config.Pools {
-			if pool.Kind != quetzalpier.KindEngine {
+		for _, shard := range Shards(s) {
+			if hash.Owner(shard.lease(), nodes) == s.Self.ID {
+				mine = append(mine, shard)
 				continue
 			}
-			if hash.Owner("pilot/"+name, nodes) == s.Self.ID {
-				mine = append(mine, name)
-				continue
-			}
-			others = append(others, name)
+			others = append(others, shard)
 		}
 	})
 	return mine, others
 }
 
-func leaseName(pool string) string { return "pilot/" + pool }
-
-// served returns the fleets of the pools that this node holds, or that fall to
+// served returns the fleets of the shards that this node holds, or that fall to
 // it while nobody can hold them.
 func (p *Pilot) served(now time.Time) []*fleet {
-	mine, others := p.share()
 	cut := p.AllCut(now)
 	var fleets []*fleet
-	for _, pool := range mine {
-		if fence, ok := p.Lease.Fence(leaseName(pool), now); ok || cut {
-			fleets = append(fleets, p.fleet(pool, fence, now))
+	for _, shard := range p.mine {
+		if fence, ok := p.Lease.Fence(shard.lease(), now); ok || cut {
+			fleets = append(fleets, p.fleet(shard, fence, now))
 			continue
 		}
-		delete(p.pools, pool)
+		delete(p.fleets, shard)
 	}
-	for _, pool := range others {
-		if fence, ok := p.Lease.Fence(leaseName(pool), now); ok {
-			fleets = append(fleets, p.fleet(pool, fence, now))
+	for _, shard := range p.others {
+		if fence, ok := p.Lease.Fence(shard.lease(), now); ok {
+			fleets = append(fleets, p.fleet(shard, fence, now))
 			continue
 		}
-		delete(p.pools, pool)
+		delete(p.fleets, shard)
 	}
 	return fleets
 }
 
-func (p *Pilot) fleet(pool string, fence uint64, now time.Time) *fleet {
-	f := p.pools[pool]
+func (p *Pilot) fleet(shard Shard, fence uint64, now time.Time) *fleet {
+	f := p.fleets[shard]
 	if f == nil || f.fence != fence {
-		f = &fleet{pool: pool, fence: fence, since: now, engines: map[string]*swap.Engine{}}
-		p.pools[pool] = f
-		p.Log.Info().Str("pool", pool).Uint64("fence", fence).Msg("pool taken")
+		f = &fleet{shard: shard, fence: fence, since: now, engines: map[string]*swap.Engine{}}
+		p.fleets[shard] = f
+		p.Log.Info().Str("lease", shard.lease()).Uint64("fence", fence).Msg("shard taken")
 	}
 	return f
 }
@@ -212,7 +211,7 @@
 	fenced := true
 	p.Board.Do(func(s *board.State) {
 		for _, u := range s.Upstreams {
-			fenced = fenced && (u.VM.Pool != f.pool || u.VM.Fenced)
+			fenced = fenced && (!f.shard.has(u) || u.VM.Fenced)
 		}
 	})
 	return fenced || now.Sub(f.since) >= swap.OrderLife
@@ -222,13 +221,13 @@
 func (p *Pilot) plan(f *fleet) swap.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	plan := swap.Pool{Rate: p.Loads}
+	plan := swap.Pool{Rate: p.Loads / float64(f.shard.Of)}
 	p.Board.Do(func(s *board.State) {
-		plan.Target = s.Targets[f.pool]
-		plan.Serving = s.Config.Pools[f.pool].Serving
+		plan.Target = s.Targets[f.shard.Pool]
+		plan.Serving = s.Config.Pools[f.shard.Pool].Serving
 		listed := map[string]bool{}
 		for id, u := range s.Upstreams {
-			if u.VM.Pool != f.pool || u.Leaving() {
+			if !f.shard.has(u) || u.Leaving() {
 				continue
 			}
 			listed[id] = true
@@ -304,7 +303,7 @@
 	defer cancel()
 	err := p.sendOrder(ctx, f, id, target)
 	now := time.Now()
-	p.Meter.Orders.WithLabelValues(f.pool, orderLabel(err)).Inc()
+	p.Meter.Orders.WithLabelValues(f.shard.Pool, orderLabel(err)).Inc()
 	if err != nil {
 		p.Log.Warn().Err(err).Str("engine", id).Uint64("version", uint64(target)).Msg("order failed")
 	}
@@ -343,11 +342,11 @@
 
 // fence returns the number under which an engine may be ordered now.
 func (p *Pilot) fence(f *fleet, id string, now time.Time) (uint64, error) {
-	if fence, ok := p.Lease.Fence(leaseName(f.pool), now); ok && fence == f.fence {
+	if fence, ok := p.Lease.Fence(f.shard.lease(), now); ok && fence == f.fence {
 		return fence, nil
 	}
 	if f.fence != 0 || !p.AllCut(now) {
-		return 0, &quetzalpier.LostError{Lease: leaseName(f.pool)}
+		return 0, &quetzalpier.LostError{Lease: f.shard.lease()}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestConfiguration(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{plains: 1})
 	r.start(nil, 1, 2, 3, 4, 5)
 	t.Run("an accepted patch is in force everywhere", func(t *testing.T) {
@@ -101,6 +102,7 @@
 // TestFrozenNode freezes a node for longer than the bound: while patches are
 // accepted elsewhere, it must not work by its old configuration.
 func TestFrozenNode(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{plains: 1})
 	r.spawn(1, 2, 3)
 	r.nodes[3].signal(t, syscall.SIGSTOP)
@@ -119,7 +121,9 @@
 
 // TestCutOffNodes takes the platform away from some nodes only.
 func TestCutOffNodes(t *testing.T) {
+	t.Parallel()
 	t.Run("cut off from the platform but not from peers, a node keeps up", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{plains: 1})
 		r.start(nil, 1, 2)
 		r.start(func(s *setup.Node) { s.Platform.KV = r.net + ".250:1" }, 3)
@@ -129,6 +133,7 @@
 		require.Equal(t, http.StatusOK, r.get(3, "/readyz"))
 	})
 	t.Run("cut off from both, a node sends callers elsewhere and takes no work", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{plains: 1})
 		r.start(nil, 1, 2, 3)
 		for _, i := range []int{1, 2} {
@@ -140,6 +145,7 @@
 		r.eventually("a fleet of one to serve", func() bool { return r.get(3, "/svc/svc/x") == http.StatusOK })
 	})
 	t.Run("the smaller part of a fleet takes no work", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{plains: 1})
 		r.spawn(1, 2, 3)
 		r.kv.SetFaults(stand.KVFaults{Out: true})
--- a/proof/drain_test.go
+++ b/proof/drain_test.go
@@ -73,7 +73,9 @@
 }
 
 func TestPlannedStops(t *testing.T) {
+	t.Parallel()
 	t.Run("every node restarted in turn under load, with streams and long pulls open", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{engines: 3, plains: 2, swap: 20 * time.Millisecond})
 		r.start(nil, 1, 2, 3)
 		tr := r.traffic(8)
@@ -94,6 +96,7 @@
 		requireWhole(t, tally)
 	})
 	t.Run("a stop while the key-value service is out cuts no stream off", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{engines: 2})
 		r.start(nil, 1, 2)
 		r.kv.SetFaults(stand.KVFaults{Out: true})
@@ -111,6 +114,7 @@
 		wait.Wait()
 	})
 	t.Run("another node killed in the midst of a drain", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{engines: 2, swap: 20 * time.Millisecond})
 		r.spawn(1, 2, 3)
 		tally := r.train(trainerOptions(r, 4), func() {
@@ -126,20 +130,20 @@
 }
 
 func TestLeavingUpstream(t *testing.T) {
-	r := newRig(t, rigOptions{engines: 3, plains: 1, lag: 10 * time.Second})
+	t.Parallel()
+	r := newRig(t, rigOptions{engines: 3, plains: 1, lag: time.Hour})
 	r.start(nil, 1, 2)
 	tr := r.traffic(5)
 	time.Sleep(time.Second)
 	r.engines[0].SetLeaving(true)
 	r.vms.Mark("e0", "leaving", time.Now())
-	left := time.Now()
+	// The list shows nothing for an hour; the nodes learn it from the upstream.
 	for _, i := range []int{1, 2} {
 		r.eventually("leaving to be known", func() bool {
 			s, ok := r.status(i)
 			return ok && s.Upstreams[0].Leaving
 		})
 	}
-	require.Less(t, time.Since(left), 8*time.Second, "known before the list shows it")
 	known := time.Now()
 	time.Sleep(3 * time.Second)
 	tr.cancel()
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -50,6 +51,7 @@
 }
 
 func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{plains: 2})
 	r.start(nil, 1, 2, 3)
 	t.Run("a resend gets the kept answer at another node", func(t *testing.T) {
@@ -131,6 +133,7 @@
 // TestHolderLost kills and freezes the node that holds a claim while its
 // request runs.
 func TestHolderLost(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name  string
 		fault func(r *rig)
@@ -162,6 +165,7 @@
 // TestNotRun refuses requests at several points and checks that those said not
 // to have run did not.
 func TestNotRun(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{plains: 1})
 	r.start(nil, 1)
 	t.Run("the upstream refuses connections", func(t *testing.T) {
@@ -173,27 +177,35 @@
 	t.Run("the pool has no upstream", func(t *testing.T) {
 		r := newRig(t, rigOptions{})
 		r.start(nil, 1)
-		start := time.Now()
-		a := pay(r.nodes[1].addr, "empty")
+		// Held until its deadline, the answer would not come in time for post.
+		a := post(r.nodes[1].addr, "POST", "/svc/svc/pay", "empty", "Idempotency-Key", "empty", "Quetzalpier-Timeout", "10m")
+		require.NoError(t, a.err)
 		require.Equal(t, quetzalpier.RanNo, a.refusal.Ran, a.body)
 		require.NotEmpty(t, a.after)
-		require.Less(t, time.Since(start), 2*time.Second, "answered at once, not at the deadline of 5 s")
 	})
 	t.Run("no slot comes free in time", func(t *testing.T) {
 		r := newRig(t, rigOptions{plains: 1})
 		r.start(nil, 1)
-		r.plains[0].SetFaults(3*time.Second, 0)
+		r.plains[0].SetFaults(10*time.Second, 0)
 		var busy conc.WaitGroup
+		var ended atomic.Int32
 		for i := range 64 {
-			busy.Go(func() { pay(r.nodes[1].addr, fmt.Sprintf("busy-%d", i)) })
+			busy.Go(func() {
+				post(r.nodes[1].addr, "POST", "/svc/svc/pay", "busy", "Idempotency-Key", fmt.Sprintf("busy-%d", i))
+				ended.Add(1)
+			})
 		}
-		r.eventually("slots to fill", func() bool { return r.runs("busy-0") == 1 })
-		time.Sleep(300 * time.Millisecond)
-		start := time.Now()
+		r.eventually("slots to fill", func() bool {
+			total := 0
+			for i := range 64 {
+				total += r.runs(fmt.Sprintf("busy-%d", i))
+			}
+			return total == 64
+		})
 		a := post(r.nodes[1].addr, "POST", "/svc/svc/pay", "late", "Idempotency-Key", "late", "Quetzalpier-Timeout", "500ms")
 		require.Equal(t, quetzalpier.RanNo, a.refusal.Ran, a.body)
 		require.NotEmpty(t, a.after)
-		require.Less(t, time.Since(start), 2500*time.Millisecond)
+		require.Zero(t, ended.Load(), "answered while all slots were taken")
 		busy.Wait()
 		requireTrue(t, r, "late", a)
 	})
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -32,6 +32,7 @@
 }
 
 func TestOpenAIClient(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{engines: 2})
 	r.start(nil, 1)
 	client := openAI(r.nodes[1].addr)
@@ -66,6 +67,7 @@
 }
 
 func TestBadRequests(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{engines: 1, plains: 1})
 	r.start(nil, 1)
 	cases := []struct {
@@ -99,7 +101,9 @@
 }
 
 func TestWholeAnswers(t *testing.T) {
+	t.Parallel()
 	t.Run("a stream whose engine dies goes on at another", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{engines: 2})
 		r.start(nil, 1)
 		client := openAI(r.nodes[1].addr)
@@ -117,6 +121,7 @@
 		require.Equal(t, wanted(long), text.String())
 	})
 	t.Run("a cut stream never looks ended", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{engines: 1})
 		r.start(nil, 1)
 		client := openAI(r.nodes[1].addr)
@@ -131,6 +136,7 @@
 		require.Error(t, stream.Err())
 	})
 	t.Run("engines whose connections go silent are left on new ones", func(t *testing.T) {
+		t.Parallel()
 		r := newRig(t, rigOptions{engines: 1})
 		r.start(nil, 1)
 		client := openAI(r.nodes[1].addr)
@@ -169,6 +175,7 @@
 }
 
 func TestAddresses(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{})
 	r.start(nil, 1, 2, 3)
 	t.Run("callers get different orders", func(t *testing.T) {
--- a/proof/pilot_test.go
+++ b/proof/pilot_test.go
@@ -38,7 +38,7 @@
 func (r *rig) holder() int {
 	number := 0
 	r.eventually("lease to be held", func() bool {
-		entry, err := r.kv.Get(r.t.Context(), "lease/pilot/m")
+		entry, err := r.kv.Get(r.t.Context(), "lease/pilot/m/0")
 		if err != nil || entry.Rev == 0 {
 			return false
 		}
@@ -60,12 +60,14 @@
 }
 
 func TestPilot(t *testing.T) {
+	t.Parallel()
 	for _, unfenced := range []bool{false, true} {
 		name := "engines check the fencing number"
 		if unfenced {
 			name = "engines ignore the fencing number"
 		}
 		t.Run(name+": holder frozen beyond its lease, and acts on it", func(t *testing.T) {
+			t.Parallel()
 			r := newRig(t, rigOptions{engines: 3, swap: 700 * time.Millisecond, unfenced: unfenced})
 			r.spawn(1, 2, 3)
 			r.publish(2)
@@ -109,6 +111,7 @@
 }
 
 func TestPoison(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{engines: 6, plains: 1})
 	r.start(nil, 1, 2, 3)
 	tr := r.traffic(6)
--- a/proof/trainer_test.go
+++ b/proof/trainer_test.go
@@ -72,6 +72,7 @@
 }
 
 func TestTrainerUnderFaults(t *testing.T) {
+	t.Parallel()
 	slow := defaultParams()
 	slow.Base = 15 * time.Millisecond
 	cases := []struct {
@@ -114,6 +115,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			r := newRig(t, rigOptions{engines: 3, params: slow, swap: 50 * time.Millisecond})
 			r.spawn(1, 2, 3)
 			tally := r.train(trainerOptions(r, 3), func() {
@@ -126,6 +128,7 @@
 }
 
 func TestTrainerRestart(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigOptions{engines: 2})
 	r.start(nil, 1, 2)
 	s := quetzalpier.Step{Number: 1, Pool: "m"}
@@ -166,6 +169,7 @@
 // TestStaleness publishes versions while pulls wait and while answers are
 // under way.
 func TestStaleness(t *testing.T) {
+	t.Parallel()
 	slow := defaultParams()
 	slow.Base = 10 * time.Millisecond
 	r := newRig(t, rigOptions{engines: 2, params: slow, swap: 20 * time.Millisecond})
