step, trial: Hedge only runs that have lasted six seconds

Change: a run must last 6 s before its pace counts; the model launches as soon as a run gets a slot, as the owner does; a request canceled in the same step in which another ends is passed over (a crash of the model found by no-admit).

--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -14,7 +14,7 @@
 	Places    []string `long:"place" default:"hraunmot" default:"redline" description:"deployment; may be given again"`
 	Scenarios []string `long:"scenario" description:"scenario; may be given again, all by default"`
 	Seeds     int      `long:"seeds" default:"10" description:"paired seeds"`
-	Policies  []string `long:"policy" default:"naive" default:"ours" description:"naive, ours, or naive with one decision of ours: route, admit, step, swap, retry"`
+	Policies  []string `long:"policy" default:"naive" default:"ours" description:"naive, ours, or ours with one naive decision: no-route, no-admit, no-step, no-swap, no-retry"`
 	JSON      bool     `long:"json" description:"print JSON"`
 	Plot      string   `long:"plot" description:"file for a PNG picture of the idle times"`
 }
@@ -24,13 +24,13 @@
 }
 
 var policies = map[string]trial.Policy{
-	"naive": trial.Naive,
-	"ours":  trial.Ours,
-	"route": {Route: true},
-	"admit": {Admit: true},
-	"step":  {Step: true},
-	"swap":  {Swap: true},
-	"retry": {Retry: true},
+	"naive":    trial.Naive,
+	"ours":     trial.Ours,
+	"no-route": {Admit: true, Step: true, Swap: true, Retry: true},
+	"no-admit": {Route: true, Step: true, Swap: true, Retry: true},
+	"no-step":  {Route: true, Admit: true, Swap: true, Retry: true},
+	"no-swap":  {Route: true, Admit: true, Step: true, Retry: true},
+	"no-retry": {Route: true, Admit: true, Step: true, Swap: true},
 }
 
 // Execute plays the scenarios and prints a table.
--- a/step/plan.go
+++ b/step/plan.go
@@ -15,7 +15,7 @@
 	hedgeShare = 0.05
 	minHedges  = 2
 	// settleTime is how long a run must last before its pace tells anything.
-	settleTime = time.Second
+	settleTime = 6 * time.Second
 )
 
 // Launch is a run to be started.
--- a/trial/gate.go
+++ b/trial/gate.go
@@ -262,6 +262,7 @@
 		return
 	}
 	m.result.Retries++
+	r.engine = nil
 	g.submit(r)
 }
 
--- a/trial/sim.go
+++ b/trial/sim.go
@@ -281,9 +281,11 @@
 			return
 		}
 		for _, seq := range e.batch.Step() {
-			r := e.reqs[seq.ID]
-			delete(e.reqs, seq.ID)
-			r.gate.done(r)
+			// The end of one may have canceled another of the same step.
+			if r := e.reqs[seq.ID]; r != nil {
+				delete(e.reqs, seq.ID)
+				r.gate.done(r)
+			}
 		}
 		e.kick()
 	})
--- a/trial/trainer.go
+++ b/trial/trainer.go
@@ -164,6 +164,7 @@
 	r.started = func(*request) {
 		if run.Placed.IsZero() {
 			t.waiting--
+			t.sim.after(0, t.launch)
 		}
 		run.Placed = t.sim.now
 		run.Upstream = r.engine.id
