--- a/config.go
+++ b/config.go
@@ -26,11 +26,9 @@
 	// Trainer owns the pool's weights; empty for pools that no trainer feeds.
 	Trainer string `json:"trainer,omitempty"`
 	// Serving is the least share of the pool's engines that stay up while
-	// versions are swapped, 0 to 1.
+	// versions are swapped, 0 to 1. A lower share brings fresher samples, a
+	// higher one steadier answers.
 	Serving float64 `json:"serving,omitempty"`
-	// Idle weighs trainer idle time against staleness, 0 (only staleness
-	// counts) to 1 (only idle time counts).
-	Idle float64 `json:"idle,omitempty"`
 	// Once lists "METHOD /path-prefix" of calls that are not idempotent.
 	Once []string `json:"once,omitempty"`
 	// Slots is how many requests one upstream runs at a time.
@@ -119,9 +117,6 @@
 		if p.Serving < 0 || p.Serving > 1 {
 			return &FieldError{"pools." + name + ".serving", "must be 0 to 1"}
 		}
-		if p.Idle < 0 || p.Idle > 1 {
-			return &FieldError{"pools." + name + ".idle", "must be 0 to 1"}
-		}
 		if p.Slots < 0 {
 			return &FieldError{"pools." + name + ".slots", "must not be negative"}
 		}
