conf: Refuse patches with unknown fields

Cause: a misspelled field in a patch was accepted and had no effect. Change: what operators submit is decoded strictly; nodes still read documents with fields of newer versions. Red first: TestApply, unknown field.

--- a/conf/patch.go
+++ b/conf/patch.go
@@ -55,7 +55,8 @@
 	if err != nil {
 		return next, &PatchError{err}
 	}
-	if err := json.Unmarshal(merged, &next); err != nil {
+	next, err = quetzalpier.StrictConfig(merged)
+	if err != nil {
 		return next, &PatchError{err}
 	}
 	next.Number = config.Number + 1
--- a/conf/patch_test.go
+++ b/conf/patch_test.go
@@ -202,6 +202,7 @@
 		{"share out of range", `{"pools":{"m":{"serving":2}}}`, "pools.m.serving"},
 		{"rule without a path", `{"pools":{"m":{"once":["POST"]}}}`, "pools.m.once[0]"},
 		{"unknown class", `{"callers":{"a":{"class":"x"}}}`, "class"},
+		{"unknown field", `{"pools":{"m":{"slotz":16}}}`, `unknown field "slotz"`},
 		{"not an object", `[1]`, "cannot unmarshal"},
 	}
 	for _, c := range cases {
--- a/config.go
+++ b/config.go
@@ -1,6 +1,7 @@
 package quetzalpier
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -108,6 +109,19 @@
 	return c.Check()
 }
 
+// StrictConfig decodes a configuration in which every field must be known. It
+// is for what operators submit; nodes read what newer ones have accepted.
+func StrictConfig(data []byte) (Config, error) {
+	type bare Config
+	var c Config
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode((*bare)(&c)); err != nil {
+		return c, err
+	}
+	return c, c.Check()
+}
+
 // Check reports the first fault of the configuration.
 func (c *Config) Check() error {
 	for name, p := range c.Pools {
