step, owner, store: Bound messages by bytes, not by samples

Cause: at the target a sample has 170,000 tokens on average (790,000 tokens a second for 22 minutes over 6,144 samples), so a pull's answer, a handover or a recall of a step would pass the 32 MB that one message may have, and a planned stop would throw a step's work away. Change: 8 MB a message: pulls stop there, handovers and recalls come in several messages; an arriving step starts with the last one. Longest sample 1,048,576 tokens. Red first: step TestPlan (bounded in bytes); store TestStore (pages).

--- a/node/calls.go
+++ b/node/calls.go
@@ -76,11 +76,11 @@
 	if n.store == nil {
 		return &wire.Reply{Fault: "this node keeps no copies"}
 	}
-	samples, err := n.store.Recall(quetzalpier.StepKey{Trainer: r.GetTrainer(), Number: r.GetStep()}, r.GetHash())
+	samples, more, err := n.store.Recall(quetzalpier.StepKey{Trainer: r.GetTrainer(), Number: r.GetStep()}, r.GetHash(), r.GetSkip())
 	if err != nil {
 		return &wire.Reply{Fault: err.Error()}
 	}
-	return &wire.Reply{Kind: &wire.Reply_Copies{Copies: &wire.Copies{Samples: samples}}}
+	return &wire.Reply{Kind: &wire.Reply_Copies{Copies: &wire.Copies{Samples: samples, More: more}}}
 }
 
 // Call makes a call to another node.
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -30,11 +30,7 @@
 	for key, st := range steps {
 		sends.Go(func() {
 			st.cancel()
-			h, err := st.export()
-			if err == nil {
-				err = pass(ctx, key.Trainer, h)
-			}
-			if err != nil {
+			if err := st.handOver(ctx, pass); err != nil {
 				o.Log.Warn().Err(err).Str("step", key.String()).Msg("step not handed over")
 			}
 		})
@@ -42,60 +38,119 @@
 	sends.Wait()
 }
 
+// handoverBytes bounds one message of a handover.
+const handoverBytes = 8 << 20
+
+// handOver passes the step on in messages of bounded size.
+func (st *open) handOver(ctx context.Context, pass Pass) error {
+	messages, err := st.export()
+	if err != nil {
+		return err
+	}
+	for i, h := range messages {
+		h.More = i < len(messages)-1
+		if err := pass(ctx, st.key.Trainer, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // export waits for the canceled runs to end and returns the step's content.
-func (st *open) export() (*wire.Handover, error) {
+func (st *open) export() ([]*wire.Handover, error) {
 	// Once the lock was free after the cancel, no further run is launched.
 	st.mu.Lock()
 	canceled := st.ctx.Err()
 	st.mu.Unlock()
-	st.runs.Wait()
-	st.mu.Lock()
-	defer st.mu.Unlock()
 	if canceled == nil {
 		return nil, errors.New("step is still running")
 	}
+	st.runs.Wait()
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	body, err := json.Marshal(st.ledger.Step)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode step")
 	}
-	h := &wire.Handover{Step: body, Version: uint64(st.ledger.Version)}
+	p := packer{step: body, version: uint64(st.ledger.Version)}
+	p.next()
 	for i := range st.ledger.Items {
 		item := &st.ledger.Items[i]
 		switch {
 		case item.Phase == step.Done:
-			h.Samples, err = appendJSON(h.GetSamples(), item.Sample)
+			err = p.add(item.Sample, true)
 		case item.Phase == step.Waiting && item.Partial.Tokens > 0:
-			h.Partials, err = appendJSON(h.GetPartials(), item.Partial)
+			err = p.add(&item.Partial, false)
 		}
 		if err != nil {
-			return nil, errors.Wrap(err, "encode sample")
+			return nil, err
 		}
 	}
-	return h, nil
+	return p.messages, nil
 }
 
-func appendJSON(list [][]byte, value any) ([][]byte, error) {
-	body, err := json.Marshal(value)
-	return append(list, body), err
+// packer fills messages of a handover.
+type packer struct {
+	step     []byte
+	version  uint64
+	messages []*wire.Handover
+	size     int
 }
 
-// Accept takes over a step from its earlier owner.
+func (p *packer) next() {
+	p.messages = append(p.messages, &wire.Handover{Step: p.step, Version: p.version})
+	p.size = len(p.step)
+}
+
+func (p *packer) add(sample *quetzalpier.Sample, whole bool) error {
+	body, err := json.Marshal(sample)
+	if err != nil {
+		return errors.Wrap(err, "encode sample")
+	}
+	if p.size+len(body) > handoverBytes {
+		p.next()
+	}
+	p.size += len(body)
+	h := p.messages[len(p.messages)-1]
+	if whole {
+		h.Samples = append(h.Samples, body)
+		return nil
+	}
+	h.Partials = append(h.Partials, body)
+	return nil
+}
+
+// Accept takes over a message of a step's handover. The step starts with the
+// last one, so that nothing is made again that is still to arrive.
 func (o *Owner) Accept(h *wire.Handover) error {
 	var s quetzalpier.Step
 	if err := json.Unmarshal(h.GetStep(), &s); err != nil {
 		return errors.Wrap(err, "decode step")
 	}
+	key := s.Key()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.leaving {
 		return away()
 	}
-	st := o.steps[s.Key()]
+	st := o.steps[key]
+	if st == nil {
+		st = o.arriving[key]
+	}
 	if st == nil {
 		st = newOpen(o, s, s.Hash(), time.Now())
-		defer o.start(st)
+		o.arriving[key] = st
+	}
+	if err := st.adopt(h); err != nil {
+		return err
 	}
-	return st.adopt(h)
+	if st = o.arriving[key]; st != nil && !h.GetMore() {
+		delete(o.arriving, key)
+		if o.steps[key] == nil {
+			o.start(st)
+		}
+	}
+	return nil
 }
 
 func (st *open) adopt(h *wire.Handover) error {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -58,6 +58,8 @@
 	cancel  context.CancelFunc
 	workers conc.WaitGroup
 	leaving bool
+	// arriving are steps whose handover is not complete.
+	arriving map[quetzalpier.StepKey]*open
 }
 
 // New returns an owner without steps.
@@ -65,7 +67,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
 		Board: b, Sender: s, Engine: e, Copies: copies, Meter: m, Log: log, Tell: tell,
-		steps: map[quetzalpier.StepKey]*open{}, ctx: ctx, cancel: cancel,
+		steps: map[quetzalpier.StepKey]*open{}, arriving: map[quetzalpier.StepKey]*open{}, ctx: ctx, cancel: cancel,
 	}
 }
 
@@ -108,7 +110,11 @@
 	if known := o.steps[s.Key()]; known != nil {
 		return known.same(hash)
 	}
-	st := newOpen(o, s, hash, time.Now())
+	st := o.arriving[s.Key()]
+	if st == nil || st.hash != hash {
+		st = newOpen(o, s, hash, time.Now())
+	}
+	delete(o.arriving, s.Key())
 	for _, sample := range kept {
 		st.ledger.Restore(sample)
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -23,7 +23,7 @@
 	// period is the time between two heartbeats of a node, to one peer each.
 	period = time.Second
 	// fullEvery is the time between exchanges of the whole member list.
-	fullEvery   = 20 * time.Second
+	fullEvery   = 40 * time.Second
 	pingTimeout = 800 * time.Millisecond
 	callTimeout = 5 * time.Second
 	// indirect is how many peers are asked to reach one that did not answer.
--- a/pilot/pilot.go
+++ b/pilot/pilot.go
@@ -23,10 +23,11 @@
 )
 
 const (
-	// quick and slow are the times between two looks at a pool while its
-	// engines are behind and while they are not.
-	quick = 100 * time.Millisecond
-	slow  = time.Second
+	// quick and slow are the times between two looks at a shard while its
+	// engines are behind and while they are not. The slow one keeps a shard's
+	// readings within 5 KB a second.
+	quick = 200 * time.Millisecond
+	slow  = 5 * time.Second
 	// readers bounds the engines whose state is read at a time.
 	readers      = 16
 	stateTimeout = 1500 * time.Millisecond
--- a/sample.go
+++ b/sample.go
@@ -113,7 +113,7 @@
 // Limits of a step's size.
 const (
 	MaxSamples = 16384
-	MaxTokens  = 131072
+	MaxTokens  = 1 << 20
 )
 
 // Group is a prompt to be sampled Count times.
--- a/step/ledger.go
+++ b/step/ledger.go
@@ -239,8 +239,12 @@
 	return dropped
 }
 
-// defaultMax bounds the samples in one answer.
-const defaultMax = 256
+const (
+	// defaultMax bounds the samples in one answer.
+	defaultMax = 256
+	// maxBytes bounds the texts in one answer, which has one sample at least.
+	maxBytes = 8 << 20
+)
 
 // Deliver answers a pull: finished samples that the trainer lacks and that are
 // fresh enough by its own word. The samples stay until a later pull shows that
@@ -257,11 +261,13 @@
 	if most == 0 {
 		most = defaultMax
 	}
+	size := 0
 	for i := range l.Items {
 		if pull.Have.Has(i) {
 			continue
 		}
-		if item := &l.Items[i]; item.Phase == Done && len(batch.Samples) < most {
+		if item := &l.Items[i]; item.Phase == Done && len(batch.Samples) < most && size < maxBytes {
+			size += len(item.Sample.Text)
 			batch.Samples = append(batch.Samples, *item.Sample)
 			continue
 		}
--- a/step/ledger_test.go
+++ b/step/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"strings"
 	"testing"
 	"time"
 
@@ -282,6 +283,17 @@
 		kept, _ = l.Finish(0, first, sampleOf(0, 1))
 		require.False(t, kept)
 	})
+	t.Run("an answer is bounded in bytes and has one sample at least", func(t *testing.T) {
+		l := step.New(newStep(1, 3, 1, 0), start)
+		for i := range 3 {
+			sample := sampleOf(i, 1)
+			sample.Text = strings.Repeat("x", 5<<20)
+			ledgerHolder{l}.finish(sample)
+		}
+		batch, _ := l.Deliver(quetzalpier.Pull{Version: 1}, start)
+		require.Len(t, batch.Samples, 2)
+		require.Equal(t, 1, batch.Left)
+	})
 	t.Run("a sample without whole spans is not kept", func(t *testing.T) {
 		l := step.New(newStep(1, 1, 1, 0), start)
 		sample := sampleOf(0, 1)
--- a/store/remote.go
+++ b/store/remote.go
@@ -18,7 +18,7 @@
 
 const (
 	copyTimeout   = 5 * time.Second
-	recallTimeout = 1500 * time.Millisecond
+	recallTimeout = 4 * time.Second
 	// maxSends bounds the copies under way; further ones are left out.
 	maxSends = 32
 )
@@ -46,13 +46,22 @@
 // Close waits for the copies under way.
 func (r *Remote) Close() { r.sends.Wait() }
 
-// Keep sends samples to the step's store.
+// Keep sends samples to the step's store, in messages of bounded size.
 func (r *Remote) Keep(key quetzalpier.StepKey, sum uint64, samples []quetzalpier.Sample) {
 	copies := &wire.Copy{Trainer: key.Trainer, Step: key.Number, Hash: sum}
+	size := 0
 	for _, sample := range samples {
-		if body, err := json.Marshal(sample); err == nil {
-			copies.Samples = append(copies.Samples, body)
+		body, err := json.Marshal(sample)
+		if err != nil {
+			continue
 		}
+		if size > 0 && size+len(body) > pageBytes {
+			r.send(key, copies)
+			copies = &wire.Copy{Trainer: key.Trainer, Step: key.Number, Hash: sum}
+			size = 0
+		}
+		copies.Samples = append(copies.Samples, body)
+		size += len(body)
 	}
 	r.send(key, copies)
 }
@@ -101,19 +110,25 @@
 }
 
 func (r *Remote) recall(ctx context.Context, home string, key quetzalpier.StepKey, sum uint64) []quetzalpier.Sample {
-	call := &wire.Recall{Trainer: key.Trainer, Step: key.Number, Hash: sum}
-	reply, err := r.Peers.Call(ctx, home, &wire.Call{Kind: &wire.Call_Recall{Recall: call}})
-	if err != nil {
-		return nil
-	}
 	var samples []quetzalpier.Sample
-	for _, body := range reply.GetCopies().GetSamples() {
-		var sample quetzalpier.Sample
-		if json.Unmarshal(body, &sample) == nil {
-			samples = append(samples, sample)
+	call := &wire.Recall{Trainer: key.Trainer, Step: key.Number, Hash: sum}
+	for {
+		reply, err := r.Peers.Call(ctx, home, &wire.Call{Kind: &wire.Call_Recall{Recall: call}})
+		if err != nil {
+			return samples
 		}
+		for _, body := range reply.GetCopies().GetSamples() {
+			var sample quetzalpier.Sample
+			// A copy cut short by a full disk is passed over.
+			if json.Unmarshal(body, &sample) == nil {
+				samples = append(samples, sample)
+			}
+		}
+		if !reply.GetCopies().GetMore() {
+			return samples
+		}
+		call.Skip += uint64(len(reply.GetCopies().GetSamples()))
 	}
-	return samples
 }
 
 // homes returns the addresses of the stores that the step's copies go to, the
--- a/store/store.go
+++ b/store/store.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -21,12 +20,14 @@
 
 const (
 	// maxBytes bounds the copies of one step.
-	maxBytes = 256 << 20
+	maxBytes = 1 << 30
 	// keepFor is how long copies outlast their last change.
-	keepFor  = 45 * time.Minute
-	maxLine  = 16 << 20
-	fileMode = 0o600
-	dirMode  = 0o700
+	keepFor = 45 * time.Minute
+	maxLine = 16 << 20
+	// pageBytes bounds the copies returned at a time.
+	pageBytes = 8 << 20
+	fileMode  = 0o600
+	dirMode   = 0o700
 )
 
 // Store keeps copies in a folder, one file a step.
@@ -93,29 +94,34 @@
 	return appendTo(f.path, lines.Bytes())
 }
 
-// Recall returns the copies of a step, if they are of the same content.
-func (s *Store) Recall(key quetzalpier.StepKey, sum uint64) ([][]byte, error) {
+// Recall returns copies of a step, if they are of the same content, leaving
+// out the first skip of them; more tells that there are further ones.
+func (s *Store) Recall(key quetzalpier.StepKey, sum, skip uint64) (samples [][]byte, more bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.files[key]
 	if f == nil || f.hash != sum {
-		return nil, nil
+		return nil, false, nil
 	}
 	in, err := os.Open(f.path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read copies")
+		return nil, false, errors.Wrap(err, "read copies")
 	}
 	defer func() { _ = in.Close() }()
-	var samples [][]byte
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		// A line cut short by a full disk is skipped.
-		if json.Valid(scanner.Bytes()) {
-			samples = append(samples, append([]byte(nil), scanner.Bytes()...))
+	size := 0
+	for n := uint64(0); scanner.Scan(); n++ {
+		if n < skip {
+			continue
 		}
+		if size >= pageBytes {
+			return samples, true, nil
+		}
+		size += len(scanner.Bytes())
+		samples = append(samples, append([]byte(nil), scanner.Bytes()...))
 	}
-	return samples, errors.Wrap(scanner.Err(), "read copies")
+	return samples, false, errors.Wrap(scanner.Err(), "read copies")
 }
 
 // Drop removes the copies of a step.
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,79 @@
+package store_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/store"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	key   = quetzalpier.StepKey{Trainer: "t", Number: 3}
+)
+
+func open(t *testing.T) *store.Store {
+	t.Helper()
+	s, err := store.Open(t.TempDir())
+	require.NoError(t, err)
+	return s
+}
+
+// recall reads all pages of a step's copies.
+func recall(t *testing.T, s *store.Store, sum uint64) (samples [][]byte, pages int) {
+	t.Helper()
+	for {
+		page, more, err := s.Recall(key, sum, uint64(len(samples)))
+		require.NoError(t, err)
+		samples = append(samples, page...)
+		pages++
+		if !more {
+			return samples, pages
+		}
+	}
+}
+
+func TestStore(t *testing.T) {
+	t.Run("gives back what it keeps, in pages", func(t *testing.T) {
+		s := open(t)
+		var want [][]byte
+		for i := range 5 {
+			sample := []byte(fmt.Sprintf("%d%s", i, bytes.Repeat([]byte("x"), 3<<20)))
+			want = append(want, sample)
+			require.NoError(t, s.Keep(key, 1, [][]byte{sample}, start))
+		}
+		got, pages := recall(t, s, 1)
+		require.Equal(t, want, got)
+		require.Equal(t, 2, pages)
+	})
+	t.Run("copies of another content are not given", func(t *testing.T) {
+		s := open(t)
+		require.NoError(t, s.Keep(key, 1, [][]byte{[]byte("a")}, start))
+		got, _ := recall(t, s, 2)
+		require.Empty(t, got)
+		require.NoError(t, s.Keep(key, 2, [][]byte{[]byte("b")}, start))
+		got, _ = recall(t, s, 1)
+		require.Empty(t, got)
+	})
+	t.Run("dropped and long unused copies go", func(t *testing.T) {
+		s := open(t)
+		for _, remove := range []func(){func() { s.Drop(key) }, func() { s.Sweep(start.Add(time.Hour)) }} {
+			require.NoError(t, s.Keep(key, 1, [][]byte{[]byte("a")}, start))
+			remove()
+			got, _ := recall(t, s, 1)
+			require.Empty(t, got)
+		}
+	})
+	t.Run("a step's copies are bounded", func(t *testing.T) {
+		s := open(t)
+		err := s.Keep(key, 1, [][]byte{make([]byte, 1<<30+1)}, start)
+		var full *store.FullError
+		require.True(t, errors.As(err, &full))
+	})
+}
