--- a/cmds/operator.go
+++ b/cmds/operator.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/client"
 )
 
 const operatorTimeout = 15 * time.Second
@@ -40,8 +41,7 @@
 		}
 		req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
 	}
-	client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
-	if err := client.DoTimeout(req, resp, operatorTimeout); err != nil {
+	if err := client.Single().DoTimeout(req, resp, operatorTimeout); err != nil {
 		return nil, errors.Wrapf(err, "call node %s", o.Node)
 	}
 	answer := append([]byte(nil), resp.Body()...)
--- a/load/load.go
+++ b/load/load.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/client"
 	"quetzalpier/find"
 	"quetzalpier/setup"
 	"quetzalpier/sleep"
@@ -133,13 +134,10 @@
 	r := &run{plan: plan, report: Report{
 		Callers: map[string]*Outcomes{}, Trainers: map[string]stand.Tally{}, Broken: map[string][]time.Time{},
 	}}
-	r.http = &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxConnsPerHost:           4096,
-		StreamResponseBody:        true,
-		MaxIdleConnDuration:       2 * time.Second,
-	}
+	r.http = client.Single()
+	r.http.MaxConnsPerHost = 4096
+	r.http.StreamResponseBody = true
+	r.http.MaxIdleConnDuration = 2 * time.Second
 	var all conc.WaitGroup
 	for i, c := range plan.Callers {
 		all.Go(func() { r.callers(ctx, c, plan.Seed+uint64(i)) })
--- a/plat/http.go
+++ b/plat/http.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/client"
 )
 
 // callTimeout bounds a platform call whose context sets no deadline.
@@ -22,20 +23,17 @@
 
 func newCaller() caller {
 	dialer := &fasthttp.TCPDialer{Concurrency: 256}
-	return caller{http: &fasthttp.Client{
-		Dial: func(addr string) (net.Conn, error) {
-			conn, err := dialer.DialTimeout(addr, time.Second)
-			if err != nil {
-				return nil, &dialError{err}
-			}
-			return conn, nil
-		},
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxConnsPerHost:           256,
-		MaxIdleConnDuration:       10 * time.Second,
-		NoDefaultUserAgentHeader:  true,
-	}}
+	http := client.Single()
+	http.Dial = func(addr string) (net.Conn, error) {
+		conn, err := dialer.DialTimeout(addr, time.Second)
+		if err != nil {
+			return nil, &dialError{err}
+		}
+		return conn, nil
+	}
+	http.MaxConnsPerHost = 256
+	http.MaxIdleConnDuration = 10 * time.Second
+	return caller{http}
 }
 
 type dialError struct{ err error }
--- a/store/store.go
+++ b/store/store.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// maxBytes bounds the copies of one step.
-	maxBytes = 1 << 30
+	// defaultLimit bounds the copies of one step, in bytes.
+	defaultLimit = 1 << 30
 	// keepFor is how long copies outlast their last change.
 	keepFor = 45 * time.Minute
 	maxLine = 16 << 20
@@ -32,6 +32,9 @@
 
 // Store keeps copies in a folder, one file a step.
 type Store struct {
+	// Limit bounds the copies of one step, in bytes.
+	Limit int64
+
 	dir string
 
 	mu    sync.Mutex
@@ -66,7 +69,7 @@
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, errors.Wrap(err, "open copies")
 	}
-	return &Store{dir: dir, files: map[quetzalpier.StepKey]*file{}}, nil
+	return &Store{Limit: defaultLimit, dir: dir, files: map[quetzalpier.StepKey]*file{}}, nil
 }
 
 // Keep adds samples' JSON to the step's copies.
@@ -87,7 +90,7 @@
 		lines.Write(sample)
 		lines.WriteByte('\n')
 	}
-	if f.size+int64(lines.Len()) > maxBytes {
+	if f.size+int64(lines.Len()) > s.Limit {
 		return &FullError{key, f.size}
 	}
 	f.size += int64(lines.Len())
--- a/train/train.go
+++ b/train/train.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/client"
 	"quetzalpier/find"
 	"quetzalpier/sleep"
 )
@@ -34,21 +35,16 @@
 	step  quetzalpier.Step
 	have  quetzalpier.Bitmap
 	nodes *find.Nodes
-	http  fasthttp.Client
+	http  *fasthttp.Client
 	// Retries counts the calls that had to be made again.
 	Retries int
 }
 
 // New returns a client that knows the addresses of some nodes.
 func New(trainer string, seeds []string) *Client {
-	return &Client{
-		Trainer: trainer, nodes: &find.Nodes{Caller: trainer, Seeds: seeds},
-		http: fasthttp.Client{
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			MaxIdleConnDuration:       2 * time.Second,
-		},
-	}
+	http := client.Single()
+	http.MaxIdleConnDuration = 2 * time.Second
+	return &Client{Trainer: trainer, nodes: &find.Nodes{Caller: trainer, Seeds: seeds}, http: http}
 }
 
 // Put opens a step.
