poison, send: Try suspects only after crashes are over, and alone for ten seconds

Cause: a step stalled for ten minutes: two engines crashed a second apart for reasons of their own, and a sample in flight on the first was on trial, alone, on the second; two strikes condemned it. A failure domain that goes would have condemned many. Ruled out: the trainer's client and the owner (both kept asking); progress made on trial as proof of innocence (a request that crashes late makes as much). Change: suspects wait 4 s after the last crash heard of; a suspect that has run alone for 10 s lets others join it, so that long samples don't run one by one. The stand-in trainer ends with its context, and the client pauses between putting a step again and pulling. Limit: a request that crashes its upstream after ten seconds alone gains no second strike while others are in flight.

--- a/board/board.go
+++ b/board/board.go
@@ -105,8 +105,10 @@
 	Near map[string]bool
 	// Targets is the highest version published for each pool.
 	Targets map[string]quetzalpier.Version
-	// Poison is kept by the poison package.
-	Poison map[uint64]Strike
+	// Poison and CrashedAt, when an upstream was last heard to have crashed,
+	// are kept by the poison package.
+	Poison    map[uint64]Strike
+	CrashedAt time.Time
 }
 
 // Strike counts the upstreams that crashed with a fingerprint in flight.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -12,6 +12,12 @@
 const (
 	// condemnAt is how many crashes condemn a fingerprint.
 	condemnAt = 2
+	// settle is how long after a crash suspects wait for their trial. Crashes
+	// that have a cause in common, as the loss of a rack, are over by then, and
+	// condemn nobody.
+	settle = 4 * time.Second
+	// TrialTime is how long a suspect runs alone before others may join it.
+	TrialTime = 10 * time.Second
 	// memory is how long a strike counts.
 	memory = 10 * time.Minute
 	// maxStrikes bounds the strikes; beyond it the oldest go, until only
@@ -45,11 +51,15 @@
 	return Alone
 }
 
+// Ready tells whether suspects may be tried: no upstream crashed lately.
+func Ready(s *board.State, now time.Time) bool { return now.Sub(s.CrashedAt) >= settle }
+
 // Crashed notes that an upstream crashed while the fingerprints were in
 // flight. One fingerprint alone gets a strike more; of several, those never
 // seen in a crash get their first, and the others gain none, since any of
 // them may be innocent.
 func Crashed(s *board.State, prints []uint64, now time.Time) []uint64 {
+	s.CrashedAt = now
 	var struck []uint64
 	for _, fingerprint := range prints {
 		strike := s.Poison[fingerprint]
@@ -85,6 +95,9 @@
 	if known.Count >= count && now.Sub(known.Last) <= memory {
 		return false
 	}
+	if at := now.Add(-age); at.After(s.CrashedAt) {
+		s.CrashedAt = at
+	}
 	s.Poison[fingerprint] = board.Strike{Count: min(count, condemnAt), Last: now.Add(-age)}
 	trim(s, now)
 	return true
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -101,6 +101,15 @@
 			require.Equal(t, poison.Alone, poison.Judge(s, fingerprint, start))
 		}
 	})
+	t.Run("suspects wait until crashes with one cause are over", func(t *testing.T) {
+		s := newState()
+		require.True(t, poison.Ready(s, start))
+		poison.Crashed(s, innocents(3), start)
+		require.False(t, poison.Ready(s, start.Add(time.Second)))
+		require.True(t, poison.Learn(s, bad, 1, 0, start.Add(3*time.Second)))
+		require.False(t, poison.Ready(s, start.Add(5*time.Second)))
+		require.True(t, poison.Ready(s, start.Add(8*time.Second)))
+	})
 	t.Run("strikes are forgotten", func(t *testing.T) {
 		s := newState()
 		poison.Crashed(s, []uint64{bad}, start)
--- a/send/queue.go
+++ b/send/queue.go
@@ -142,6 +142,9 @@
 func (s *Sender) place(w *waiter, now time.Time) (vm quetzalpier.VM, ok bool) {
 	s.Board.Do(func(st *board.State) {
 		if w.ask.Alone {
+			if !poison.Ready(st, now) {
+				return
+			}
 			route.Reserve(st, w.ask, now)
 		}
 		id, found := s.pick(st, w.ask, now)
--- a/send/send.go
+++ b/send/send.go
@@ -140,7 +140,9 @@
 		}
 		a := &Attempt{VM: place.vm, Fresh: attempts > 1 || !job.Idempotent}
 		start := time.Now()
+		trial := s.trial(place)
 		err = run(ctx, a)
+		trial.Stop()
 		s.finish(ctx, job, place, a, start, err)
 		if err == nil || ctx.Err() != nil {
 			return err
@@ -158,6 +160,17 @@
 	}
 }
 
+// trial lets others join a suspect request once it has run alone for long
+// enough.
+func (s *Sender) trial(place slot) *time.Timer {
+	if !place.alone {
+		return time.NewTimer(0)
+	}
+	return time.AfterFunc(poison.TrialTime, func() {
+		s.Board.Update(func(st *board.State) { route.Unreserve(st, place.ticket) })
+	})
+}
+
 // finish gives the slot back and notes what the attempt showed.
 func (s *Sender) finish(ctx context.Context, job *Job, place slot, a *Attempt, start time.Time, err error) {
 	now := time.Now()
--- a/stand/trainer.go
+++ b/stand/trainer.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quetzalpier"
 	"quetzalpier/train"
 )
@@ -77,7 +79,10 @@
 	seen := map[int]bool{}
 	tally.Wanted += s.Samples()
 	for client.Left() > 0 {
-		samples, _, err := client.Pull(ctx, pullWait)
+		samples, left, err := client.Pull(ctx, pullWait)
+		if err == nil && ctx.Err() != nil {
+			err = errors.Wrapf(ctx.Err(), "step %d lacks %d samples", number, left)
+		}
 		if err != nil {
 			return err
 		}
--- a/train/train.go
+++ b/train/train.go
@@ -142,6 +142,9 @@
 			if err := c.put(ctx); err != nil {
 				return nil, err
 			}
+			if !sleep.For(ctx, retryPause) {
+				return nil, errors.Wrapf(ctx.Err(), "%s %s", method, path)
+			}
 			continue
 		}
 		if err == nil && status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
