--- a/demo.sh
+++ b/demo.sh
@@ -45,7 +45,7 @@
 at_number() { "$program" config get -n "127.1.0.$1:8080" | grep -q "\"number\": $2"; }
 members() { [ "$("$program" status -n "127.1.0.$1:8080" | grep -c ' alive$')" -ge "$2" ]; }
 process_gone() { ! kill -0 "$1" 2>/dev/null; }
-fault() { exec 3<>"/dev/tcp/$1/$2" && printf 'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' "$3" >&3 && cat <&3 >/dev/null; }
+fault() { exec 3<>"/dev/tcp/$1/$2" && printf 'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' "$3" >&3 && cat <&3 >/dev/null 2>&1; }
 
 echo "starting the platform, 9 engines and 3 plain services"
 start kv stand kv --listen 127.1.9.1:7000
