--- /dev/null
+++ b/sample_test.go
@@ -0,0 +1,88 @@
+package quetzalpier_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+)
+
+func TestSpans(t *testing.T) {
+	cases := []struct {
+		name   string
+		spans  quetzalpier.Spans
+		tokens int
+		field  string
+	}{
+		{"whole", quetzalpier.Spans{{Version: 1, From: 0, To: 3}, {Version: 2, From: 3, To: 5}}, 5, ""},
+		{"a gap", quetzalpier.Spans{{Version: 1, From: 0, To: 3}, {Version: 2, From: 4, To: 5}}, 5, "spans[1]"},
+		{"an overlap", quetzalpier.Spans{{Version: 1, From: 0, To: 3}, {Version: 2, From: 2, To: 5}}, 5, "spans[1]"},
+		{"an empty span", quetzalpier.Spans{{Version: 1, From: 0, To: 0}}, 0, "spans[0]"},
+		{"too short", quetzalpier.Spans{{Version: 1, From: 0, To: 3}}, 5, "spans"},
+		{"none", nil, 5, "spans"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			err := c.spans.Check(c.tokens)
+			if c.field == "" {
+				require.NoError(t, err)
+				return
+			}
+			var fault *quetzalpier.FieldError
+			require.True(t, errors.As(err, &fault))
+			require.Equal(t, c.field, fault.Field)
+		})
+	}
+	t.Run("a sample without spans has no age and is never fresh", func(t *testing.T) {
+		require.False(t, quetzalpier.Sample{}.Fresh(1, 100))
+	})
+}
+
+func ExampleSample_Age() {
+	var spans quetzalpier.Spans
+	spans = spans.Append(4, 10)
+	spans = spans.Append(4, 5)
+	spans = spans.Append(6, 20)
+	sample := quetzalpier.Sample{Tokens: 35, Spans: spans}
+	age, _ := sample.Age(7)
+	fmt.Println(len(spans), age, sample.Fresh(7, 2))
+	// Output: 2 3 false
+}
+
+func ExampleBitmap() {
+	var have quetzalpier.Bitmap
+	have = have.Set(3).Set(1000)
+	fmt.Println(have.Has(3), have.Has(4), have.Count(), len(have))
+	// Output: true false 2 126
+}
+
+// FuzzDecode holds the decoders to this: no panic, and what they accept passes
+// its own check and survives a round trip.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"trainer":"t","number":1,"pool":"m","groups":[{"id":"g","prompt":"p","count":2,"tokens":3}]}`,
+		`{"index":1,"tokens":2,"spans":[{"version":1,"from":0,"to":2}]}`,
+		`{"have":"AQ==","version":1,"wait":5}`,
+		`{"number":1,"pools":{"m":{"kind":"engine","serving":0.5}},"callers":{"a":{"class":"rollout"}}}`,
+		`{"number":1,"vms":[{"id":"a","addr":"127.0.0.1:1","kind":"plain","state":"live"}]}`,
+		`{"pool":"m","version":1}`, `{"groups":[{"count":-1}]}`, `[]`, `{`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, value := range []any{
+			&quetzalpier.Step{}, &quetzalpier.Sample{}, &quetzalpier.Pull{}, &quetzalpier.Config{}, &quetzalpier.VMList{}, &quetzalpier.Publish{},
+		} {
+			if json.Unmarshal(data, value) != nil {
+				continue
+			}
+			again, err := json.Marshal(value)
+			require.NoError(t, err)
+			require.NoError(t, json.Unmarshal(again, value), "%T: %s", value, again)
+		}
+	})
+}
