--- a/admit/admit.go
+++ b/admit/admit.go
@@ -79,13 +79,13 @@
 // Heads returns the first ticket of each class in the order in which they may
 // be granted, so that a ticket that no upstream can take holds nobody up.
 func (q *Queue) Heads() []*Ticket {
-	var heads []*Ticket
-	first := q.pick()
-	if first >= 0 {
-		heads = append(heads, q.classes[first].tickets[0])
+	first := q.Next()
+	if first == nil {
+		return nil
 	}
+	heads := []*Ticket{first}
 	for i := range q.classes {
-		if i != first && len(q.classes[i].tickets) > 0 {
+		if i != int(first.Class) && len(q.classes[i].tickets) > 0 {
 			heads = append(heads, q.classes[i].tickets[0])
 		}
 	}
--- a/send/queue.go
+++ b/send/queue.go
@@ -147,7 +147,7 @@
 			}
 			route.Reserve(st, w.ask, now)
 		}
-		id, found := s.pick(st, w.ask, now)
+		id, found := route.Pick(st, w.ask, now, s.rnd)
 		if !found {
 			return
 		}
--- a/send/send.go
+++ b/send/send.go
@@ -56,8 +56,6 @@
 	VM quetzalpier.VM
 	// Fresh asks for a newly opened connection.
 	Fresh bool
-	// Delivered is set by the runner once a part of the answer has gone out.
-	Delivered bool
 	// Units is set by the runner to the number of tokens or calls done.
 	Units int
 	// Made is set by the runner to the highest version seen in the answer.
@@ -67,9 +65,6 @@
 // Runner makes one attempt.
 type Runner func(ctx context.Context, a *Attempt) error
 
-// Pick chooses an upstream.
-type Pick func(s *board.State, ask route.Ask, now time.Time, rnd *rand.Rand) (string, bool)
-
 // Sender runs jobs.
 type Sender struct {
 	Board *board.Board
@@ -80,7 +75,6 @@
 	Struck func(prints []uint64)
 
 	mu      sync.Mutex
-	choose  Pick
 	rnd     *rand.Rand
 	queues  map[string]*admit.Queue
 	waiters map[*admit.Ticket]*waiter
@@ -93,7 +87,6 @@
 	return &Sender{
 		Board: b, Links: links, Meter: m,
 		Struck:  func([]uint64) {},
-		choose:  route.Pick,
 		rnd:     rand.New(rand.NewPCG(seed, seed)),
 		queues:  map[string]*admit.Queue{},
 		waiters: map[*admit.Ticket]*waiter{},
@@ -147,7 +140,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		f := s.failure(job, a, err, attempts)
+		f := failure(job, err, attempts)
 		ran = worse(ran, f.Ran)
 		verdict := s.decide(job.Pool, f, time.Now())
 		if !verdict.Again {
@@ -246,9 +239,9 @@
 	u.Pace += time.Duration(paceWeight * float64(unit-u.Pace))
 }
 
-func (s *Sender) failure(job *Job, a *Attempt, err error, attempts int) retry.Failure {
+func failure(job *Job, err error, attempts int) retry.Failure {
 	f := retry.Failure{
-		Ran: quetzalpier.RanUnknown, Delivered: a.Delivered, Idempotent: job.Idempotent,
+		Ran: quetzalpier.RanUnknown, Idempotent: job.Idempotent,
 		Attempts: attempts, Deadline: job.Deadline,
 	}
 	var failed *link.Error
@@ -268,7 +261,7 @@
 
 // giveUp makes the final answer of a job.
 func (s *Sender) giveUp(err error, f retry.Failure, ran quetzalpier.Ran) error {
-	if f.Final || f.Delivered {
+	if f.Final {
 		return err
 	}
 	return quetzalpier.Busy("upstream", "no upstream gave a whole answer: "+err.Error(), ran, s.Spread(time.Second))
@@ -299,10 +292,6 @@
 	return q
 }
 
-func (s *Sender) pick(st *board.State, ask route.Ask, now time.Time) (string, bool) {
-	return s.choose(st, ask, now, s.rnd)
-}
-
 // Spread varies a time to come back, so that callers don't return together.
 func (s *Sender) Spread(after time.Duration) time.Duration {
 	s.mu.Lock()
