board, route, send: Believe an engine's tokens before its word when placing samples

Cause: a sample stalled for a minute: a lying engine claimed the new version and made tokens with the old one; its runs were cut as too old, and cut runs did not count as evidence, so neither routing nor the pilot learned of the lie, and the prompt's prefix kept choosing the same engine. Ruled out: the ledger (it launched again each time); the pilot's rule (it orders again once evidence reaches it). Change: an attempt that was cut shows what the upstream makes; tokens that belie the reports go before them for ten seconds; the highest version ever seen is no longer kept, since a restarted engine falls behind it.

--- a/board/board.go
+++ b/board/board.go
@@ -31,14 +31,31 @@
 	Health Health
 	// Pace is the moving average time per token or per call.
 	Pace time.Duration
-	// Made is the highest version seen in the upstream's answers.
-	Made quetzalpier.Version
+	// VersionAt is when the reports first showed their present version.
+	VersionAt time.Time
 	// Newest is the version of the last token that the upstream made for this
 	// node, and NewestAt when.
 	Newest   quetzalpier.Version
 	NewestAt time.Time
 }
 
+const (
+	// lieAfter is how long after a change of version the upstream's tokens
+	// must show it, and beliefTime how long tokens that belie it count.
+	lieAfter   = 3 * time.Second
+	beliefTime = 10 * time.Second
+)
+
+// Served is the version that the upstream makes tokens with, by the latest
+// evidence. Tokens that belie its own reports go before them for a while.
+func (u *Upstream) Served(now time.Time) quetzalpier.Version {
+	belied := u.Newest < u.Report.Version && u.NewestAt.Sub(u.VersionAt) > lieAfter && now.Sub(u.NewestAt) < beliefTime
+	if belied || u.NewestAt.After(u.ReportAt) {
+		return u.Newest
+	}
+	return u.Report.Version
+}
+
 // Leaving tells whether the upstream must get no new work.
 func (u *Upstream) Leaving() bool { return !u.LeavingAt.IsZero() }
 
@@ -211,6 +228,9 @@
 	if u == nil {
 		return
 	}
+	if report.Version != u.Report.Version {
+		u.VersionAt = now
+	}
 	u.Report = report
 	u.ReportAt = now
 	u.Own = u.Outstanding
--- a/gate/status.go
+++ b/gate/status.go
@@ -70,7 +70,7 @@
 	sort.Slice(status.Members, func(i, j int) bool { return status.Members[i].ID < status.Members[j].ID })
 	for id, u := range s.Upstreams {
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
-			ID: id, Pool: u.VM.Pool, Domain: u.VM.Domain, Version: max(u.Made, u.Report.Version),
+			ID: id, Pool: u.VM.Pool, Domain: u.VM.Domain, Version: u.Served(now),
 			Running: u.Report.Running, Own: u.Outstanding, Leaving: u.Leaving(), Ejected: now.Before(u.Health.EjectedUntil),
 		})
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -71,7 +71,7 @@
 func Eligible(s *board.State, ask Ask, now time.Time) []*board.Upstream {
 	var near, far []*board.Upstream
 	for _, u := range untried(opened(s, ask, now), ask) {
-		if !fits(s, u, ask) {
+		if !fits(s, u, ask, now) {
 			continue
 		}
 		if s.Near == nil || s.Near[u.VM.ID] {
@@ -83,7 +83,7 @@
 	if len(near) == 0 {
 		near = far
 	}
-	near = newest(near, ask.Least)
+	near = newest(near, ask.Least, now)
 	sort.Slice(near, func(i, j int) bool { return near[i].VM.ID < near[j].VM.ID })
 	return near
 }
@@ -115,21 +115,21 @@
 
 // fits tells whether the upstream has room for the request and is recent
 // enough.
-func fits(s *board.State, u *board.Upstream, ask Ask) bool {
+func fits(s *board.State, u *board.Upstream, ask Ask, now time.Time) bool {
 	if u.Outstanding >= slots(s.Config.Pools[ask.Pool], ask.Class) {
 		return false
 	}
 	if ask.Alone && (u.Outstanding > 0 || u.Trial != ask.Ticket) {
 		return false
 	}
-	return ask.Floor == 0 || served(u) >= ask.Floor
+	return ask.Floor == 0 || u.Served(now) >= ask.Floor
 }
 
 // newest leaves out those older than least, unless that leaves none.
-func newest(us []*board.Upstream, least quetzalpier.Version) []*board.Upstream {
+func newest(us []*board.Upstream, least quetzalpier.Version, now time.Time) []*board.Upstream {
 	var fit []*board.Upstream
 	for _, u := range us {
-		if served(u) >= least {
+		if u.Served(now) >= least {
 			fit = append(fit, u)
 		}
 	}
@@ -156,8 +156,6 @@
 	return all - max(1, all/reserveShare)
 }
 
-func served(u *board.Upstream) quetzalpier.Version { return max(u.Made, u.Report.Version) }
-
 // cost is the expected wait on an upstream, in requests of mean pace.
 func cost(s *board.State, u *board.Upstream, pace time.Duration, now time.Time) float64 {
 	load := float64(u.Outstanding) + foreign(u, now)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -73,11 +73,17 @@
 			s.Upstreams["u00"].Outstanding, s.Upstreams["u01"].Outstanding = 16, 15
 		}, route.Ask{Pool: "m", Class: quetzalpier.ClassRollout}, ""},
 		{"the newer version is preferred", func(s *board.State) {
-			s.Upstreams["u01"].Made, s.Upstreams["u01"].Outstanding = 4, 5
+			s.Upstreams["u01"].Newest, s.Upstreams["u01"].NewestAt, s.Upstreams["u01"].Outstanding = 4, start, 5
 		}, route.Ask{Pool: "m", Least: 4}, "u01"},
 		{"an older version will do if there is no other", func(s *board.State) {
 			s.Upstreams["u01"].Outstanding = 1
 		}, route.Ask{Pool: "m", Least: 4}, "u00"},
+		{"tokens that belie a report go before it", func(s *board.State) {
+			s.SetReport("u00", quetzalpier.EngineState{Version: 4}, start.Add(-9*time.Second))
+			s.Upstreams["u00"].Newest, s.Upstreams["u00"].NewestAt = 1, start.Add(-2*time.Second)
+			s.SetReport("u00", quetzalpier.EngineState{Version: 4}, start)
+			s.SetReport("u01", quetzalpier.EngineState{Version: 4, Running: 9}, start)
+		}, route.Ask{Pool: "m", Floor: 3}, "u01"},
 		{"below the floor nothing will do", func(*board.State) {}, route.Ask{Pool: "m", Floor: 4}, ""},
 		{"avoided ones are left out", func(*board.State) {}, route.Ask{Pool: "m", Avoid: map[string]bool{"u00": true}}, "u01"},
 		{"tried ones are left out while there are others", func(*board.State) {}, route.Ask{Pool: "m", Tried: map[string]bool{"u00": true}}, "u01"},
--- a/send/send.go
+++ b/send/send.go
@@ -58,7 +58,7 @@
 	Fresh bool
 	// Units is set by the runner to the number of tokens or calls done.
 	Units int
-	// Made is set by the runner to the highest version seen in the answer.
+	// Made is set by the runner to the version of the last token it got.
 	Made quetzalpier.Version
 }
 
@@ -175,11 +175,15 @@
 			struck = s.strike(st, id, now)
 		}
 		leave(st, id, job.Print, place.ticket)
+		// Also an attempt that was cut shows what the upstream makes.
+		if u := st.Upstreams[id]; u != nil && a.Units > 0 && a.Made > 0 {
+			u.Newest, u.NewestAt = a.Made, now
+		}
 		switch {
 		case err == nil:
 			retry.Succeeded(st, id)
 			poison.Finished(st, job.Print)
-			s.pace(st, id, a, now.Sub(start), now)
+			s.pace(st, id, a, now.Sub(start))
 		case ctx.Err() == nil && blames(err):
 			retry.Failed(st, id, now)
 		}
@@ -222,15 +226,11 @@
 	return s.Links.Refuses(vm.Addr)
 }
 
-func (s *Sender) pace(st *board.State, id string, a *Attempt, took time.Duration, now time.Time) {
+func (s *Sender) pace(st *board.State, id string, a *Attempt, took time.Duration) {
 	u := st.Upstreams[id]
 	if u == nil || a.Units <= 0 {
 		return
 	}
-	u.Made = max(u.Made, a.Made)
-	if a.Made > 0 {
-		u.Newest, u.NewestAt = a.Made, now
-	}
 	unit := took / time.Duration(a.Units)
 	if u.Pace == 0 {
 		u.Pace = unit
--- a/trial/gate.go
+++ b/trial/gate.go
@@ -224,7 +224,7 @@
 		u.Pace = took
 	}
 	u.Pace += (took - u.Pace) / 5
-	u.Made = max(u.Made, r.seq.Spans[len(r.seq.Spans)-1].Version)
+	u.Newest, u.NewestAt = r.seq.Spans[len(r.seq.Spans)-1].Version, g.sim.now
 	retry.Succeeded(g.state, r.engine.id)
 	r.finished(r)
 	g.pump()
