quetzalpier, board, node, setup: Use slices.Contains for four hand-written loops

Cause: the same search stood four times, in setup, node, board and config. Change: the standard library's function; behaviour is the same. Ran: lint, vet, the unit tests of the packages that use it with the race detector, and proof TestBadRequests, TestAddresses and TestAtMostOnce; not the whole of proof.

--- a/board/board.go
+++ b/board/board.go
@@ -4,6 +4,7 @@
 package board
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -101,12 +102,7 @@
 
 // Has tells whether the member runs a role.
 func (m Member) Has(role string) bool {
-	for _, r := range m.Roles {
-		if r == role {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(m.Roles, role)
 }
 
 // State is the content of the board.
--- a/config.go
+++ b/config.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -151,10 +152,5 @@
 // Applied tells whether the patch with this id is part of the configuration,
 // as far back as its ids go.
 func (c *Config) Applied(id string) bool {
-	for _, known := range c.IDs {
-		if known == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.IDs, id)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -187,12 +188,7 @@
 }
 
 func (n *Node) has(role string) bool {
-	for _, r := range n.Settings.Roles {
-		if r == role {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(n.Settings.Roles, role)
 }
 
 // Addr is the node's address for callers; empty without the gate role.
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -164,7 +165,7 @@
 			faults = append(faults, fmt.Sprintf("%s: %v does not meet %s", name, show(fault.Value()), rule(fault)))
 		}
 	}
-	if node.Data == "" && contains(node.Roles, RoleStore) {
+	if node.Data == "" && slices.Contains(node.Roles, RoleStore) {
 		faults = append(faults, "data: the role store needs a data folder")
 	}
 	return faults
@@ -203,12 +204,3 @@
 	}
 	return fault.Tag() + "=" + fault.Param()
 }
-
-func contains(list []string, name string) bool {
-	for _, other := range list {
-		if other == name {
-			return true
-		}
-	}
-	return false
-}
