--- a/config.go
+++ b/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // KeptIDs is how many patch ids the configuration document keeps, so that a
@@ -19,6 +20,73 @@
 	IDs     []string          `json:"ids,omitempty"`
 	Pools   map[string]Pool   `json:"pools,omitempty"`
 	Callers map[string]Caller `json:"callers,omitempty"`
+	// Routes lead requests to pools by host and path.
+	Routes []Route `json:"routes,omitempty"`
+	// Input bounds what a caller may send.
+	Input Input `json:"input,omitzero"`
+}
+
+// Input bounds what a caller may send, and how long it may take. Zero fields
+// set no bound.
+type Input struct {
+	Header int           `json:"header,omitempty"`
+	Body   int           `json:"body,omitempty"`
+	Wait   time.Duration `json:"wait,omitempty"`
+	Idle   time.Duration `json:"idle,omitempty"`
+}
+
+// Route leads the requests of one host whose path starts with Prefix.
+type Route struct {
+	Name   string `json:"name"`
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+	// Repeat allows a request to run more than once.
+	Repeat bool `json:"repeat,omitempty"`
+	// Stream routes answer with events; Resume lets another upstream go on
+	// where a stream was cut.
+	Stream bool `json:"stream,omitempty"`
+	Resume bool `json:"resume,omitempty"`
+	// Batch routes take jobs of a trainer.
+	Batch bool `json:"batch,omitempty"`
+	// Single demands that one weight version makes the whole of a task.
+	Single   bool     `json:"single,omitempty"`
+	Targets  []Target `json:"targets"`
+	Attempts int      `json:"attempts,omitempty"`
+	// Priority is the route's rank; zero goes first.
+	Priority int `json:"priority,omitempty"`
+	// Timeout is the longest that a request may be kept waiting, and Aim the
+	// latency objective.
+	Timeout time.Duration `json:"timeout,omitempty"`
+	Aim     time.Duration `json:"aim,omitempty"`
+	// Due is the time from a job's submission to its last result, and Life
+	// the time after which its tasks may be given up.
+	Due  time.Duration `json:"due,omitempty"`
+	Life time.Duration `json:"life,omitempty"`
+}
+
+// Target is a pool that takes a share of a route's requests.
+type Target struct {
+	Pool   string  `json:"pool"`
+	Weight float64 `json:"weight"`
+}
+
+// Match returns the route with the longest prefix of the host that begins the
+// path; false if there is none.
+func (c *Config) Match(host, path string) (Route, bool) {
+	best := -1
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if route.Host != host || !strings.HasPrefix(path, route.Prefix) {
+			continue
+		}
+		if best < 0 || len(route.Prefix) > len(c.Routes[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Route{}, false
+	}
+	return c.Routes[best], true
 }
 
 // Pool binds upstreams to a model name.
@@ -35,6 +103,10 @@
 	Once []string `json:"once,omitempty"`
 	// Slots is how many requests one upstream runs at a time.
 	Slots int `json:"slots,omitempty"`
+	// Conns is how many connections one upstream takes from all callers.
+	Conns int `json:"conns,omitempty"`
+	// Models names the models that the pool's engines serve.
+	Models []string `json:"models,omitempty"`
 }
 
 // DefaultSlots is used for a pool that sets none.
@@ -141,6 +213,11 @@
 			}
 		}
 	}
+	for i, route := range c.Routes {
+		if route.Host == "" || !strings.HasPrefix(route.Prefix, "/") || len(route.Targets) == 0 {
+			return &FieldError{fmt.Sprintf("routes[%d]", i), "must have a host, a prefix that starts with a slash, and a target"}
+		}
+	}
 	for name, caller := range c.Callers {
 		if caller.Weight < 0 {
 			return &FieldError{"callers." + name + ".weight", "must not be negative"}
--- a/errors.go
+++ b/errors.go
@@ -104,6 +104,18 @@
 // Error implements error.
 func (e *LostError) Error() string { return "lease " + e.Lease + " is gone" }
 
+// GoneError reports that the key-value service no longer has the history that
+// a watch asked for.
+type GoneError struct {
+	Prefix string
+	Rev    uint64
+}
+
+// Error implements error.
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("history of prefix %q since revision %d is gone", e.Prefix, e.Rev)
+}
+
 // FenceError reports an order refused for its old fencing number.
 type FenceError struct {
 	Upstream string
--- a/node/node.go
+++ b/node/node.go
@@ -29,7 +29,7 @@
 	"quetzalpier/owner"
 	"quetzalpier/peer"
 	"quetzalpier/pilot"
-	"quetzalpier/plat"
+	"quetzalpier/platform"
 	"quetzalpier/send"
 	"quetzalpier/setup"
 	"quetzalpier/sleep"
@@ -83,7 +83,7 @@
 	n := &Node{
 		Settings: settings, Meter: meter.New(), drain: make(chan struct{}), cut: make(chan struct{}),
 		Log: zerolog.New(out).Level(level).With().Timestamp().Str("node", settings.Name).Logger(),
-		kv:  plat.NewKV(settings.Platform.KV),
+		kv:  platform.NewKV(settings.Platform.KV),
 	}
 	n.Board = board.New(board.Member{
 		ID: settings.Name, HTTP: settings.HTTP, Domain: settings.Domain, Region: settings.Region, Roles: settings.Roles,
@@ -99,7 +99,7 @@
 
 func (n *Node) open() error {
 	seed := hash.Text(n.Settings.Name + time.Now().String())
-	n.watcher = &conf.Watcher{Board: n.Board, KV: n.kv, VMs: plat.NewVMs(n.Settings.Platform.VMs), Log: n.Log, Seed: seed, Tell: func() { n.peers.Tell() }}
+	n.watcher = &conf.Watcher{Board: n.Board, KV: n.kv, VMs: platform.NewVMs(n.Settings.Platform.VMs), Log: n.Log, Seed: seed, Tell: func() { n.peers.Tell() }}
 	n.claims = &claim.Book{KV: n.kv, Node: n.Settings.Name, Ask: n.askHolder, Log: n.Log, Token: uuid.NewString}
 	n.links = link.New()
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
@@ -116,7 +116,7 @@
 	n.owner = owner.New(n.Board, n.sender, engines, n.remote, n.Meter, n.Log, func() { n.peers.Tell() })
 	if n.has(setup.RolePilot) {
 		n.pilot = &pilot.Pilot{
-			Board: n.Board, Lease: &lease.Holder{KV: n.kv, Node: n.Settings.Name}, Orders: plat.NewOrders(),
+			Board: n.Board, Lease: &lease.Holder{KV: n.kv, Node: n.Settings.Name}, Orders: platform.NewOrders(),
 			Meter: n.Meter, Log: n.Log, Loads: n.Settings.Platform.Loads, Leaving: n.leaving,
 			AllCut: func(now time.Time) bool { return n.peers.AllCut(now) },
 		}
--- a/node/poll.go
+++ b/node/poll.go
@@ -11,7 +11,7 @@
 	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/peer"
-	"quetzalpier/plat"
+	"quetzalpier/platform"
 	"quetzalpier/route"
 	"quetzalpier/setup"
 	"quetzalpier/sleep"
@@ -28,7 +28,7 @@
 
 // poll reads the load reports of the engines that this node works with.
 func (n *Node) poll(ctx context.Context) {
-	orders := plat.NewOrders()
+	orders := platform.NewOrders()
 	for ctx.Err() == nil {
 		vms := n.near()
 		work := pool.New().WithMaxGoroutines(pollers)
--- a/platform.go
+++ b/platform.go
@@ -11,6 +11,36 @@
 	Key   string
 	Value []byte
 	Rev   uint64
+	// Deleted marks an entry of Changes whose key was removed at Rev.
+	Deleted bool
+}
+
+// Txn changes several keys at once, or none of them.
+type Txn struct {
+	// Expect holds the revisions that keys must be at; zero for keys that must
+	// not exist.
+	Expect map[string]uint64
+	Writes []Write
+	// Deletes names keys to be removed.
+	Deletes []string
+}
+
+// Write is one key that a transaction writes. A lease, if not empty, bounds
+// the key's life.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease string
+}
+
+// MaxTxn is how many keys one transaction may expect, write and delete.
+const MaxTxn = 32
+
+// Changes are entries of a prefix. Rev is the revision of the whole service
+// up to which they are complete.
+type Changes struct {
+	Entries []Entry
+	Rev     uint64
 }
 
 // KV is the platform's key-value service. Each call ends in one of three
@@ -31,6 +61,18 @@
 	Grant(ctx context.Context, ttl time.Duration) (string, error)
 	// Renew prolongs a lease; LostError if it has ended.
 	Renew(ctx context.Context, lease string) error
+	// Release ends a lease and removes its keys.
+	Release(ctx context.Context, lease string) error
+	// Commit carries out a transaction and returns its revision; SwapError if
+	// a key was not at the expected revision.
+	Commit(ctx context.Context, txn Txn) (uint64, error)
+	// Range reads all keys that start with prefix. A stale read is cheaper and
+	// may be seconds old.
+	Range(ctx context.Context, prefix string, stale bool) (Changes, error)
+	// Follow waits until a key that starts with prefix changes after revision
+	// rev, or until wait has passed; GoneError if the service no longer has the
+	// history since then.
+	Follow(ctx context.Context, prefix string, rev uint64, wait time.Duration) (Changes, error)
 }
 
 // VMs is the platform's list of VMs. It lags behind the truth.
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -22,7 +22,7 @@
 	"quetzalpier/board"
 	"quetzalpier/conf"
 	"quetzalpier/node"
-	"quetzalpier/plat"
+	"quetzalpier/platform"
 	"quetzalpier/setup"
 	"quetzalpier/stand"
 )
@@ -112,7 +112,7 @@
 		return nil, err
 	}
 	first := quetzalpier.Config{Number: 0}
-	if _, err := conf.Patch(context.Background(), plat.NewKV(f.kv.Addr), first.Number, "first", firstPatch()); err != nil {
+	if _, err := conf.Patch(context.Background(), platform.NewKV(f.kv.Addr), first.Number, "first", firstPatch()); err != nil {
 		return nil, err
 	}
 	var seeds []string
@@ -229,7 +229,7 @@
 // patch patches the configuration and waits until it is in force everywhere.
 func (f *fleet) patch(number uint64) (float64, error) {
 	id := fmt.Sprintf("patch-%d", number)
-	config, err := conf.Patch(context.Background(), plat.NewKV(f.kv.Addr), number, id, []byte(`{"callers":{"`+id+`":{"class":"internal"}}}`))
+	config, err := conf.Patch(context.Background(), platform.NewKV(f.kv.Addr), number, id, []byte(`{"callers":{"`+id+`":{"class":"internal"}}}`))
 	if err != nil {
 		return 0, err
 	}
--- a/stand/kv.go
+++ b/stand/kv.go
@@ -1,22 +1,19 @@
 package stand
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"quetzalpier"
+	"quetzalpier/platform"
 )
 
 // KVFaults are the switches of the key-value service.
 type KVFaults struct {
-	// Out makes every call fail without effect.
+	// Out makes every call fail in a way that proves nothing.
 	Out bool `json:"out"`
 	// Slow delays every call, in milliseconds.
 	Slow int `json:"slow"`
@@ -74,15 +71,11 @@
 	k.mu.Unlock()
 	time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
 	if faults.Out {
-		c.Error("out of service", http.StatusServiceUnavailable)
+		c.Error("out of service", http.StatusInternalServerError)
 		return
 	}
-	err := k.call(c, string(c.Method())+" "+string(c.Path()))
-	if err != nil {
-		writeFault(c, err)
-		return
-	}
-	if !c.IsGet() && k.lose() {
+	platform.ServeKV(k.Memory, c)
+	if !c.IsGet() && c.Response.StatusCode() == http.StatusOK && k.lose() {
 		_ = c.Conn().Close()
 	}
 }
@@ -97,64 +90,3 @@
 	k.faults.Lose--
 	return true
 }
-
-func (k *KV) call(c *fasthttp.RequestCtx, name string) error {
-	args := c.QueryArgs()
-	key := string(args.Peek("key"))
-	rev, _ := strconv.ParseUint(string(args.Peek("rev")), 10, 64)
-	ctx := context.Background()
-	switch name {
-	case "GET /kv":
-		e, err := k.Get(ctx, key)
-		return writeEntry(c, e, err)
-	case "PUT /kv":
-		next, err := k.Swap(ctx, key, c.PostBody(), rev, string(args.Peek("lease")))
-		setRev(c, next)
-		return err
-	case "DELETE /kv":
-		return k.Delete(ctx, key, rev)
-	case "GET /watch":
-		e, err := k.Watch(ctx, key, rev, millis(args, "wait"))
-		return writeEntry(c, e, err)
-	case "POST /lease":
-		id, err := k.Grant(ctx, millis(args, "ttl"))
-		c.SetBodyString(id)
-		return err
-	case "PUT /lease":
-		return k.Renew(ctx, string(args.Peek("id")))
-	default:
-		return &quetzalpier.RefusedError{Call: name, Reason: "no such call"}
-	}
-}
-
-func millis(args *fasthttp.Args, name string) time.Duration {
-	return time.Duration(args.GetUintOrZero(name)) * time.Millisecond
-}
-
-func setRev(c *fasthttp.RequestCtx, rev uint64) {
-	c.Response.Header.Set("Rev", strconv.FormatUint(rev, 10))
-}
-
-func writeEntry(c *fasthttp.RequestCtx, e quetzalpier.Entry, err error) error {
-	setRev(c, e.Rev)
-	c.SetBody(e.Value)
-	if err == nil && e.Rev == 0 {
-		c.SetStatusCode(http.StatusNotFound)
-	}
-	return err
-}
-
-func writeFault(c *fasthttp.RequestCtx, err error) {
-	var swap *quetzalpier.SwapError
-	var lost *quetzalpier.LostError
-	c.Response.ResetBody()
-	switch {
-	case errors.As(err, &swap):
-		setRev(c, swap.Rev)
-		c.SetStatusCode(http.StatusConflict)
-	case errors.As(err, &lost):
-		c.SetStatusCode(http.StatusGone)
-	default:
-		c.Error(err.Error(), http.StatusBadRequest)
-	}
-}
--- a/stand/memory.go
+++ b/stand/memory.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +30,9 @@
 	keys   map[string]*memoryEntry
 	leases map[string]*memoryLease
 	counts KVCounts
+	// history holds every change after revision forgot.
+	history []quetzalpier.Entry
+	forgot  uint64
 }
 
 type memoryEntry struct {
@@ -73,34 +78,126 @@
 }
 
 // Swap implements quetzalpier.KV.
-func (m *Memory) Swap(_ context.Context, key string, value []byte, rev uint64, lease string) (uint64, error) {
+func (m *Memory) Swap(ctx context.Context, key string, value []byte, rev uint64, lease string) (uint64, error) {
+	return m.Commit(ctx, quetzalpier.Txn{
+		Expect: map[string]uint64{key: rev},
+		Writes: []quetzalpier.Write{{Key: key, Value: value, Lease: lease}},
+	})
+}
+
+// Delete implements quetzalpier.KV.
+func (m *Memory) Delete(ctx context.Context, key string, rev uint64) error {
+	_, err := m.Commit(ctx, quetzalpier.Txn{Expect: map[string]uint64{key: rev}, Deletes: []string{key}})
+	return err
+}
+
+// Commit implements quetzalpier.KV.
+func (m *Memory) Commit(_ context.Context, txn quetzalpier.Txn) (uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.counts.Writes++
-	if current := m.entry(key, time.Now()).Rev; current != rev {
-		return 0, &quetzalpier.SwapError{Key: key, Rev: current}
+	if len(txn.Expect) > quetzalpier.MaxTxn || len(txn.Writes)+len(txn.Deletes) > quetzalpier.MaxTxn {
+		return 0, &quetzalpier.RefusedError{Call: "commit", Reason: "too many keys"}
 	}
-	if len(value) > MaxValue {
-		return 0, &quetzalpier.RefusedError{Call: "swap", Reason: "value too large"}
+	now := time.Now()
+	for key, rev := range txn.Expect {
+		if current := m.entry(key, now).Rev; current != rev {
+			return 0, &quetzalpier.SwapError{Key: key, Rev: current}
+		}
 	}
-	if lease != "" && m.leases[lease] == nil {
-		return 0, &quetzalpier.LostError{Lease: lease}
+	for _, write := range txn.Writes {
+		if len(write.Value) > MaxValue {
+			return 0, &quetzalpier.RefusedError{Call: "commit", Reason: "value too large"}
+		}
+		if write.Lease != "" && m.leases[write.Lease] == nil {
+			return 0, &quetzalpier.LostError{Lease: write.Lease}
+		}
 	}
 	m.rev++
-	m.keys[key] = &memoryEntry{value: append([]byte(nil), value...), rev: m.rev, lease: lease}
+	for _, write := range txn.Writes {
+		value := append([]byte(nil), write.Value...)
+		m.keys[write.Key] = &memoryEntry{value: value, rev: m.rev, lease: write.Lease}
+		m.history = append(m.history, quetzalpier.Entry{Key: write.Key, Value: value, Rev: m.rev})
+	}
+	for _, key := range txn.Deletes {
+		m.remove(key)
+	}
 	return m.rev, nil
 }
 
-// Delete implements quetzalpier.KV.
-func (m *Memory) Delete(_ context.Context, key string, rev uint64) error {
+// remove deletes a key at the present revision; the caller holds the lock.
+func (m *Memory) remove(key string) {
+	delete(m.keys, key)
+	m.history = append(m.history, quetzalpier.Entry{Key: key, Rev: m.rev, Deleted: true})
+}
+
+// Range implements quetzalpier.KV.
+func (m *Memory) Range(_ context.Context, prefix string, _ bool) (quetzalpier.Changes, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.counts.Writes++
-	if current := m.entry(key, time.Now()).Rev; current != rev {
-		return &quetzalpier.SwapError{Key: key, Rev: current}
+	m.counts.Reads++
+	m.expire(time.Now())
+	all := quetzalpier.Changes{Rev: m.rev}
+	for key, e := range m.keys {
+		if strings.HasPrefix(key, prefix) {
+			all.Entries = append(all.Entries, quetzalpier.Entry{Key: key, Value: append([]byte(nil), e.value...), Rev: e.rev})
+		}
+	}
+	sort.Slice(all.Entries, func(i, j int) bool { return all.Entries[i].Key < all.Entries[j].Key })
+	return all, nil
+}
+
+// Follow implements quetzalpier.KV.
+func (m *Memory) Follow(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
+	deadline := time.Now().Add(wait)
+	m.wait(1)
+	defer m.wait(-1)
+	for {
+		changes, err := m.since(prefix, rev, time.Now())
+		if err != nil || len(changes.Entries) > 0 || !time.Now().Before(deadline) {
+			return changes, err
+		}
+		select {
+		case <-ctx.Done():
+			return changes, &quetzalpier.RefusedError{Call: "follow", Reason: ctx.Err().Error()}
+		case <-time.After(min(watchTick, time.Until(deadline))):
+		}
+	}
+}
+
+func (m *Memory) since(prefix string, rev uint64, now time.Time) (quetzalpier.Changes, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(now)
+	if rev < m.forgot {
+		return quetzalpier.Changes{}, &quetzalpier.GoneError{Prefix: prefix, Rev: rev}
+	}
+	changes := quetzalpier.Changes{Rev: m.rev}
+	for _, e := range m.history {
+		if e.Rev > rev && strings.HasPrefix(e.Key, prefix) {
+			changes.Entries = append(changes.Entries, e)
+		}
+	}
+	return changes, nil
+}
+
+// Compact forgets the history.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history = nil
+	m.forgot = m.rev
+}
+
+// Revoke removes a key without anybody asking for it, as the end of its lease
+// would.
+func (m *Memory) Revoke(key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.keys[key] != nil {
+		m.rev++
+		m.remove(key)
 	}
-	delete(m.keys, key)
-	return nil
 }
 
 // watchTick is how often a waiting watch looks.
@@ -142,7 +239,7 @@
 	defer m.mu.Unlock()
 	m.counts.Writes++
 	m.rev++
-	id := "l" + strconv.FormatUint(m.rev, 10)
+	id := strconv.FormatUint(m.rev, 10)
 	m.leases[id] = &memoryLease{ttl, time.Now().Add(ttl)}
 	return id, nil
 }
@@ -168,11 +265,29 @@
 		if now.Before(lease.ends) {
 			continue
 		}
-		delete(m.leases, id)
-		for key, e := range m.keys {
-			if e.lease == id {
-				delete(m.keys, key)
-			}
+		m.end(id)
+	}
+}
+
+// end removes a lease with its keys; the caller holds the lock.
+func (m *Memory) end(id string) {
+	delete(m.leases, id)
+	m.rev++
+	for key, e := range m.keys {
+		if e.lease == id {
+			m.remove(key)
 		}
 	}
 }
+
+// Release implements quetzalpier.KV.
+func (m *Memory) Release(_ context.Context, lease string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts.Writes++
+	if m.leases[lease] == nil {
+		return &quetzalpier.LostError{Lease: lease}
+	}
+	m.end(lease)
+	return nil
+}
--- a/vms.go
+++ b/vms.go
@@ -27,6 +27,12 @@
 	State  string `json:"state"`
 	// Fenced tells that the engine checks fencing numbers.
 	Fenced bool `json:"fenced,omitempty"`
+	// Slots is how many requests the upstream runs at a time; zero if unknown.
+	Slots int `json:"slots,omitempty"`
+	// Models are the weight versions that an engine says it serves.
+	Models map[string]Version `json:"models,omitempty"`
+	// Born tells apart the lifetimes of an upstream that keeps its ID.
+	Born int64 `json:"born,omitempty"`
 }
 
 // VMList is the platform's list; Number rises with each change.
