--- a/board/board.go
+++ b/board/board.go
@@ -118,12 +118,23 @@
 	Near map[string]bool
 	// Targets is the highest version published for each pool.
 	Targets map[string]quetzalpier.Version
+	// Owners are the nodes that hold a pool's jobs and order its engines.
+	Owners map[string]Owner
+	// Retiring names the nodes that are to be emptied.
+	Retiring map[string]bool
 	// Poison and CrashedAt, when an upstream was last heard to have crashed,
 	// are kept by the poison package.
 	Poison    map[uint64]Strike
 	CrashedAt time.Time
 }
 
+// Owner is a pool's owner. Fence rises with each owner.
+type Owner struct {
+	Node  string
+	Peer  string
+	Fence uint64
+}
+
 // Strike counts the upstreams that crashed with a fingerprint in flight.
 type Strike struct {
 	Count int
@@ -145,6 +156,8 @@
 			Members:   map[string]Member{},
 			Upstreams: map[string]*Upstream{},
 			Targets:   map[string]quetzalpier.Version{},
+			Owners:    map[string]Owner{},
+			Retiring:  map[string]bool{},
 			Poison:    map[uint64]Strike{},
 		},
 		wake: make(chan struct{}),
@@ -199,6 +212,33 @@
 	return true
 }
 
+// SetAll takes over all upstreams that list themselves in the platform's
+// store. One that left out or took back what it said before is believed: an
+// entry may lapse while the store is away, and an upstream that restarts under
+// its ID knows nothing of before.
+func (s *State) SetAll(vms []quetzalpier.VM, now time.Time) {
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.ID] = true
+		if u := s.Upstreams[vm.ID]; u != nil && u.VM.Born != vm.Born {
+			delete(s.Upstreams, vm.ID)
+		}
+		if u := s.Upstreams[vm.ID]; u != nil && vm.State == quetzalpier.VMLive {
+			u.LeavingAt = time.Time{}
+		}
+		s.setVM(vm, now)
+	}
+	for id, u := range s.Upstreams {
+		if listed[id] {
+			continue
+		}
+		s.Leave(id, now)
+		if u.Outstanding == 0 {
+			delete(s.Upstreams, id)
+		}
+	}
+}
+
 func (s *State) setVM(vm quetzalpier.VM, now time.Time) {
 	u := s.Upstreams[vm.ID]
 	if u == nil || u.VM.Addr != vm.Addr {
--- a/link/conn.go
+++ b/link/conn.go
@@ -9,16 +9,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quetzalpier/client"
 )
 
 const (
 	dialTimeout   = 1 * time.Second
 	writeTimeout  = 5 * time.Second
 	idleLimit     = 5 * time.Second
+	keepMargin    = 500 * time.Millisecond
 	maxIdle       = 64
-	keepIdle      = 5 * time.Second
-	keepInterval  = 2 * time.Second
-	keepCount     = 3
 	readerBuffer  = 16 << 10
 	probeInterval = 20 * time.Millisecond
 )
@@ -31,22 +31,15 @@
 	sent   int
 	limit  time.Duration
 	used   time.Time
+	// keep is how long the upstream keeps the connection idle.
+	keep time.Duration
 	// silent is set once a read or write made no progress in time. The HTTP
 	// library does not pass the error on as it was.
 	silent bool
 }
 
 func dial(addr string) (*conn, error) {
-	dialer := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepIdle,
-			Interval: keepInterval,
-			Count:    keepCount,
-		},
-	}
-	inner, err := dialer.Dial("tcp", addr)
+	inner, err := client.Dial(addr, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -106,12 +108,28 @@
 	alive := a.stop()
 	if a.whole && alive && !a.resp.ConnectionClose() {
 		_ = a.resp.CloseBodyStream()
+		c.keep = keepAlive(string(a.Header.Peek("Keep-Alive")))
 		a.links.give(a.addr, c)
 		return nil
 	}
 	return c.Close()
 }
 
+// keepAlive is how long a connection may be reused: within the time that the
+// upstream states, less a margin for its way there.
+func keepAlive(header string) time.Duration {
+	for part := range strings.SplitSeq(header, ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil {
+			return min(idleLimit, time.Duration(seconds)*time.Second-keepMargin)
+		}
+	}
+	return idleLimit
+}
+
 func (l *Links) abandon(ctx context.Context, addr string, c *conn, stop func() bool, stage Stage, err error) *Error {
 	stop()
 	_ = c.Close()
@@ -178,7 +196,7 @@
 	for conns := l.idle[addr]; len(conns) > 0; conns = l.idle[addr] {
 		c := conns[len(conns)-1]
 		l.idle[addr] = conns[:len(conns)-1]
-		if now.Sub(c.used) < idleLimit {
+		if now.Sub(c.used) < c.keep && c.clean() {
 			return c
 		}
 		_ = c.Close()
@@ -190,7 +208,7 @@
 	c.used = time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.idle[addr]) >= maxIdle {
+	if len(l.idle[addr]) >= maxIdle || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"quetzalpier/client"
 	"quetzalpier/wire"
 )
 
@@ -145,8 +146,7 @@
 	if s := c.known(key); s != nil {
 		return s, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", key.addr)
+	conn, err := client.Dial(key.addr, dialTimeout)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -59,6 +59,8 @@
 	Final bool
 	// Attempts made so far.
 	Attempts int
+	// Most bounds the attempts further; zero for no other bound.
+	Most     int
 	Deadline time.Time
 }
 
@@ -71,7 +73,7 @@
 // Decide tells whether to try again. A request that may have run is repeated
 // only if it is idempotent, and never after a part of its answer was delivered.
 func Decide(f Failure, budget *Budget, now time.Time) Verdict {
-	if f.Final || f.Delivered || f.Attempts >= maxAttempts {
+	if f.Final || f.Delivered || f.Attempts >= maxAttempts || (f.Most > 0 && f.Attempts >= f.Most) {
 		return Verdict{}
 	}
 	if f.Ran != quetzalpier.RanNo && !f.Idempotent {
--- a/route/route.go
+++ b/route/route.go
@@ -116,7 +116,7 @@
 // fits tells whether the upstream has room for the request and is recent
 // enough.
 func fits(s *board.State, u *board.Upstream, ask Ask, now time.Time) bool {
-	if u.Outstanding >= slots(s.Config.Pools[ask.Pool], ask.Class) {
+	if u.Outstanding >= slots(concurrent(s, u), ask.Class) {
 		return false
 	}
 	if ask.Alone && (u.Outstanding > 0 || u.Trial != ask.Ticket) {
@@ -147,9 +147,17 @@
 	return !u.Leaving() && !now.Before(u.Health.EjectedUntil)
 }
 
+// concurrent is how many requests the upstream runs at a time, by its own word
+// or by its pool's.
+func concurrent(s *board.State, u *board.Upstream) int {
+	if u.VM.Slots > 0 {
+		return u.VM.Slots
+	}
+	return s.Config.Pools[u.VM.Pool].Concurrent()
+}
+
 // slots is how many requests of a class one upstream may run for this node.
-func slots(pool quetzalpier.Pool, class quetzalpier.Class) int {
-	all := pool.Concurrent()
+func slots(all int, class quetzalpier.Class) int {
 	if class == quetzalpier.ClassInteractive {
 		return all
 	}
--- a/send/send.go
+++ b/send/send.go
@@ -49,6 +49,8 @@
 	Floor quetzalpier.Version
 	// Avoid names upstreams that must not be used.
 	Avoid map[string]bool
+	// Attempts bounds the attempts; zero leaves that to the retry package.
+	Attempts int
 }
 
 // Attempt is one try of a job on one upstream.
@@ -242,7 +244,7 @@
 func failure(job *Job, err error, attempts int) retry.Failure {
 	f := retry.Failure{
 		Ran: quetzalpier.RanUnknown, Idempotent: job.Idempotent,
-		Attempts: attempts, Deadline: job.Deadline,
+		Attempts: attempts, Most: job.Attempts, Deadline: job.Deadline,
 	}
 	var failed *link.Error
 	var status *engine.StatusError
