--- a/engine/engine.go
+++ b/engine/engine.go
@@ -31,6 +31,8 @@
 	Addr   string
 	Status int
 	Body   []byte
+	// NotRun tells that the upstream stated that it did not run the request.
+	NotRun bool
 	// After is when the upstream asked to be tried again.
 	After time.Duration
 }
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,270 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/platform"
+	"quetzalpier/sleep"
+	"quetzalpier/wire"
+)
+
+const (
+	// submitWait bounds how long a submission waits for the key-value service:
+	// a step is worth less with every second, but more than a refused one.
+	submitWait = 6 * time.Second
+	endWait    = 3 * time.Second
+	storePause = 100 * time.Millisecond
+	storeCall  = 1200 * time.Millisecond
+	// maxWait bounds a read's wait for news.
+	maxWait = time.Second
+	// ownerSlack is added to a read's wait for the owner's answer.
+	ownerSlack = 700 * time.Millisecond
+	// afterSubmit is when to come back with a job that could not be stored.
+	afterSubmit = time.Second
+)
+
+// kept are the results of a job that this node has read; they never change.
+type kept struct {
+	total   int
+	results []quetzalpier.Result
+	at      time.Time
+}
+
+// submit takes a job: it exists once its key is created.
+func (e *Entry) submit(c *fasthttp.RequestCtx, r *request, route *quetzalpier.Route) {
+	if r.method != http.MethodPost {
+		e.refuse(c, r, quetzalpier.Missing("route", "only POST submits a job"))
+		return
+	}
+	job, err := platform.DecodeJob(r.id, c.Request.Body(), route, r.start)
+	if err != nil {
+		e.refuse(c, r, quetzalpier.Malformed(err))
+		return
+	}
+	limit := r.start.Add(submitWait)
+	if r.deadline.Before(limit) {
+		limit = r.deadline
+	}
+	again, err := e.put(job, limit)
+	if err != nil {
+		e.refuse(c, r, err)
+		return
+	}
+	c.SetStatusCode(http.StatusAccepted)
+	e.Log.Info().Str("job", job.ID).Str("route", route.Name).Int("step", job.Step).Str("model", job.Model).
+		Uint64("floor", uint64(job.Floor)).Int("tasks", len(job.Tasks)).Bool("again", again).
+		Uint64("config", r.config).Dur("took_ms", time.Since(r.start)).Msg("job accepted")
+}
+
+// put stores a job. Its error promises that the job does not exist only if
+// each try was certainly without effect.
+func (e *Entry) put(job *quetzalpier.Job, limit time.Time) (again bool, err error) {
+	ran := quetzalpier.RanNo
+	for {
+		ctx, cancel := context.WithDeadline(context.Background(), earlier(limit, time.Now().Add(storeCall)))
+		again, err = e.Vault.Put(ctx, job)
+		cancel()
+		if err == nil {
+			return again, nil
+		}
+		var unsure *quetzalpier.UnsureError
+		if errors.As(err, &unsure) {
+			ran = quetzalpier.RanUnknown
+		}
+		e.Log.Warn().Str("job", job.ID).Err(err).Msg("job not stored")
+		if !time.Now().Add(storePause).Before(limit) {
+			return false, quetzalpier.Busy("store", "the job could not be stored: "+err.Error(), ran, e.Sender.Spread(afterSubmit))
+		}
+		sleep.For(context.Background(), storePause)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// end ends a job: no task of it is worked on once its owner hears of the key.
+func (e *Entry) end(c *fasthttp.RequestCtx, r *request, call platform.Call) {
+	limit := r.start.Add(endWait)
+	for {
+		ctx, cancel := context.WithDeadline(context.Background(), earlier(limit, time.Now().Add(storeCall)))
+		err := e.Vault.End(ctx, call.Job)
+		cancel()
+		if err == nil {
+			e.Log.Info().Str("job", call.Job).Dur("took_ms", time.Since(r.start)).Msg("job end stored")
+			return
+		}
+		if !time.Now().Add(storePause).Before(limit) {
+			e.refuse(c, r, quetzalpier.Busy("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
+			return
+		}
+		sleep.For(context.Background(), storePause)
+	}
+}
+
+// read answers with a job's results from a position on.
+func (e *Entry) read(c *fasthttp.RequestCtx, r *request, call platform.Call) {
+	wait := time.Duration(0)
+	if ms, err := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderWait))); err == nil && ms > 0 {
+		wait = min(maxWait, time.Duration(ms)*time.Millisecond)
+	}
+	total, results, err := e.results(call.Job, call.After, wait, r.start)
+	if err != nil {
+		e.refuse(c, r, err)
+		return
+	}
+	body, err := platform.EncodeRead(total, call.After, results)
+	if err != nil {
+		e.refuse(c, r, err)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
+
+// results returns a job's results from position after on: those that this node
+// has read before, or what the owner has, or what is stored.
+func (e *Entry) results(job string, after int, wait time.Duration, now time.Time) (int, []quetzalpier.Result, error) {
+	total, have, _ := e.from(job, after)
+	if len(have) > 0 {
+		return total, have, nil
+	}
+	from := e.have(job)
+	if answer := e.ask(&wire.Read{Job: job, After: uint64(from), Wait: uint64(wait.Milliseconds())}, wait); answer != nil {
+		e.remember(job, int(answer.GetTotal()), from, wire.UnpackResults(answer.GetResults()), now)
+		return e.from(job, after)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeCall)
+	defer cancel()
+	spec, err := e.Vault.Get(ctx, job)
+	if err != nil {
+		return 0, nil, quetzalpier.Busy("store", "the job could not be looked up: "+err.Error(), quetzalpier.RanNo, e.Sender.Spread(storePause))
+	}
+	if spec == nil {
+		return 0, nil, quetzalpier.Missing("job", "job "+job+" does not exist")
+	}
+	listed, err := e.Vault.Listed(ctx, job)
+	if err != nil {
+		return 0, nil, quetzalpier.Busy("store", "the results could not be read: "+err.Error(), quetzalpier.RanNo, e.Sender.Spread(storePause))
+	}
+	e.remember(job, len(spec.Tasks), 0, listed, now)
+	return e.from(job, after)
+}
+
+// ask asks the owners of pools; nil if none of them holds the job.
+func (e *Entry) ask(read *wire.Read, wait time.Duration) *wire.Results {
+	var peers []string
+	e.Board.Do(func(s *board.State) {
+		for _, owner := range s.Owners {
+			if m, ok := s.Members[owner.Node]; ok {
+				peers = append(peers, m.Peer)
+			}
+		}
+	})
+	for _, peer := range peers {
+		ctx, cancel := context.WithTimeout(context.Background(), wait+ownerSlack)
+		reply, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Read{Read: read}})
+		cancel()
+		if err != nil {
+			e.Log.Warn().Str("job", read.GetJob()).Str("peer", peer).Err(err).Msg("owner not reached")
+			continue
+		}
+		if answer := reply.GetResults(); answer.GetKnown() {
+			return answer
+		}
+	}
+	return nil
+}
+
+func (e *Entry) have(job string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if known := e.kept[job]; known != nil {
+		return len(known.results)
+	}
+	return 0
+}
+
+func (e *Entry) from(job string, after int) (int, []quetzalpier.Result, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.kept[job]
+	if known == nil {
+		return 0, nil, nil
+	}
+	if after >= len(known.results) {
+		return known.total, nil, nil
+	}
+	return known.total, known.results[after:], nil
+}
+
+// remember keeps results from a position on.
+func (e *Entry) remember(job string, total, from int, results []quetzalpier.Result, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.kept[job]
+	if known == nil {
+		known = &kept{total: total, at: now}
+		e.kept[job] = known
+		e.forget(now)
+	}
+	// Another read may have brought some of them meanwhile.
+	if skip := len(known.results) - from; skip >= 0 && skip < len(results) {
+		known.results = append(known.results[:len(known.results):len(known.results)], results[skip:]...)
+	}
+}
+
+// forget drops jobs that need not be read any more; the caller holds the lock.
+func (e *Entry) forget(now time.Time) {
+	for job, known := range e.kept {
+		if now.Sub(known.at) > e.History {
+			delete(e.kept, job)
+		}
+	}
+}
+
+// body answers with the body of a task that is not listed yet.
+func (e *Entry) body(c *fasthttp.RequestCtx, r *request, call platform.Call) {
+	body, err := e.task(call.Job, call.Task)
+	if err != nil {
+		e.refuse(c, r, err)
+		return
+	}
+	c.SetContentType("application/octet-stream")
+	c.SetBody(body)
+}
+
+func (e *Entry) task(job, id string) ([]byte, error) {
+	gone := quetzalpier.Missing("task", "task "+id+" of job "+job+" is listed, ended or unknown")
+	if answer := e.ask(&wire.Read{Job: job, Task: id}, 0); answer != nil {
+		if !answer.GetOpen() {
+			return nil, gone
+		}
+		return answer.GetBody(), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeCall)
+	defer cancel()
+	spec, err := e.Vault.Get(ctx, job)
+	if err != nil {
+		return nil, quetzalpier.Busy("store", "the job could not be looked up: "+err.Error(), quetzalpier.RanNo, e.Sender.Spread(storePause))
+	}
+	if spec == nil {
+		return nil, gone
+	}
+	task, ok := spec.Find(id)
+	if !ok {
+		return nil, gone
+	}
+	return task.Body, nil
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"quetzalpier"
+	"quetzalpier/platform"
+)
+
+// request is what the entry reads of a client's request.
+type request struct {
+	id     string
+	method string
+	host   string
+	// uri is the path with the query as the client sent them.
+	uri      string
+	path     string
+	start    time.Time
+	deadline time.Time
+	// config is the number of the configuration that was in force.
+	config uint64
+}
+
+// defaultDeadline holds for requests that state none.
+const defaultDeadline = 30 * time.Second
+
+func newRequest(c *fasthttp.RequestCtx, now time.Time) *request {
+	r := &request{
+		id:     string(c.Request.Header.Peek(platform.HeaderAttempt)),
+		method: string(c.Method()), host: string(c.Request.Header.Host()),
+		uri: string(c.Request.Header.RequestURI()), start: now, deadline: now.Add(defaultDeadline),
+	}
+	r.path, _, _ = strings.Cut(r.uri, "?")
+	if ms, err := strconv.ParseInt(string(c.Request.Header.Peek(platform.HeaderDeadline)), 10, 64); err == nil && ms >= 0 {
+		r.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return r
+}
+
+// refuse declines a request. Statuses that promise that it has not run are
+// used only where that is so.
+func (e *Entry) refuse(c *fasthttp.RequestCtx, r *request, err error) {
+	status, after, reason := http.StatusBadGateway, time.Duration(0), err.Error()
+	var refusal *quetzalpier.Refusal
+	switch {
+	case errors.As(err, &refusal) && refusal.Status != http.StatusServiceUnavailable:
+		status = refusal.Status
+	case refusal != nil && refusal.Ran == quetzalpier.RanNo:
+		status, after = refusal.Status, refusal.After
+	case !time.Now().Before(r.deadline):
+		status = http.StatusGatewayTimeout
+	}
+	c.Response.Reset()
+	if e.draining.Load() {
+		c.SetConnectionClose()
+	}
+	c.SetStatusCode(status)
+	if after > 0 {
+		c.Response.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	if r.id != "" {
+		c.Response.Header.Set(platform.HeaderAttempt, r.id)
+	}
+	c.SetBodyString(reason)
+	e.Meter.Refusals.WithLabelValues(strconv.Itoa(status), strconv.FormatBool(status == http.StatusServiceUnavailable)).Inc()
+	e.Log.Warn().Str("request", r.id).Str("path", r.path).Int("status", status).Dur("after_ms", after).
+		Uint64("config", r.config).Dur("took_ms", time.Since(r.start)).Err(err).Msg("request refused")
+}
+
+// rander is a source of random numbers for several goroutines.
+type rander struct {
+	mu  *sync.Mutex
+	rnd *rand.Rand
+}
+
+func newRander() rander {
+	return rander{&sync.Mutex{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
+
+func (r rander) float() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rnd.Float64()
+}
+
+// pick draws a target by its weight.
+func (r rander) pick(targets []quetzalpier.Target) string {
+	total := 0.0
+	for _, target := range targets {
+		total += target.Weight
+	}
+	at := r.float() * total
+	for _, target := range targets {
+		if at -= target.Weight; at < 0 {
+			return target.Pool
+		}
+	}
+	return targets[len(targets)-1].Pool
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,270 @@
+// Package fleet puts one node on the users' platform together: what it learns
+// from the platform's store, what it serves, and its planned stop.
+package fleet
+
+import (
+	"context"
+	"io"
+	"math"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/sourcegraph/conc"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/entry"
+	"quetzalpier/hash"
+	"quetzalpier/lease"
+	"quetzalpier/link"
+	"quetzalpier/meter"
+	"quetzalpier/mirror"
+	"quetzalpier/peer"
+	"quetzalpier/platform"
+	"quetzalpier/runner"
+	"quetzalpier/send"
+	"quetzalpier/setup"
+	"quetzalpier/sleep"
+	"quetzalpier/vault"
+	"quetzalpier/wire"
+)
+
+const (
+	// leaseLife bounds how long a dead node is believed to be alive; renewals
+	// come often enough to outlast a slow store.
+	leaseLife   = 2500 * time.Millisecond
+	leaseEvery  = 600 * time.Millisecond
+	leaseMargin = 400 * time.Millisecond
+	// watchWait is how long one watch waits. A watch on a connection that went
+	// silent ends a little later, within the time that a node may be out of
+	// touch.
+	watchWait = 3 * time.Second
+	// logLines bounds the lines that wait to be written; more are dropped and
+	// counted.
+	logLines = 4096
+	// memoryShare is the share of the process's memory that the heap may take
+	// before the collector works harder.
+	memoryShare = 0.7
+	// closeLead is the time before the end by force in which the last requests
+	// are cut.
+	closeLead = 700 * time.Millisecond
+	// keptAnswers is how many times as long as asked some clients keep an
+	// answer to where to connect.
+	keptAnswers = 3
+)
+
+// Node is a node on the users' platform.
+type Node struct {
+	Settings setup.Serve
+	Board    *board.Board
+	Meter    *meter.Meter
+	Log      zerolog.Logger
+
+	kv      quetzalpier.KV
+	lease   *lease.Holder
+	mesh    *peer.Mesh
+	links   *link.Links
+	sender  *send.Sender
+	runner  *runner.Runner
+	entry   *entry.Entry
+	nodes   *mirror.Mirror
+	workers *mirror.Mirror
+	news    *mirror.Mirror
+	vms     *vms
+
+	running conc.WaitGroup
+	logs    io.Closer
+}
+
+// New opens a node's addresses. Logs go to out.
+func New(settings setup.Serve, out io.Writer) (*Node, error) {
+	level, err := zerolog.ParseLevel(settings.Log)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	n := &Node{Settings: settings, Meter: meter.New(), kv: platform.NewKV(settings.KV)}
+	n.openLog(out, level)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory<<20)))
+	n.Board = board.New(board.Member{
+		ID: settings.Name, Peer: settings.Peer, HTTP: settings.Front, Domain: settings.Domain, Region: settings.Region,
+		Roles: []string{settings.Class},
+	})
+	if err := n.open(); err != nil {
+		_ = n.logs.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) openLog(out io.Writer, level zerolog.Level) {
+	dropped := func(lines int) { n.Meter.Dropped.Add(float64(lines)) }
+	writer := diode.NewWriter(out, logLines, 0, dropped)
+	n.logs = writer
+	n.Log = zerolog.New(writer).Level(level).With().Timestamp().Str("node", n.Settings.Name).Logger()
+}
+
+func (n *Node) open() error {
+	seed := hash.Text(n.Settings.Name + time.Now().String())
+	n.lease = &lease.Holder{
+		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, Life: leaseLife, Every: leaseEvery, Margin: leaseMargin,
+	}
+	n.links = link.New()
+	n.sender = send.New(n.Board, n.links, n.Meter, seed)
+	n.vms = &vms{board: n.Board, settle: n.Settings.Settle.D(), log: n.Log}
+	n.nodes = n.mirror(vault.System, n.applySystem)
+	n.news = n.mirror(platform.PrefixOperator, n.applyNews)
+	n.workers = n.mirror(platform.PrefixWorkers, func(changed []quetzalpier.Entry, whole bool, now time.Time) {
+		n.vms.apply(changed, whole, n.workers.State(), now)
+	})
+	store := &vault.Vault{KV: n.kv}
+	n.runner = &runner.Runner{
+		Board: n.Board, KV: n.kv, Vault: store, Lease: n.lease, Links: n.links, Sender: n.sender,
+		Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Turn: n.Settings.Turn.D(), History: n.Settings.History.D(),
+	}
+	mesh, err := peer.Open(n.Settings.Peer, n.handle)
+	if err != nil {
+		return err
+	}
+	n.mesh = mesh
+	n.entry = entry.New(entry.Options{
+		Board: n.Board, Sender: n.sender, Links: n.links, Vault: store, Meter: n.Meter, Log: n.Log,
+		Call: mesh.Call, Keep: n.Settings.Keep.D(), History: n.Settings.History.D(), Steady: n.steady,
+	})
+	return n.serve()
+}
+
+func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
+	return &mirror.Mirror{KV: n.kv, Prefix: prefix, Wait: watchWait, Log: n.Log, Apply: apply}
+}
+
+func (n *Node) serve() error {
+	for _, service := range []struct {
+		addr string
+		open func(string) error
+	}{
+		{n.Settings.Front, n.entry.ServeFront},
+		{n.Settings.Ready, n.entry.ServeReady},
+		{n.Settings.Lookup, n.entry.ServeLookup},
+		{n.Settings.Metrics, n.entry.ServeMetrics},
+	} {
+		if service.addr == "" {
+			continue
+		}
+		if err := service.open(service.addr); err != nil {
+			return errors.Wrap(err, service.addr)
+		}
+	}
+	return nil
+}
+
+// steady tells whether the list of nodes is up to date.
+func (n *Node) steady(now time.Time) bool {
+	state := n.nodes.State()
+	return !state.Failing && now.Sub(state.Returned) > n.Settings.Settle.D()
+}
+
+// handle answers another node's call.
+func (n *Node) handle(ctx context.Context, call *wire.Call) *wire.Reply {
+	if read := call.GetRead(); read != nil {
+		return &wire.Reply{Kind: &wire.Reply_Results{Results: n.runner.Read(ctx, read)}}
+	}
+	return &wire.Reply{Fault: "unknown call"}
+}
+
+// Run runs the node until ctx ends, then stops it as planned.
+func (n *Node) Run(ctx context.Context) {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	owning, resign := context.WithCancel(work)
+	defer resign()
+	for _, run := range []func(context.Context){
+		n.nodes.Run, n.news.Run, n.workers.Run, n.sender.Run, n.register, n.vms.run,
+	} {
+		n.running.Go(func() { run(work) })
+	}
+	var runs conc.WaitGroup
+	runs.Go(func() { n.runner.Run(owning) })
+	n.Log.Info().Str("class", n.Settings.Class).Str("front", n.Settings.Front).Str("peer", n.Settings.Peer).Msg("node started")
+	n.await(ctx, func() { resign(); runs.Wait() })
+	n.stop(resign, &runs)
+	cancel()
+	n.running.Wait()
+	n.mesh.Close()
+	n.links.Close()
+	n.Log.Info().Msg("node stopped")
+	_ = n.logs.Close()
+}
+
+// await waits for the stop; a node that is to be emptied gives its pools up
+// meanwhile.
+func (n *Node) await(ctx context.Context, resign func()) {
+	for {
+		retired := false
+		changed := n.Board.Changed()
+		n.Board.Do(func(s *board.State) { retired = s.Retiring[s.Self.ID] })
+		if retired {
+			n.retire(ctx, resign)
+			<-ctx.Done()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// retire tells the platform that the node is empty: nothing lasts on it.
+func (n *Node) retire(ctx context.Context, resign func()) {
+	n.Log.Info().Msg("node is to be emptied")
+	resign()
+	for ctx.Err() == nil {
+		_, err := n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{platform.RetireStatus(n.Settings.Name, true)}})
+		if err == nil {
+			n.Log.Info().Msg("node is empty")
+			return
+		}
+		n.Log.Warn().Err(err).Msg("platform not told that the node is empty")
+		sleep.For(ctx, leaseEvery)
+	}
+}
+
+// stop withdraws the node's address, gives its pools up, serves on while
+// clients keep old answers, and ends when no request is in flight.
+func (n *Node) stop(resign context.CancelFunc, runs *conc.WaitGroup) {
+	start := time.Now()
+	end := start.Add(n.Settings.Grace.D() - closeLead)
+	n.Log.Info().Int("requests", n.entry.InFlight()).Msg("node drains")
+	n.entry.Drain()
+	n.Board.Update(func(s *board.State) { s.Self.State = board.Draining })
+	resign()
+	runs.Wait()
+	if n.Settings.Front != "" {
+		kept := start.Add(time.Duration(math.Ceil(keptAnswers*n.Settings.Keep.D().Seconds()))*time.Second + n.Settings.Keep.D())
+		sleep.For(context.Background(), time.Until(earlier(kept, end)))
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	n.entry.Close(ctx)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Reload takes changed settings over. Addresses stay as they are until the
+// next start.
+func (n *Node) Reload(settings setup.Serve, err error) {
+	if err != nil {
+		n.Log.Error().Err(err).Msg("settings not reloaded")
+		return
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory<<20)))
+	n.Log.Info().Int("memory_mb", settings.Memory).Msg("settings reloaded")
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +27,14 @@
 type Holder struct {
 	KV   quetzalpier.KV
 	Node string
+	// Prefix starts the keys of the names; "lease/" if empty.
+	Prefix string
+	// Life is how long the lease lasts after its last renewal, Every the time
+	// between renewals and Margin how long before its end the lease is no
+	// longer acted on. Zero fields have the package's defaults.
+	Life   time.Duration
+	Every  time.Duration
+	Margin time.Duration
 
 	mu      sync.Mutex
 	lease   string
@@ -34,6 +43,40 @@
 	fences  map[string]uint64
 }
 
+func (h *Holder) life() time.Duration   { return orDefault(h.Life, TTL) }
+func (h *Holder) every() time.Duration  { return orDefault(h.Every, renewEvery) }
+func (h *Holder) margin() time.Duration { return orDefault(h.Margin, margin) }
+
+func orDefault(d, otherwise time.Duration) time.Duration {
+	if d == 0 {
+		return otherwise
+	}
+	return d
+}
+
+// alive tells whether the lease holds at now by both clocks: the steady clock
+// stands still while a VM is suspended, and the time of day may jump.
+func (h *Holder) alive(now time.Time) bool {
+	return now.Before(h.until) && now.Round(0).Before(h.until.Round(0))
+}
+
+// Lease returns the present lease; false if there is none that holds at now.
+func (h *Holder) Lease(now time.Time) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lease, h.lease != "" && h.alive(now)
+}
+
+// Grant makes sure of a lease and returns it.
+func (h *Holder) Grant(ctx context.Context, now time.Time) (string, error) { return h.grant(ctx, now) }
+
+// Forget gives a name up that another node was seen to hold, or that is gone.
+func (h *Holder) Forget(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.fences, name)
+}
+
 // Fence returns the fencing number of a name if its lease still holds at now.
 // It must be asked before each act. A process that freezes after asking may
 // act late; the upstream's check of the number, or the reading back of its
@@ -41,7 +84,7 @@
 func (h *Holder) Fence(name string, now time.Time) (uint64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !now.Before(h.until) {
+	if !h.alive(now) {
 		return 0, false
 	}
 	fence, ok := h.fences[name]
@@ -53,7 +96,7 @@
 func (h *Holder) Keep(ctx context.Context, now time.Time) error {
 	h.mu.Lock()
 	lease := h.lease
-	due := lease != "" && now.Sub(h.renewed) >= renewEvery
+	due := lease != "" && now.Sub(h.renewed) >= h.every()
 	h.mu.Unlock()
 	if !due {
 		return nil
@@ -66,7 +109,7 @@
 	switch {
 	case err == nil:
 		h.renewed = now
-		h.until = now.Add(TTL - margin)
+		h.until = now.Add(h.life() - h.margin())
 	case errors.As(err, &lost):
 		h.drop()
 	}
@@ -82,7 +125,7 @@
 	if err != nil {
 		return false, err
 	}
-	fence, err := h.KV.Swap(ctx, key(name), []byte(h.Node+" "+lease), 0, lease)
+	fence, err := h.KV.Swap(ctx, h.key(name), h.value(lease), 0, lease)
 	var taken *quetzalpier.SwapError
 	var unsure *quetzalpier.UnsureError
 	switch {
@@ -97,14 +140,33 @@
 
 // readBack settles a take whose answer was lost.
 func (h *Holder) readBack(ctx context.Context, name, lease string) (bool, error) {
-	entry, err := h.KV.Get(ctx, key(name))
-	if err != nil {
+	entry, err := h.KV.Get(ctx, h.key(name))
+	if err != nil || entry.Rev == 0 {
 		return false, err
 	}
-	if entry.Rev == 0 || string(entry.Value) != h.Node+" "+lease {
+	if string(entry.Value) == string(h.value(lease)) {
+		h.hold(name, lease, entry.Rev)
+		return true, nil
+	}
+	if Owner(entry.Value) != h.Node {
+		return false, nil
+	}
+	// An earlier process of this node held the name.
+	return h.Replace(ctx, name, entry.Rev, lease)
+}
+
+// Replace takes a name over that is held at revision rev by a process which
+// is known to be gone.
+func (h *Holder) Replace(ctx context.Context, name string, rev uint64, lease string) (bool, error) {
+	fence, err := h.KV.Swap(ctx, h.key(name), h.value(lease), rev, lease)
+	var taken *quetzalpier.SwapError
+	if errors.As(err, &taken) {
 		return false, nil
 	}
-	h.hold(name, lease, entry.Rev)
+	if err != nil {
+		return false, err
+	}
+	h.hold(name, lease, fence)
 	return true, nil
 }
 
@@ -117,7 +179,7 @@
 	if !ok {
 		return nil
 	}
-	return h.KV.Delete(ctx, key(name), fence)
+	return h.KV.Delete(ctx, h.key(name), fence)
 }
 
 // Names returns the names held, whether or not their lease still holds.
@@ -134,12 +196,12 @@
 func (h *Holder) grant(ctx context.Context, now time.Time) (string, error) {
 	h.mu.Lock()
 	lease := h.lease
-	alive := now.Before(h.until)
+	alive := h.alive(now)
 	h.mu.Unlock()
 	if lease != "" && alive {
 		return lease, nil
 	}
-	lease, err := h.KV.Grant(ctx, TTL)
+	lease, err := h.KV.Grant(ctx, h.life())
 	if err != nil {
 		return "", err
 	}
@@ -148,7 +210,7 @@
 	h.drop()
 	h.lease = lease
 	h.renewed = now
-	h.until = now.Add(TTL - margin)
+	h.until = now.Add(h.life() - h.margin())
 	return lease, nil
 }
 
@@ -170,4 +232,17 @@
 	h.fences = nil
 }
 
-func key(name string) string { return "lease/" + name }
+func (h *Holder) key(name string) string {
+	if h.Prefix == "" {
+		return "lease/" + name
+	}
+	return h.Prefix + name
+}
+
+func (h *Holder) value(lease string) []byte { return []byte(h.Node + " " + lease) }
+
+// Owner returns the node that wrote a name's value.
+func Owner(value []byte) string {
+	node, _, _ := strings.Cut(string(value), " ")
+	return node
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -32,6 +32,8 @@
 	Platform *prometheus.CounterVec
 	// Number is the number of the configuration in force.
 	Number prometheus.Gauge
+	// Dropped counts log lines that found no room.
+	Dropped prometheus.Counter
 	// Members counts known members by state.
 	Members *prometheus.GaugeVec
 }
@@ -54,9 +56,10 @@
 		Control:  counter("control_bytes_total", "Control traffic between nodes.", "direction"),
 		Platform: counter("platform_calls_total", "Calls to the platform.", "call", "outcome"),
 		Number:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "config_number", Help: "Number of the configuration in force."}),
+		Dropped:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: "quetzalpier", Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
 		Members:  prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "members", Help: "Known members."}, []string{"state"}),
 	}
-	registry.MustRegister(m.Requests, m.Queue, m.Age, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.Control, m.Platform, m.Number, m.Members)
+	registry.MustRegister(m.Requests, m.Queue, m.Age, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.Control, m.Platform, m.Number, m.Dropped, m.Members)
 	return m
 }
 
--- /dev/null
+++ b/runner/orders.go
@@ -0,0 +1,176 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/platform"
+	"quetzalpier/sleep"
+	"quetzalpier/swap"
+	"quetzalpier/tasks"
+)
+
+const (
+	rotateEvery = 50 * time.Millisecond
+	// reportEvery is the time between two looks at an engine that loads.
+	reportEvery = 250 * time.Millisecond
+	// loadLimit is how long a load may take before the engine is ordered anew.
+	loadLimit = 5 * time.Second
+	// loadsAtOnce is how many loads the weight store bears at a time, or one in
+	// loadShare of the engines if that is more.
+	loadsAtOnce = 2
+	loadShare   = 5
+	// failedOrder is the wait after an order that did not take hold.
+	failedOrder = 300 * time.Millisecond
+)
+
+// rotations moves the pool's engines to the versions that trainers name.
+func (t *term) rotations(ctx context.Context) {
+	for sleep.For(ctx, rotateEvery) {
+		now := time.Now()
+		fence, ok := t.owned(now)
+		if !ok || now.Before(t.orders) {
+			continue
+		}
+		for model, target := range t.targets() {
+			t.rotate(ctx, model, target, fence, now)
+		}
+	}
+}
+
+func (t *term) targets() map[string]quetzalpier.Version {
+	targets := map[string]quetzalpier.Version{}
+	t.r.Board.Do(func(s *board.State) {
+		for _, model := range s.Config.Pools[t.pool].Models {
+			if version := s.Targets[model]; version > 0 {
+				targets[model] = version
+			}
+		}
+	})
+	return targets
+}
+
+func (t *term) rotate(ctx context.Context, model string, target quetzalpier.Version, fence uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var seats []swap.Seat
+	loading, usable := 0, 0
+	for _, id := range sortedKeys(t.engines) {
+		e := t.engines[id]
+		if e.Loading != "" {
+			loading++
+		}
+		if e.VM.State != quetzalpier.VMLive {
+			continue
+		}
+		usable++
+		seat := swap.Seat{ID: id, Version: e.Versions[model], Running: e.Running, Busy: e.Loading != "" || now.Before(e.NotUntil)}
+		if e.Loading == model {
+			seat.Loading = e.target
+		}
+		seats = append(seats, seat)
+	}
+	room := max(loadsAtOnce, usable/loadShare) - loading
+	for _, id := range swap.Rotate(seats, target, t.floor(model, target), room) {
+		e := t.engines[id]
+		e.Loading, e.target = model, target
+		order := platform.Swap{Model: model, Version: target, Hold: t.single(e, model), Node: t.r.Lease.Node, Fence: fence}
+		t.jobs.Go(func() { t.order(ctx, e, order) })
+	}
+}
+
+// floor is the oldest version that the newest job of the model takes; the next
+// one will take one more.
+func (t *term) floor(model string, target quetzalpier.Version) quetzalpier.Version {
+	floor := target - 1
+	newest := time.Time{}
+	for _, job := range t.book.Jobs {
+		if job.Spec.Model == model && job.Spec.Put.After(newest) {
+			newest, floor = job.Spec.Put, job.Spec.Floor
+		}
+	}
+	return floor
+}
+
+// single tells whether a run on the engine must be made by one version alone.
+func (t *term) single(e *engine, model string) bool {
+	for _, job := range t.book.Jobs {
+		if job.Ended || !job.Spec.Single || job.Spec.Model != model {
+			continue
+		}
+		for _, task := range job.Tasks {
+			if task.Phase == tasks.Running && task.Engine == e.VM.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// order moves one engine and waits until it has the version.
+func (t *term) order(ctx context.Context, e *engine, order platform.Swap) {
+	start := time.Now()
+	t.mu.Lock()
+	vm := e.VM
+	t.mu.Unlock()
+	err := t.move(ctx, vm, &order, start)
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.Loading, e.target = "", 0
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+		e.NotUntil = now.Add(failedOrder)
+	} else {
+		e.Versions[order.Model] = max(e.Versions[order.Model], order.Version)
+	}
+	t.r.Meter.Orders.WithLabelValues(t.pool, outcome).Inc()
+	t.r.Log.Info().Str("engine", vm.ID).Str("model", order.Model).Uint64("version", uint64(order.Version)).
+		Uint64("fence", order.Fence).Uint64("orders", order.Orders).Str("outcome", outcome).AnErr("cause", err).
+		Dur("took_ms", now.Sub(start)).Msg("order ended")
+	signal(t.wake)
+}
+
+func (t *term) move(ctx context.Context, vm quetzalpier.VM, order *platform.Swap, start time.Time) error {
+	report, err := t.r.Engines.Report(ctx, vm)
+	if err != nil {
+		return err
+	}
+	if report.Versions[order.Model] >= order.Version {
+		return nil
+	}
+	if !report.Busy {
+		order.Orders = report.Orders
+		// The lease is asked last: the report may have taken long.
+		fence, ok := t.owned(time.Now())
+		if !ok || fence != order.Fence {
+			return errors.Errorf("pool %s is not held any more", t.pool)
+		}
+		if err := t.r.Engines.Order(ctx, vm, *order); err != nil {
+			var unsure *quetzalpier.UnsureError
+			var conflict *platform.ConflictError
+			if !errors.As(err, &unsure) && !errors.As(err, &conflict) {
+				return err
+			}
+		}
+	}
+	for sleep.For(ctx, reportEvery) {
+		report, err := t.r.Engines.Report(ctx, vm)
+		switch {
+		case err != nil:
+			return err
+		case report.Versions[order.Model] >= order.Version:
+			return nil
+		case !report.Busy && time.Since(start) > 2*reportEvery:
+			return errors.New("the order did not take hold")
+		case time.Since(start) > loadLimit:
+			return errors.New("the load takes too long")
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/runner/read.go
@@ -0,0 +1,98 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"quetzalpier/tasks"
+	"quetzalpier/wire"
+)
+
+const (
+	// replyBytes bounds the texts in one answer.
+	replyBytes = 900 << 10
+)
+
+// Read answers a read of a job that this node holds. An answer that is not
+// Known says nothing of whether the job exists.
+func (r *Runner) Read(ctx context.Context, read *wire.Read) *wire.Results {
+	wait := time.NewTimer(time.Duration(read.GetWait()) * time.Millisecond)
+	defer wait.Stop()
+	for {
+		answer, news := r.peek(read, time.Now())
+		if news == nil || len(answer.GetResults()) > 0 || read.GetTask() != "" {
+			return answer
+		}
+		select {
+		case <-news:
+		case <-wait.C:
+			return answer
+		case <-ctx.Done():
+			return answer
+		}
+	}
+}
+
+// peek answers with what is there; news is closed when there may be more, and
+// nil when there is no use in waiting.
+func (r *Runner) peek(read *wire.Read, now time.Time) (*wire.Results, chan struct{}) {
+	for _, t := range r.held() {
+		// Without the lease, another owner may have listed more.
+		if _, ok := t.owned(now); !ok {
+			continue
+		}
+		if answer, news := t.peek(read); answer.GetKnown() {
+			return answer, news
+		}
+	}
+	return &wire.Results{}, nil
+}
+
+func (r *Runner) held() []*term {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	terms := make([]*term, 0, len(r.terms))
+	for _, t := range r.terms {
+		terms = append(terms, t)
+	}
+	return terms
+}
+
+func (t *term) peek(read *wire.Read) (*wire.Results, chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	job := t.book.Jobs[read.GetJob()]
+	if job == nil {
+		return &wire.Results{}, nil
+	}
+	answer := &wire.Results{Known: true, Total: uint64(len(job.Tasks)), Open: !job.Ended}
+	if id := read.GetTask(); id != "" {
+		if body, ok := unlisted(job, id); ok {
+			answer.Body = body
+		} else {
+			answer.Open = false
+		}
+		return answer, nil
+	}
+	if from := int(read.GetAfter()); from < len(job.Listed) {
+		answer.Results = wire.PackResults(head(job.Listed[from:], replyBytes))
+	}
+	if job.Ended || len(job.Listed) == len(job.Tasks) {
+		return answer, nil
+	}
+	return answer, job.News
+}
+
+// unlisted returns the body of a task that is not listed yet.
+func unlisted(job *tasks.Job, id string) ([]byte, bool) {
+	for _, result := range job.Listed {
+		if result.ID == id {
+			return nil, false
+		}
+	}
+	task, ok := job.Spec.Find(id)
+	if !ok || job.Ended {
+		return nil, false
+	}
+	return task.Body, true
+}
--- /dev/null
+++ b/runner/term.go
@@ -0,0 +1,267 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/mirror"
+	"quetzalpier/sleep"
+	"quetzalpier/tasks"
+	"quetzalpier/vault"
+)
+
+const (
+	// planEvery bounds the time between two looks at the waiting tasks.
+	planEvery = 50 * time.Millisecond
+	// followWait is how long one watch for jobs waits.
+	followWait = 3 * time.Second
+	loadPause  = 100 * time.Millisecond
+	// expireMargin is added to the life of tasks, since the time of day differs
+	// between VMs.
+	expireMargin = 3 * time.Second
+)
+
+// engine is one engine of the pool.
+type engine struct {
+	tasks.Engine
+	// target is the version that an order under way leads to.
+	target quetzalpier.Version
+}
+
+// term is the time in which this node holds a pool. It outlives a lease that
+// ended, as long as no other node takes the pool.
+type term struct {
+	r      *Runner
+	pool   string
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
+	// finished wakes the storing of results, and dirty the comparison of the
+	// book with what is stored.
+	finished chan struct{}
+	dirty    chan struct{}
+	jobs     conc.WaitGroup
+
+	mu      sync.Mutex
+	fence   uint64
+	book    *tasks.Book
+	engines map[string]*engine
+	cancels map[*tasks.Task]context.CancelFunc
+	// ended are jobs whose end is known; one may be heard before its job.
+	ended map[string]bool
+	// orders is when this node may first give orders.
+	orders time.Time
+	loaded bool
+}
+
+func newTerm(ctx context.Context, r *Runner, pool string, fence uint64) *term {
+	ctx, cancel := context.WithCancel(ctx)
+	return &term{
+		r: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
+		wake: make(chan struct{}, 1), finished: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
+		book: tasks.NewBook(), engines: map[string]*engine{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{},
+		orders: time.Now().Add(r.Turn),
+	}
+}
+
+// raise takes over the fencing token of a lease that was taken anew.
+func (t *term) raise(fence uint64) {
+	t.mu.Lock()
+	news := fence > t.fence
+	t.fence = max(t.fence, fence)
+	t.mu.Unlock()
+	if news {
+		signal(t.dirty)
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (t *term) run() {
+	follow := &mirror.Mirror{KV: t.r.KV, Prefix: vault.Jobs, Wait: followWait, Log: t.r.Log, Apply: t.apply}
+	t.jobs.Go(func() { follow.Run(t.ctx) })
+	t.jobs.Go(func() { t.commits(t.ctx) })
+	t.jobs.Go(func() { t.rotations(t.ctx) })
+	t.jobs.Go(func() { t.reconcile(t.ctx) })
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for t.ctx.Err() == nil {
+		t.plan(time.Now())
+		select {
+		case <-t.ctx.Done():
+		case <-t.wake:
+		case <-ticker.C:
+		}
+	}
+	t.jobs.Wait()
+}
+
+// apply takes jobs and ends over.
+func (t *term) apply(changed []quetzalpier.Entry, whole bool, now time.Time) {
+	var jobs []*quetzalpier.Job
+	for _, entry := range changed {
+		if entry.Deleted {
+			continue
+		}
+		news, err := vault.Decode(entry)
+		if err != nil {
+			t.r.Log.Error().Err(err).Msg("job unreadable")
+			continue
+		}
+		if news.End != "" {
+			t.end(news.End, now)
+			continue
+		}
+		if news.Job.Pool == t.pool {
+			jobs = append(jobs, news.Job)
+		}
+	}
+	for _, job := range jobs {
+		t.open(job, whole, now)
+	}
+	t.mu.Lock()
+	t.loaded = true
+	t.mu.Unlock()
+	signal(t.wake)
+}
+
+// open takes a job over. The results of one that an earlier owner may have
+// worked on are read first.
+func (t *term) open(job *quetzalpier.Job, old bool, now time.Time) {
+	t.mu.Lock()
+	skip := t.ended[job.ID] || t.book.Jobs[job.ID] != nil
+	t.mu.Unlock()
+	if skip {
+		return
+	}
+	var listed []quetzalpier.Result
+	for old && t.ctx.Err() == nil {
+		found, err := t.r.Vault.Listed(t.ctx, job.ID)
+		if err == nil {
+			listed = found
+			break
+		}
+		t.r.Log.Warn().Str("job", job.ID).Err(err).Msg("results not read")
+		sleep.For(t.ctx, loadPause)
+	}
+	job.Expires = job.Expires.Add(expireMargin)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	opened := t.book.Add(job, listed, now)
+	for _, task := range opened.Tasks {
+		if task.Phase == tasks.Scoring {
+			t.score(task)
+		}
+	}
+	t.r.Log.Info().Str("job", job.ID).Str("model", job.Model).Int("step", job.Step).Uint64("floor", uint64(job.Floor)).
+		Int("tasks", len(job.Tasks)).Int("listed", len(listed)).Dur("age_ms", now.Sub(job.Put)).Msg("job opened")
+}
+
+func (t *term) end(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended[id] = true
+	job := t.book.Jobs[id]
+	if job == nil || job.Ended {
+		return
+	}
+	t.cut(t.book.End(id, now))
+	t.r.Log.Info().Str("job", id).Int("listed", len(job.Listed)).Int("unfinished", job.Unfinished()).Int("whole", job.Whole).
+		Dur("age_ms", now.Sub(job.Spec.Put)).Msg("job ended")
+}
+
+// cut ends the runs of tasks; the caller holds the lock.
+func (t *term) cut(running []*tasks.Task) {
+	for _, task := range running {
+		task.Cut = true
+		if cancel := t.cancels[task]; cancel != nil {
+			cancel()
+		}
+	}
+}
+
+// plan starts the runs that are to start now.
+func (t *term) plan(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loaded {
+		return
+	}
+	t.refresh(now)
+	t.cut(t.book.Expire(now))
+	engines := t.list()
+	t.cut(t.book.Stuck(engines, now))
+	for _, launch := range t.book.Plan(engines, now) {
+		t.launch(launch)
+	}
+	for _, job := range t.book.Forget(t.r.History, now) {
+		t.jobs.Go(func() { t.forget(job.Spec.ID) })
+	}
+}
+
+func (t *term) forget(id string) {
+	if err := t.r.Vault.Drop(t.ctx, id); err != nil {
+		t.r.Log.Warn().Str("job", id).Err(err).Msg("old job not removed")
+	}
+}
+
+// list returns the engines in a fixed order; the caller holds the lock.
+func (t *term) list() []*tasks.Engine {
+	ids := sortedKeys(t.engines)
+	engines := make([]*tasks.Engine, 0, len(ids))
+	for _, id := range ids {
+		engines = append(engines, &t.engines[id].Engine)
+	}
+	return engines
+}
+
+// refresh takes over which engines there are; the caller holds the lock.
+func (t *term) refresh(now time.Time) {
+	live := map[string]bool{}
+	t.r.Board.Do(func(s *board.State) {
+		for id, u := range s.Upstreams {
+			if u.VM.Pool != t.pool {
+				continue
+			}
+			live[id] = true
+			vm := u.VM
+			if u.Leaving() {
+				vm.State = quetzalpier.VMLeaving
+			}
+			t.setEngine(vm)
+		}
+	})
+	for id, e := range t.engines {
+		if !live[id] && e.Running == 0 {
+			delete(t.engines, id)
+		} else if !live[id] {
+			e.VM.State = quetzalpier.VMLeaving
+		}
+	}
+}
+
+func (t *term) setEngine(vm quetzalpier.VM) {
+	e := t.engines[vm.ID]
+	if e == nil || e.VM.Born != vm.Born {
+		e = &engine{Engine: tasks.Engine{VM: vm, Versions: map[string]quetzalpier.Version{}}}
+		t.engines[vm.ID] = e
+	}
+	e.VM = vm
+	for model, version := range vm.Models {
+		e.Versions[model] = max(e.Versions[model], version)
+	}
+}
+
+// owned returns the fencing token if this node's lease holds.
+func (t *term) owned(now time.Time) (uint64, bool) { return t.r.Lease.Fence(t.pool, now) }
--- a/send/send.go
+++ b/send/send.go
@@ -250,9 +250,10 @@
 	var status *engine.StatusError
 	switch {
 	case errors.As(err, &status):
-		f.Final = !overloaded(status.Status)
+		declined := status.NotRun || overloaded(status.Status)
+		f.Final = !declined
 		f.Ran = quetzalpier.RanYes
-		if overloaded(status.Status) {
+		if declined {
 			f.Ran = quetzalpier.RanNo
 		}
 	case errors.As(err, &failed):
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -120,19 +120,32 @@
 // Parse decodes and checks settings. An Error lists all faults at once, with
 // their places.
 func Parse(file string, data []byte) (Node, error) {
-	node := Defaults()
+	return parse(file, data, Defaults(), checkNode)
+}
+
+func checkNode(node Node) []string {
+	if node.Data == "" && slices.Contains(node.Roles, RoleStore) {
+		return []string{"data: the role store needs a data folder"}
+	}
+	return nil
+}
+
+// parse decodes data over the defaults and lists every fault.
+func parse[T any](file string, data []byte, defaults T, check func(T) []string) (T, error) {
+	settings := defaults
 	decoder := toml.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&node)
+	err := decoder.Decode(&settings)
 	faults := decodeFaults(err)
 	// After a fault of syntax or type nothing further was decoded.
 	if stopped := (*toml.DecodeError)(nil); !errors.As(err, &stopped) {
-		faults = append(faults, checkFaults(node)...)
+		faults = append(faults, checkFaults(settings)...)
+		faults = append(faults, check(settings)...)
 	}
 	if len(faults) > 0 {
-		return node, &Error{File: file, Faults: faults}
+		return settings, &Error{File: file, Faults: faults}
 	}
-	return node, nil
+	return settings, nil
 }
 
 func decodeFaults(err error) []string {
@@ -156,18 +169,15 @@
 	}
 }
 
-func checkFaults(node Node) []string {
+func checkFaults(settings any) []string {
 	var faults []string
 	var found validator.ValidationErrors
-	if errors.As(newValidator().Struct(node), &found) {
+	if errors.As(newValidator().Struct(settings), &found) {
 		for _, fault := range found {
 			_, name, _ := strings.Cut(fault.Namespace(), ".")
 			faults = append(faults, fmt.Sprintf("%s: %v does not meet %s", name, show(fault.Value()), rule(fault)))
 		}
 	}
-	if node.Data == "" && slices.Contains(node.Roles, RoleStore) {
-		faults = append(faults, "data: the role store needs a data folder")
-	}
 	return faults
 }
 
--- /dev/null
+++ b/tasks/book.go
@@ -0,0 +1,365 @@
+// Package tasks decides about the tasks of open jobs: which to run next, on
+// which engine, and when their results are listed.
+package tasks
+
+import (
+	"strings"
+	"time"
+
+	"quetzalpier"
+)
+
+// Phase is how far a task has come.
+type Phase int
+
+// The phases of a task.
+const (
+	Waiting Phase = iota
+	Running
+	// Scoring tasks have their whole text and wait for their reward.
+	Scoring
+	// Finished tasks have a result.
+	Finished
+)
+
+// Text is what has been generated of a task. Versions are those that made an
+// event of it, in the order in which they came.
+type Text struct {
+	Events   []string
+	Versions []quetzalpier.Version
+}
+
+// Add appends an event that version made.
+func (t *Text) Add(event string, version quetzalpier.Version) {
+	t.Events = append(t.Events, event)
+	for _, known := range t.Versions {
+		if known == version {
+			return
+		}
+	}
+	t.Versions = append(t.Versions, version)
+}
+
+// Join is the text as it is listed.
+func (t Text) Join() string { return strings.Join(t.Events, "\n") }
+
+// Fits tells whether a job takes the text.
+func (t Text) Fits(job *quetzalpier.Job) bool {
+	if job.Single && len(t.Versions) > 1 {
+		return false
+	}
+	for _, version := range t.Versions {
+		if version < job.Floor {
+			return false
+		}
+	}
+	return true
+}
+
+// Task is the state of one task of an open job.
+type Task struct {
+	Spec *quetzalpier.Task
+	Job  *Job
+	// Group is shared with the other tasks of the same group.
+	Group *Group
+	Phase Phase
+	Text  Text
+	// Engine runs the task; Started and Moved are when its run began and when
+	// it last made an event.
+	Engine  string
+	Started time.Time
+	Moved   time.Time
+	// Failures counts the runs that the engine itself failed, Refusals the
+	// reward calls that the service failed, and Crashes the engines that went
+	// away during a run.
+	Failures int
+	Refusals int
+	Crashes  int
+	// NotBefore is when the task may run again.
+	NotBefore time.Time
+	// Cut tells that the present run was ordered to end.
+	Cut bool
+}
+
+// Group counts what is left of a group.
+type Group struct {
+	Left int
+}
+
+// Job is the state of one open job.
+type Job struct {
+	Spec  *quetzalpier.Job
+	Tasks []*Task
+	// Listed are the results in their final positions. Pending follow them
+	// once they are stored.
+	Listed  []quetzalpier.Result
+	Pending []quetzalpier.Result
+	// PendingAt is when the oldest pending result came.
+	PendingAt time.Time
+	Ended     bool
+	// Whole counts the groups of which every task is finished.
+	Whole int
+	// News is closed when results are listed or the job ends.
+	News chan struct{}
+}
+
+// carried is a text kept of an ended job, for the task's next one.
+type carried struct {
+	text   Text
+	whole  bool
+	reward string
+	score  string
+	until  time.Time
+}
+
+// carryTime is how long texts of ended jobs are kept: trainers bring groups
+// back in the next steps.
+const carryTime = 40 * time.Second
+
+// Book holds the open jobs of one pool.
+type Book struct {
+	Jobs map[string]*Job
+
+	carried map[string]carried
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{Jobs: map[string]*Job{}, carried: map[string]carried{}} }
+
+// Add opens a job of which listed results are stored already. A job that is
+// open is left as it is.
+func (b *Book) Add(spec *quetzalpier.Job, listed []quetzalpier.Result, now time.Time) *Job {
+	if known := b.Jobs[spec.ID]; known != nil {
+		return known
+	}
+	job := &Job{Spec: spec, Listed: listed, News: make(chan struct{})}
+	groups := map[string]*Group{}
+	done := make(map[string]bool, len(listed))
+	for _, result := range listed {
+		done[result.ID] = true
+	}
+	for i := range spec.Tasks {
+		task := &Task{Spec: &spec.Tasks[i], Job: job}
+		task.Group = groups[task.Spec.Group]
+		if task.Group == nil {
+			task.Group = &Group{}
+			groups[task.Spec.Group] = task.Group
+		}
+		task.Group.Left++
+		job.Tasks = append(job.Tasks, task)
+	}
+	b.Jobs[spec.ID] = job
+	for _, task := range job.Tasks {
+		if done[task.Spec.ID] {
+			task.end()
+			continue
+		}
+		b.resume(task, now)
+	}
+	return job
+}
+
+// resume gives a task the text that an earlier job left.
+func (b *Book) resume(task *Task, now time.Time) {
+	kept, ok := b.carried[task.Spec.ID]
+	if !ok || !kept.text.Fits(task.Job.Spec) {
+		return
+	}
+	delete(b.carried, task.Spec.ID)
+	task.Text = kept.text
+	if !kept.whole {
+		return
+	}
+	task.Phase = Scoring
+	if kept.score != "" && kept.reward == task.Spec.Reward.ID {
+		b.Finish(task, kept.score, now)
+	}
+}
+
+// End closes a job. It returns the tasks whose runs are to be cut.
+func (b *Book) End(id string, now time.Time) []*Task {
+	job := b.Jobs[id]
+	if job == nil || job.Ended {
+		return nil
+	}
+	job.Ended = true
+	var running []*Task
+	for _, task := range job.Tasks {
+		if task.Phase == Running {
+			task.Cut = true
+			running = append(running, task)
+		}
+		b.carry(task, now)
+	}
+	job.announce()
+	return running
+}
+
+// carry keeps the text of a task whose group was not whole.
+func (b *Book) carry(task *Task, now time.Time) {
+	if task.Group.Left == 0 || len(task.Text.Events) == 0 {
+		return
+	}
+	kept := carried{text: task.Text, whole: task.Phase >= Scoring, until: now.Add(carryTime)}
+	for _, results := range [][]quetzalpier.Result{task.Job.Listed, task.Job.Pending} {
+		for _, result := range results {
+			if result.ID == task.Spec.ID && result.Done {
+				kept.reward, kept.score = task.Spec.Reward.ID, result.Score
+			}
+		}
+	}
+	b.carried[task.Spec.ID] = kept
+}
+
+// Forget drops jobs that need not be read any more, and texts that no job
+// came back for. It returns the dropped jobs.
+func (b *Book) Forget(history time.Duration, now time.Time) []*Job {
+	var old []*Job
+	for id, job := range b.Jobs {
+		if now.Sub(job.Spec.Put) > history && (job.Ended || now.After(job.Spec.Expires)) {
+			old = append(old, job)
+			delete(b.Jobs, id)
+		}
+	}
+	for id, kept := range b.carried {
+		if now.After(kept.until) {
+			delete(b.carried, id)
+		}
+	}
+	return old
+}
+
+// Finish gives a task its result.
+func (b *Book) Finish(task *Task, score string, now time.Time) {
+	task.settle(quetzalpier.Result{
+		ID: task.Spec.ID, Done: true, Text: task.Text.Join(), Versions: task.Text.Versions, Score: score,
+	}, now)
+}
+
+// GiveUp lists a task as failed.
+func (b *Book) GiveUp(task *Task, now time.Time) {
+	task.settle(quetzalpier.Result{ID: task.Spec.ID}, now)
+}
+
+func (t *Task) settle(result quetzalpier.Result, now time.Time) {
+	if t.Phase == Finished || t.Job.Ended {
+		return
+	}
+	t.end()
+	if len(t.Job.Pending) == 0 {
+		t.Job.PendingAt = now
+	}
+	t.Job.Pending = append(t.Job.Pending, result)
+}
+
+func (t *Task) end() {
+	t.Phase = Finished
+	t.Group.Left--
+	if t.Group.Left == 0 {
+		t.Job.Whole++
+	}
+}
+
+// List notes that the first n pending results are stored.
+func (j *Job) List(n int, now time.Time) {
+	j.Listed = append(j.Listed, j.Pending[:n]...)
+	j.Pending = append([]quetzalpier.Result(nil), j.Pending[n:]...)
+	j.PendingAt = now
+	j.announce()
+}
+
+func (j *Job) announce() {
+	close(j.News)
+	j.News = make(chan struct{})
+}
+
+// Open tells whether a task may still be worked on.
+func (j *Job) Open(now time.Time) bool { return !j.Ended && now.Before(j.Spec.Expires) }
+
+// Satisfied tells whether the trainer has all that it waits for.
+func (j *Job) Satisfied() bool { return j.Whole >= j.Spec.Want && j.Spec.Want > 0 }
+
+// Expire gives up the tasks of jobs whose time is over. It returns those whose
+// runs are to be cut.
+func (b *Book) Expire(now time.Time) []*Task {
+	var running []*Task
+	for _, job := range b.Jobs {
+		if job.Ended || now.Before(job.Spec.Expires) {
+			continue
+		}
+		for _, task := range job.Tasks {
+			if task.Phase == Finished {
+				continue
+			}
+			if task.Phase == Running {
+				task.Cut = true
+				running = append(running, task)
+			}
+			b.GiveUp(task, now)
+		}
+	}
+	return running
+}
+
+// Unfinished counts the tasks that have no result yet.
+func (j *Job) Unfinished() int {
+	left := 0
+	for _, task := range j.Tasks {
+		if task.Phase != Finished {
+			left++
+		}
+	}
+	return left
+}
+
+// Due is how long the pending results may still wait for others: not at all
+// when a trainer waits for just these, at most gather otherwise.
+func (b *Book) Due(gather time.Duration, now time.Time) time.Duration {
+	due := gather
+	for _, job := range b.Jobs {
+		if len(job.Pending) == 0 {
+			continue
+		}
+		if job.Satisfied() || job.Unfinished() == 0 {
+			return 0
+		}
+		due = min(due, gather-now.Sub(job.PendingAt))
+	}
+	return due
+}
+
+// Reconcile takes over the results of a job that are stored. Results that are
+// pending here and stored there keep the stored position. It returns the tasks
+// whose runs are to be cut.
+func (b *Book) Reconcile(id string, listed []quetzalpier.Result, now time.Time) []*Task {
+	job := b.Jobs[id]
+	if job == nil || len(listed) <= len(job.Listed) {
+		return nil
+	}
+	stored := make(map[string]bool, len(listed))
+	for _, result := range listed {
+		stored[result.ID] = true
+	}
+	var pending []quetzalpier.Result
+	for _, result := range job.Pending {
+		if !stored[result.ID] {
+			pending = append(pending, result)
+		}
+	}
+	var running []*Task
+	for _, task := range job.Tasks {
+		if !stored[task.Spec.ID] || task.Phase == Finished {
+			continue
+		}
+		if task.Phase == Running {
+			task.Cut = true
+			running = append(running, task)
+		}
+		task.end()
+	}
+	job.Listed = listed
+	job.Pending = pending
+	job.PendingAt = now
+	job.announce()
+	return running
+}
--- /dev/null
+++ b/tasks/plan.go
@@ -0,0 +1,239 @@
+package tasks
+
+import (
+	"sort"
+	"time"
+
+	"quetzalpier"
+)
+
+const (
+	// defaultLength is the number of events expected of a task that gives no
+	// hint.
+	defaultLength = 16
+	// EventTokens is how many tokens an engine puts into one event.
+	EventTokens = 46
+	// defaultPace is the time of an event on an engine that has made none yet.
+	defaultPace = 35 * time.Millisecond
+	// paceWeight smooths an engine's pace.
+	paceWeight = 0.1
+	// satisfiedSlack orders tasks of jobs that have all their trainer waits
+	// for behind all others.
+	satisfiedSlack = time.Minute
+)
+
+// Engine is what the planner knows of one engine.
+type Engine struct {
+	VM quetzalpier.VM
+	// Running counts the runs on the engine, and Tokens the memory they take.
+	Running int
+	Tokens  int
+	// Pace is the moving average time of an event; zero while unknown.
+	Pace time.Duration
+	// Loading names the model whose weights are being changed; empty for none.
+	Loading string
+	// Versions are the weights by the latest evidence.
+	Versions map[string]quetzalpier.Version
+	// Failures in a row, and when the engine may be used again after them.
+	Failures int
+	NotUntil time.Time
+}
+
+// Note takes the time of one event into the engine's pace.
+func (e *Engine) Note(took time.Duration) {
+	if e.Pace == 0 {
+		e.Pace = took
+		return
+	}
+	e.Pace += time.Duration(paceWeight * float64(took-e.Pace))
+}
+
+func (e *Engine) pace() time.Duration {
+	if e.Pace == 0 {
+		return defaultPace
+	}
+	return e.Pace
+}
+
+// Room tells whether the engine may take a task of the job now.
+func (e *Engine) Room(job *quetzalpier.Job, now time.Time) bool {
+	if e.VM.State != quetzalpier.VMLive || now.Before(e.NotUntil) {
+		return false
+	}
+	if e.Running >= e.VM.Slots || e.Loading == job.Model {
+		return false
+	}
+	return e.Versions[job.Model] >= job.Floor
+}
+
+// Launch is a run to be started.
+type Launch struct {
+	Task   *Task
+	Engine *Engine
+}
+
+// Plan pairs waiting tasks with engines, the tasks with the least slack first.
+//
+// Load pattern: all tasks of a step come at once and a few of them are many
+// times as long as the rest, so that the step lasts as long as the longest
+// begun late.
+func (b *Book) Plan(engines []*Engine, now time.Time) []Launch {
+	waiting := b.waiting(now)
+	if len(waiting) == 0 {
+		return nil
+	}
+	pace := medianPace(engines)
+	sort.SliceStable(waiting, func(i, j int) bool {
+		return slack(waiting[i], pace, now) < slack(waiting[j], pace, now)
+	})
+	var launches []Launch
+	for _, task := range waiting {
+		engine := choose(engines, task, now)
+		if engine == nil {
+			continue
+		}
+		engine.Running++
+		engine.Tokens += task.Spec.Tokens
+		task.Phase = Running
+		task.Cut = false
+		task.Engine = engine.VM.ID
+		task.Started = now
+		task.Moved = now
+		launches = append(launches, Launch{task, engine})
+	}
+	return launches
+}
+
+func (b *Book) waiting(now time.Time) []*Task {
+	var waiting []*Task
+	for _, job := range b.Jobs {
+		if !job.Open(now) {
+			continue
+		}
+		for _, task := range job.Tasks {
+			if task.Phase == Waiting && !now.Before(task.NotBefore) {
+				waiting = append(waiting, task)
+			}
+		}
+	}
+	// Maps have no order; equal slack must give equal plans.
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i].Spec.ID < waiting[j].Spec.ID })
+	return waiting
+}
+
+// slack is the time to spare until the task's job is due.
+func slack(task *Task, pace time.Duration, now time.Time) time.Duration {
+	left := task.Job.Spec.Due.Sub(now) - time.Duration(task.expected())*pace
+	if task.Job.Satisfied() {
+		left += satisfiedSlack
+	}
+	return left
+}
+
+// expected is how many events the task is still expected to make.
+func (t *Task) expected() int {
+	length := defaultLength
+	if t.Spec.Hint > 0 {
+		length = (t.Spec.Hint + EventTokens - 1) / EventTokens
+	}
+	return max(1, length-len(t.Text.Events))
+}
+
+// choose returns the engine on which the task is expected to end first.
+func choose(engines []*Engine, task *Task, now time.Time) *Engine {
+	var best *Engine
+	var least time.Duration
+	for _, engine := range engines {
+		if !engine.Room(task.Job.Spec, now) {
+			continue
+		}
+		cost := engine.pace() * time.Duration(engine.Running+engine.VM.Slots)
+		if best == nil || cost < least {
+			best, least = engine, cost
+		}
+	}
+	return best
+}
+
+func medianPace(engines []*Engine) time.Duration {
+	var paces []time.Duration
+	for _, engine := range engines {
+		if engine.Pace > 0 {
+			paces = append(paces, engine.Pace)
+		}
+	}
+	if len(paces) == 0 {
+		return defaultPace
+	}
+	sort.Slice(paces, func(i, j int) bool { return paces[i] < paces[j] })
+	return paces[len(paces)/2]
+}
+
+// Stuck returns the running tasks that another engine would end well before
+// the one that runs them does: their engine has become slow or silent.
+//
+// Load pattern: a few engines take several times as long for each event, or
+// answer nothing more, while others are idle.
+func (b *Book) Stuck(engines []*Engine, now time.Time) []*Task {
+	byID := make(map[string]*Engine, len(engines))
+	for _, engine := range engines {
+		byID[engine.VM.ID] = engine
+	}
+	pace := medianPace(engines)
+	var stuck []*Task
+	for _, job := range b.Jobs {
+		if !job.Open(now) || job.Satisfied() {
+			continue
+		}
+		for _, task := range job.Tasks {
+			if task.Phase != Running || task.Cut {
+				continue
+			}
+			engine := byID[task.Engine]
+			if engine == nil || engine.Loading != "" {
+				continue
+			}
+			if !worthMoving(task, engine, engines, pace, now) {
+				continue
+			}
+			if silent(task, pace, now) {
+				engine.NotUntil = now.Add(silentPause)
+			}
+			stuck = append(stuck, task)
+		}
+	}
+	return stuck
+}
+
+const (
+	// moveCost is the time that a run loses by moving: the prompt is read anew.
+	moveCost = 150 * time.Millisecond
+	// silentEvents is how many events' time a run may be silent.
+	silentEvents = 20
+	// silentPause is how long an engine with a silent run gets no new one.
+	silentPause = 500 * time.Millisecond
+	// slowFactor is how much slower than the median an engine must be for its
+	// runs to move.
+	slowFactor = 2
+)
+
+func silent(task *Task, pace time.Duration, now time.Time) bool {
+	return now.Sub(task.Moved) > silentEvents*pace
+}
+
+func worthMoving(task *Task, engine *Engine, engines []*Engine, pace time.Duration, now time.Time) bool {
+	if !silent(task, pace, now) {
+		if engine.Pace <= slowFactor*pace || now.Sub(task.Started) < moveCost {
+			return false
+		}
+		if left := time.Duration(task.expected()); left*(engine.Pace-pace) < 2*moveCost {
+			return false
+		}
+	}
+	for _, other := range engines {
+		if other != engine && other.Room(task.Job.Spec, now) && other.pace() < slowFactor*pace {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/wire/job.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"quetzalpier"
+)
+
+// EncodeJob writes a job as it lies in the key-value service.
+func EncodeJob(job *quetzalpier.Job) ([]byte, error) {
+	message := &Job{
+		Id: job.ID, Route: job.Route, Host: job.Host, Pool: job.Pool, Step: int64(job.Step), Model: job.Model,
+		Floor: uint64(job.Floor), Want: int64(job.Want), Put: job.Put.UnixMilli(), Due: job.Due.UnixMilli(),
+		Expires: job.Expires.UnixMilli(), Attempts: int64(job.Attempts), Single: job.Single,
+	}
+	for _, task := range job.Tasks {
+		message.Tasks = append(message.Tasks, &Task{
+			Id: task.ID, Group: task.Group, Path: task.Path, Headers: task.Headers, Body: task.Body,
+			Tokens: int64(task.Tokens), Hint: int64(task.Hint), Reward: task.Reward.ID,
+			RewardHost: task.Reward.Host, RewardPath: task.Reward.Path, RewardBody: task.Reward.Body,
+		})
+	}
+	data, err := proto.Marshal(message)
+	return data, errors.Wrap(err, "encode job")
+}
+
+// DecodeJob reads a job and checks it.
+func DecodeJob(data []byte) (*quetzalpier.Job, error) {
+	message := &Job{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return nil, errors.Wrap(err, "decode job")
+	}
+	job := &quetzalpier.Job{
+		ID: message.GetId(), Route: message.GetRoute(), Host: message.GetHost(), Pool: message.GetPool(),
+		Step: int(message.GetStep()), Model: message.GetModel(), Floor: quetzalpier.Version(message.GetFloor()),
+		Want: int(message.GetWant()), Put: time.UnixMilli(message.GetPut()), Due: time.UnixMilli(message.GetDue()),
+		Expires: time.UnixMilli(message.GetExpires()), Attempts: int(message.GetAttempts()), Single: message.GetSingle(),
+	}
+	for _, task := range message.GetTasks() {
+		job.Tasks = append(job.Tasks, quetzalpier.Task{
+			ID: task.GetId(), Group: task.GetGroup(), Path: task.GetPath(), Headers: task.GetHeaders(), Body: task.GetBody(),
+			Tokens: int(task.GetTokens()), Hint: int(task.GetHint()),
+			Reward: quetzalpier.Reward{ID: task.GetReward(), Host: task.GetRewardHost(), Path: task.GetRewardPath(), Body: task.GetRewardBody()},
+		})
+	}
+	return job, job.Check()
+}
+
+// PackResults makes the messages of results.
+func PackResults(results []quetzalpier.Result) []*Result {
+	messages := make([]*Result, 0, len(results))
+	for _, result := range results {
+		message := &Result{Id: result.ID, Done: result.Done, Text: result.Text, Score: result.Score}
+		for _, version := range result.Versions {
+			message.Versions = append(message.Versions, uint64(version))
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+// UnpackResults reads the messages of results.
+func UnpackResults(messages []*Result) []quetzalpier.Result {
+	results := make([]quetzalpier.Result, 0, len(messages))
+	for _, message := range messages {
+		result := quetzalpier.Result{ID: message.GetId(), Done: message.GetDone(), Text: message.GetText(), Score: message.GetScore()}
+		for _, version := range message.GetVersions() {
+			result.Versions = append(result.Versions, quetzalpier.Version(version))
+		}
+		results = append(results, result)
+	}
+	return results
+}
+
+// EncodeListed writes a run of results as it lies in the key-value service.
+func EncodeListed(results []quetzalpier.Result) ([]byte, error) {
+	data, err := proto.Marshal(&Listed{Results: PackResults(results)})
+	return data, errors.Wrap(err, "encode results")
+}
+
+// DecodeListed reads a run of results.
+func DecodeListed(data []byte) ([]quetzalpier.Result, error) {
+	message := &Listed{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return nil, errors.Wrap(err, "decode results")
+	}
+	return UnpackResults(message.GetResults()), nil
+}
