platform, mirror, entry, swap, tasks: Write ends with a value; make fewer calls to the store

Cause of the largest price: ends of jobs were written with a null value, which the store refuses with 400; fronts tried again for 3 s, 70 calls a second.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,15 +65,16 @@
 	flight   atomic.Int64
 	draining atomic.Bool
 
-	mu   sync.Mutex
-	kept map[string]*kept
-	seen map[string]seenNode
-	rnd  rander
+	mu    sync.Mutex
+	kept  map[string]*kept
+	facts map[string]facts
+	seen  map[string]seenNode
+	rnd   rander
 }
 
 // New returns an entry that serves nothing yet.
 func New(options Options) *Entry {
-	return &Entry{Options: options, kept: map[string]*kept{}, seen: map[string]seenNode{}, rnd: newRander()}
+	return &Entry{Options: options, kept: map[string]*kept{}, facts: map[string]facts{}, seen: map[string]seenNode{}, rnd: newRander()}
 }
 
 // ServeFront serves clients' requests on addr.
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -38,6 +38,32 @@
 	at      time.Time
 }
 
+// facts are what this node knows to be stored of a job. It stays so, and
+// clients ask for the same again and again.
+type facts struct {
+	stored bool
+	ended  bool
+	at     time.Time
+}
+
+func (e *Entry) known(job string) facts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.facts[job]
+}
+
+func (e *Entry) learn(job string, ended bool, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.facts[job]
+	e.facts[job] = facts{stored: true, ended: known.ended || ended, at: now}
+	for id, old := range e.facts {
+		if now.Sub(old.at) > e.History {
+			delete(e.facts, id)
+		}
+	}
+}
+
 // submit takes a job: it exists once its key is created.
 func (e *Entry) submit(c *fasthttp.RequestCtx, r *request, route *quetzalpier.Route) {
 	if r.method != http.MethodPost {
@@ -53,11 +79,15 @@
 	if r.deadline.Before(limit) {
 		limit = r.deadline
 	}
-	again, err := e.put(job, limit)
+	again, err := true, error(nil)
+	if !e.known(job.ID).stored {
+		again, err = e.put(job, limit)
+	}
 	if err != nil {
 		e.refuse(c, r, err)
 		return
 	}
+	e.learn(job.ID, false, r.start)
 	c.SetStatusCode(http.StatusAccepted)
 	e.Log.Info().Str("job", job.ID).Str("route", route.Name).Int("step", job.Step).Str("model", job.Model).
 		Uint64("floor", uint64(job.Floor)).Int("tasks", len(job.Tasks)).Bool("again", again).
@@ -96,12 +126,16 @@
 
 // end ends a job: no task of it is worked on once its owner hears of the key.
 func (e *Entry) end(c *fasthttp.RequestCtx, r *request, call platform.Call) {
+	if e.known(call.Job).ended {
+		return
+	}
 	limit := r.start.Add(endWait)
 	for {
 		ctx, cancel := context.WithDeadline(context.Background(), earlier(limit, time.Now().Add(storeCall)))
 		err := e.Vault.End(ctx, call.Job)
 		cancel()
 		if err == nil {
+			e.learn(call.Job, true, r.start)
 			e.Log.Info().Str("job", call.Job).Dur("took_ms", time.Since(r.start)).Msg("job end stored")
 			return
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,10 +38,13 @@
 	leaseLife   = 2500 * time.Millisecond
 	leaseEvery  = 600 * time.Millisecond
 	leaseMargin = 400 * time.Millisecond
-	// watchWait is how long one watch waits. A watch on a connection that went
-	// silent ends a little later, within the time that a node may be out of
-	// touch.
-	watchWait = 3 * time.Second
+	// watchWait is how long one watch waits; the platform allows 30 s. Whether
+	// the connections still work shows in the lease's renewals.
+	watchWait = 25 * time.Second
+	// workersGap is the least time between two watches of the upstreams, whose
+	// entries change with every heartbeat. News of them must be in force in two
+	// seconds.
+	workersGap = 900 * time.Millisecond
 	// logLines bounds the lines that wait to be written; more are dropped and
 	// counted.
 	logLines = 4096
@@ -63,7 +66,7 @@
 	Meter    *meter.Meter
 	Log      zerolog.Logger
 
-	kv      quetzalpier.KV
+	kv      *platform.KV
 	lease   *lease.Holder
 	mesh    *peer.Mesh
 	links   *link.Links
@@ -119,6 +122,7 @@
 	n.workers = n.mirror(platform.PrefixWorkers, func(changed []quetzalpier.Entry, whole bool, now time.Time) {
 		n.vms.apply(changed, whole, n.workers.State(), now)
 	})
+	n.workers.Gap = workersGap
 	store := &vault.Vault{KV: n.kv}
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: store, Lease: n.lease, Links: n.links, Sender: n.sender,
@@ -181,7 +185,7 @@
 	owning, resign := context.WithCancel(work)
 	defer resign()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.news.Run, n.workers.Run, n.sender.Run, n.register, n.vms.run,
+		n.nodes.Run, n.news.Run, n.watchWorkers, n.sender.Run, n.register, n.vms.run,
 	} {
 		n.running.Go(func() { run(work) })
 	}
@@ -191,6 +195,8 @@
 	n.await(ctx, func() { resign(); runs.Wait() })
 	n.stop(resign, &runs)
 	cancel()
+	n.unregister()
+	n.kv.Reset()
 	n.running.Wait()
 	n.mesh.Close()
 	n.links.Close()
@@ -198,6 +204,18 @@
 	_ = n.logs.Close()
 }
 
+// watchWorkers follows the upstreams once the node sends work to any.
+func (n *Node) watchWorkers(ctx context.Context) {
+	if n.Settings.Front == "" {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.runner.Holding():
+		}
+	}
+	n.workers.Run(ctx)
+}
+
 // await waits for the stop; a node that is to be emptied gives its pools up
 // meanwhile.
 func (n *Node) await(ctx context.Context, resign func()) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -26,11 +26,14 @@
 type Mirror struct {
 	KV     quetzalpier.KV
 	Prefix string
-	// Wait is how long one watch waits for news.
+	// Wait is how long one watch waits for news, and Gap the least time between
+	// two watches: each is a call that the platform counts, and keys that change
+	// all the time would make as many.
 	Wait time.Duration
+	Gap  time.Duration
 	Log  zerolog.Logger
 	// Apply is told of every change. Whole tells that changed holds all keys
-	// there are, not only those that changed. It must not block.
+	// there are, not only those that changed.
 	Apply func(changed []quetzalpier.Entry, whole bool, now time.Time)
 
 	mu       sync.Mutex
@@ -61,6 +64,7 @@
 	known := false
 	failures := 0
 	for ctx.Err() == nil {
+		start := time.Now()
 		changes, err := m.next(ctx, known, rev)
 		now := time.Now()
 		m.note(err, now)
@@ -72,6 +76,7 @@
 				m.Apply(changes.Entries, !known, now)
 			}
 			known, rev = true, changes.Rev
+			sleep.For(ctx, m.Gap-now.Sub(start))
 		case errors.As(err, &gone):
 			known = false
 		default:
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -68,14 +68,14 @@
 			continue
 		}
 		usable++
-		seat := swap.Seat{ID: id, Version: e.Versions[model], Running: e.Running, Busy: e.Loading != "" || now.Before(e.NotUntil)}
+		seat := swap.Seat{ID: id, Version: e.Versions[model], Running: t.runs(id, model), Busy: e.Loading != "" || now.Before(e.NotUntil)}
 		if e.Loading == model {
 			seat.Loading = e.target
 		}
 		seats = append(seats, seat)
 	}
-	room := max(loadsAtOnce, usable/loadShare) - loading
-	for _, id := range swap.Rotate(seats, target, t.floor(model, target), room) {
+	turn := swap.Turn{Target: target, Floor: t.floor(model, target), Next: t.next(model, target), Room: max(loadsAtOnce, usable/loadShare) - loading}
+	for _, id := range swap.Rotate(seats, turn) {
 		e := t.engines[id]
 		e.Loading, e.target = model, target
 		order := platform.Swap{Model: model, Version: target, Hold: t.single(e, model), Node: t.r.Lease.Node, Fence: fence}
@@ -83,8 +83,7 @@
 	}
 }
 
-// floor is the oldest version that the newest job of the model takes; the next
-// one will take one more.
+// floor is the oldest version that the newest job of the model takes.
 func (t *term) floor(model string, target quetzalpier.Version) quetzalpier.Version {
 	floor := target - 1
 	newest := time.Time{}
@@ -96,6 +95,37 @@
 	return floor
 }
 
+// learnLag notes how old weights a job takes. The first jobs of a model, which
+// take its first version, show less of it.
+func (t *term) learnLag(job *quetzalpier.Job) {
+	var target quetzalpier.Version
+	t.r.Board.Do(func(s *board.State) { target = s.Targets[job.Model] })
+	if target >= job.Floor {
+		t.lags[job.Model] = max(t.lags[job.Model], target-job.Floor)
+	}
+}
+
+// next is the oldest version that the next job of the model will take, once a
+// newer version than target is named.
+func (t *term) next(model string, target quetzalpier.Version) quetzalpier.Version {
+	lag, known := t.lags[model]
+	if !known || lag == 0 || target <= lag {
+		return 0
+	}
+	return target + 1 - lag
+}
+
+// runs counts the runs of the model on an engine.
+func (t *term) runs(id, model string) int {
+	count := 0
+	for task := range t.cancels {
+		if task.Engine == id && task.Job.Spec.Model == model {
+			count++
+		}
+	}
+	return count
+}
+
 // single tells whether a run on the engine must be made by one version alone.
 func (t *term) single(e *engine, model string) bool {
 	for _, job := range t.book.Jobs {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -60,6 +60,18 @@
 	terms     map[string]*term
 	ownerless map[string]time.Time
 	workers   conc.WaitGroup
+	holding   chan struct{}
+	once      sync.Once
+}
+
+// Holding returns a channel that is closed once this node holds a pool.
+func (r *Runner) Holding() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.holding == nil {
+		r.holding = make(chan struct{})
+	}
+	return r.holding
 }
 
 // Run takes pools without an owner over and holds them, until ctx ends. Then
@@ -192,6 +204,8 @@
 
 func (r *Runner) start(ctx context.Context, pool string, fence uint64) {
 	t := newTerm(ctx, r, pool, fence)
+	r.Holding()
+	r.once.Do(func() { close(r.holding) })
 	r.mu.Lock()
 	r.terms[pool] = t
 	r.mu.Unlock()
--- a/runner/term.go
+++ b/runner/term.go
@@ -19,7 +19,7 @@
 	// planEvery bounds the time between two looks at the waiting tasks.
 	planEvery = 50 * time.Millisecond
 	// followWait is how long one watch for jobs waits.
-	followWait = 3 * time.Second
+	followWait = 25 * time.Second
 	loadPause  = 100 * time.Millisecond
 	// expireMargin is added to the life of tasks, since the time of day differs
 	// between VMs.
@@ -56,6 +56,9 @@
 	ended map[string]bool
 	// orders is when this node may first give orders.
 	orders time.Time
+	// lags are, for each model, how many versions older than the newest one
+	// its jobs take.
+	lags   map[string]quetzalpier.Version
 	loaded bool
 }
 
@@ -66,6 +69,7 @@
 		wake: make(chan struct{}, 1), finished: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		book: tasks.NewBook(), engines: map[string]*engine{},
 		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{},
+		lags:   map[string]quetzalpier.Version{},
 		orders: time.Now().Add(r.Turn),
 	}
 }
@@ -159,6 +163,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	opened := t.book.Add(job, listed, now)
+	t.learnLag(job)
 	for _, task := range opened.Tasks {
 		if task.Phase == tasks.Scoring {
 			t.score(task)
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -17,6 +17,12 @@
 	defaultPace = 35 * time.Millisecond
 	// paceWeight smooths an engine's pace.
 	paceWeight = 0.1
+	// longTask is from how many events on a task lasts for more than half of the
+	// time between two steps, and lastUse the price of putting it on an engine
+	// whose version the next step does not take: the run would keep the engine
+	// from new weights.
+	longTask = 60
+	lastUse  = 300 * time.Millisecond
 	// satisfiedSlack orders tasks of jobs that have all their trainer waits
 	// for behind all others.
 	satisfiedSlack = time.Minute
@@ -148,6 +154,9 @@
 			continue
 		}
 		cost := engine.pace() * time.Duration(engine.Running+engine.VM.Slots)
+		if engine.Versions[task.Job.Spec.Model] <= task.Job.Spec.Floor && task.expected() > longTask {
+			cost += lastUse
+		}
 		if best == nil || cost < least {
 			best, least = engine, cost
 		}
@@ -180,29 +189,72 @@
 		byID[engine.VM.ID] = engine
 	}
 	pace := medianPace(engines)
+	rooms := newRooms(engines, pace)
 	var stuck []*Task
+	for _, task := range b.running(now) {
+		engine := byID[task.Engine]
+		if engine == nil || engine.Loading == task.Job.Spec.Model || !worthMoving(task, engine, pace, now) {
+			continue
+		}
+		if silent(task, pace, now) {
+			engine.NotUntil = now.Add(silentPause)
+		}
+		if rooms.take(engine, task.Job.Spec, now) {
+			stuck = append(stuck, task)
+		}
+	}
+	return stuck
+}
+
+// running returns the running tasks whose results are still wanted, those with
+// the most left to do first.
+func (b *Book) running(now time.Time) []*Task {
+	var running []*Task
 	for _, job := range b.Jobs {
 		if !job.Open(now) || job.Satisfied() {
 			continue
 		}
 		for _, task := range job.Tasks {
-			if task.Phase != Running || task.Cut {
-				continue
-			}
-			engine := byID[task.Engine]
-			if engine == nil || engine.Loading != "" {
-				continue
-			}
-			if !worthMoving(task, engine, engines, pace, now) {
-				continue
+			if task.Phase == Running && !task.Cut {
+				running = append(running, task)
 			}
-			if silent(task, pace, now) {
-				engine.NotUntil = now.Add(silentPause)
-			}
-			stuck = append(stuck, task)
 		}
 	}
-	return stuck
+	sort.Slice(running, func(i, j int) bool {
+		if left, other := running[i].expected(), running[j].expected(); left != other {
+			return left > other
+		}
+		return running[i].Spec.ID < running[j].Spec.ID
+	})
+	return running
+}
+
+// rooms are the free slots of engines that are not slow.
+type rooms struct {
+	engines []*Engine
+	free    []int
+}
+
+func newRooms(engines []*Engine, pace time.Duration) *rooms {
+	r := &rooms{}
+	for _, engine := range engines {
+		if engine.pace() < slowFactor*pace {
+			r.engines = append(r.engines, engine)
+			r.free = append(r.free, engine.VM.Slots-engine.Running)
+		}
+	}
+	return r
+}
+
+// take takes a free slot for a task of the job that runs on another engine.
+func (r *rooms) take(from *Engine, job *quetzalpier.Job, now time.Time) bool {
+	for i, engine := range r.engines {
+		if engine != from && r.free[i] > 0 && engine.Room(job, now) {
+			r.free[i]--
+			return true
+		}
+	}
+	return false
 }
 
 const (
@@ -221,19 +273,14 @@
 	return now.Sub(task.Moved) > silentEvents*pace
 }
 
-func worthMoving(task *Task, engine *Engine, engines []*Engine, pace time.Duration, now time.Time) bool {
-	if !silent(task, pace, now) {
-		if engine.Pace <= slowFactor*pace || now.Sub(task.Started) < moveCost {
-			return false
-		}
-		if left := time.Duration(task.expected()); left*(engine.Pace-pace) < 2*moveCost {
-			return false
-		}
+// worthMoving tells whether the task would end sooner on an engine of the
+// median pace.
+func worthMoving(task *Task, engine *Engine, pace time.Duration, now time.Time) bool {
+	if silent(task, pace, now) {
+		return true
 	}
-	for _, other := range engines {
-		if other != engine && other.Room(task.Job.Spec, now) && other.pace() < slowFactor*pace {
-			return true
-		}
+	if engine.Pace <= slowFactor*pace || now.Sub(task.Started) < moveCost {
+		return false
 	}
-	return false
+	return time.Duration(task.expected())*(engine.Pace-pace) > 2*moveCost
 }
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -58,7 +58,7 @@
 
 // End ends a job. Ending it again changes nothing.
 func (v *Vault) End(ctx context.Context, id string) error {
-	_, err := v.KV.Swap(ctx, prefixEnd+id, nil, 0, "")
+	_, err := v.KV.Swap(ctx, prefixEnd+id, []byte("ended"), 0, "")
 	var ended *quetzalpier.SwapError
 	if errors.As(err, &ended) {
 		return nil
