--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"quetzalpier/mirror"
 	"quetzalpier/peer"
 	"quetzalpier/platform"
+	"quetzalpier/relay"
 	"quetzalpier/runner"
 	"quetzalpier/send"
 	"quetzalpier/setup"
@@ -35,9 +36,9 @@
 const (
 	// leaseLife bounds how long a dead node is believed to be alive; renewals
 	// come often enough to outlast a slow store.
-	leaseLife   = 2500 * time.Millisecond
-	leaseEvery  = 600 * time.Millisecond
-	leaseMargin = 400 * time.Millisecond
+	leaseLife   = 1800 * time.Millisecond
+	leaseEvery  = 500 * time.Millisecond
+	leaseMargin = 300 * time.Millisecond
 	// watchWait is how long one watch waits; the platform allows 30 s. Whether
 	// the connections still work shows in the lease's renewals.
 	watchWait = 25 * time.Second
@@ -66,7 +67,7 @@
 	Meter    *meter.Meter
 	Log      zerolog.Logger
 
-	kv      *platform.KV
+	kv      *relay.KV
 	lease   *lease.Holder
 	mesh    *peer.Mesh
 	links   *link.Links
@@ -88,7 +89,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
-	n := &Node{Settings: settings, Meter: meter.New(), kv: platform.NewKV(settings.KV)}
+	n := &Node{Settings: settings, Meter: meter.New()}
 	n.openLog(out, level)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory<<20)))
 	n.Board = board.New(board.Member{
@@ -111,6 +112,8 @@
 
 func (n *Node) open() error {
 	seed := hash.Text(n.Settings.Name + time.Now().String())
+	direct := platform.NewKV(n.Settings.KV)
+	n.kv = &relay.KV{Direct: direct, Peers: n.peers, Call: n.call, Reset: direct.Reset, Log: n.Log}
 	n.lease = &lease.Holder{
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, Life: leaseLife, Every: leaseEvery, Margin: leaseMargin,
 	}
@@ -126,20 +129,25 @@
 	store := &vault.Vault{KV: n.kv}
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: store, Lease: n.lease, Links: n.links, Sender: n.sender,
-		Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Turn: n.Settings.Turn.D(), History: n.Settings.History.D(),
+		Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.call, Turn: n.Settings.Turn.D(), History: n.Settings.History.D(),
 	}
+	n.entry = entry.New(entry.Options{
+		Board: n.Board, Sender: n.sender, Links: n.links, Vault: store, Meter: n.Meter, Log: n.Log,
+		Call: n.call, Keep: n.Settings.Keep.D(), History: n.Settings.History.D(), Steady: n.steady,
+	})
+	// Other nodes' calls reach what was made above.
 	mesh, err := peer.Open(n.Settings.Peer, n.handle)
 	if err != nil {
 		return err
 	}
 	n.mesh = mesh
-	n.entry = entry.New(entry.Options{
-		Board: n.Board, Sender: n.sender, Links: n.links, Vault: store, Meter: n.Meter, Log: n.Log,
-		Call: mesh.Call, Keep: n.Settings.Keep.D(), History: n.Settings.History.D(), Steady: n.steady,
-	})
 	return n.serve()
 }
 
+func (n *Node) call(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
+	return n.mesh.Call(ctx, addr, call)
+}
+
 func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
 	return &mirror.Mirror{KV: n.kv, Prefix: prefix, Wait: watchWait, Log: n.Log, Apply: apply}
 }
@@ -175,9 +183,29 @@
 	if read := call.GetRead(); read != nil {
 		return &wire.Reply{Kind: &wire.Reply_Results{Results: n.runner.Read(ctx, read)}}
 	}
+	if store := call.GetStore(); store != nil {
+		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
+	}
+	if hold := call.GetHold(); hold != nil {
+		sleep.For(ctx, time.Duration(hold.GetWait())*time.Millisecond)
+		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+	}
 	return &wire.Reply{Fault: "unknown call"}
 }
 
+// peers are the other nodes' addresses.
+func (n *Node) peers() []string {
+	var peers []string
+	n.Board.Do(func(s *board.State) {
+		for id, m := range s.Members {
+			if id != s.Self.ID {
+				peers = append(peers, m.Peer)
+			}
+		}
+	})
+	return peers
+}
+
 // Run runs the node until ctx ends, then stops it as planned.
 func (n *Node) Run(ctx context.Context) {
 	work, cancel := context.WithCancel(context.Background())
@@ -185,7 +213,7 @@
 	owning, resign := context.WithCancel(work)
 	defer resign()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.news.Run, n.watchWorkers, n.sender.Run, n.register, n.vms.run,
+		n.nodes.Run, n.news.Run, n.watchWorkers, n.kv.Run, n.sender.Run, n.register, n.vms.run,
 	} {
 		n.running.Go(func() { run(work) })
 	}
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -50,23 +50,11 @@
 		}
 		if err != nil {
 			n.Log.Debug().Err(err).Msg("node not registered")
-			n.resetIfSilent(err)
 		}
 		sleep.For(ctx, registerEvery)
 	}
 }
 
-// resetIfSilent opens new connections to the store when one of them did not
-// answer: all of them may have gone silent, and a watch takes long to notice.
-func (n *Node) resetIfSilent(err error) {
-	var unsure *quetzalpier.UnsureError
-	if !errors.As(err, &unsure) {
-		return
-	}
-	n.Log.Warn().Err(err).Msg("connections to the platform's store are opened anew")
-	n.kv.Reset()
-}
-
 func (n *Node) keepLease(ctx context.Context, now time.Time) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerCall)
 	defer cancel()
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,265 @@
+// Package relay reaches the platform's key-value service through other nodes
+// while the service turns this node away or a partition lies between. The
+// service alone decides; a relayed call has the same three outcomes.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"quetzalpier"
+	"quetzalpier/sleep"
+	"quetzalpier/wire"
+)
+
+const (
+	// directTimeout bounds a direct call while nothing is known to be wrong; a
+	// slow store answers in 0.3 s.
+	directTimeout = 700 * time.Millisecond
+	// probeEvery is the time between two looks at the direct way while it fails.
+	probeEvery = 400 * time.Millisecond
+	// relayedWatch bounds a watch through another node, so that this node
+	// returns to its own soon.
+	relayedWatch = time.Second
+	// relayTimeout bounds a call through another node.
+	relayTimeout = 900 * time.Millisecond
+	// peersTried is how many nodes are asked for one call.
+	peersTried = 2
+)
+
+// KV is a key-value service that is reached directly or through other nodes.
+type KV struct {
+	Direct quetzalpier.KV
+	// Peers returns the addresses of nodes to ask.
+	Peers func() []string
+	// Call makes a call to another node.
+	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
+	// Reset drops the direct connections, as when one of them did not answer.
+	Reset func()
+	Log   zerolog.Logger
+
+	mu     sync.Mutex
+	failed bool
+}
+
+var _ quetzalpier.KV = (*KV)(nil)
+
+// Failed tells whether the service turned this node's last direct call away.
+func (k *KV) Failed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.failed
+}
+
+// Get implements quetzalpier.KV.
+func (k *KV) Get(ctx context.Context, key string) (entry quetzalpier.Entry, err error) {
+	err = k.do(ctx, directTimeout, true, func(ctx context.Context) error {
+		entry, err = k.Direct.Get(ctx, key)
+		return err
+	}, &wire.Store{Get: key}, func(s *wire.Stored) {
+		entry = quetzalpier.Entry{Key: key}
+		for _, found := range wire.UnpackEntries(s.GetEntries()) {
+			entry = found
+		}
+	})
+	return entry, err
+}
+
+// Range implements quetzalpier.KV.
+func (k *KV) Range(ctx context.Context, prefix string, stale bool) (found quetzalpier.Changes, err error) {
+	err = k.do(ctx, 3*directTimeout, true, func(ctx context.Context) error {
+		found, err = k.Direct.Range(ctx, prefix, stale)
+		return err
+	}, &wire.Store{Range: prefix}, func(s *wire.Stored) {
+		found = quetzalpier.Changes{Entries: wire.UnpackEntries(s.GetEntries()), Rev: s.GetRev()}
+	})
+	return found, err
+}
+
+// Follow implements quetzalpier.KV.
+func (k *KV) Follow(ctx context.Context, prefix string, rev uint64, wait time.Duration) (found quetzalpier.Changes, err error) {
+	message := &wire.Store{Follow: &wire.Follow{Prefix: prefix, Rev: rev, Wait: uint64(min(wait, relayedWatch).Milliseconds())}}
+	err = k.do(ctx, wait+directTimeout, true, func(ctx context.Context) error {
+		found, err = k.Direct.Follow(ctx, prefix, rev, wait)
+		return err
+	}, message, func(s *wire.Stored) {
+		found = quetzalpier.Changes{Entries: wire.UnpackEntries(s.GetEntries()), Rev: s.GetRev()}
+	})
+	return found, err
+}
+
+// Commit implements quetzalpier.KV.
+func (k *KV) Commit(ctx context.Context, txn quetzalpier.Txn) (rev uint64, err error) {
+	err = k.do(ctx, 2*directTimeout, false, func(ctx context.Context) error {
+		rev, err = k.Direct.Commit(ctx, txn)
+		return err
+	}, &wire.Store{Commit: wire.PackTxn(txn)}, func(s *wire.Stored) { rev = s.GetRev() })
+	return rev, err
+}
+
+// Swap implements quetzalpier.KV.
+func (k *KV) Swap(ctx context.Context, key string, value []byte, rev uint64, lease string) (uint64, error) {
+	return k.Commit(ctx, quetzalpier.Txn{
+		Expect: map[string]uint64{key: rev},
+		Writes: []quetzalpier.Write{{Key: key, Value: value, Lease: lease}},
+	})
+}
+
+// Delete implements quetzalpier.KV.
+func (k *KV) Delete(ctx context.Context, key string, rev uint64) error {
+	_, err := k.Commit(ctx, quetzalpier.Txn{Expect: map[string]uint64{key: rev}, Deletes: []string{key}})
+	return err
+}
+
+// Watch implements quetzalpier.KV, directly only.
+func (k *KV) Watch(ctx context.Context, key string, rev uint64, wait time.Duration) (quetzalpier.Entry, error) {
+	return k.Direct.Watch(ctx, key, rev, wait)
+}
+
+// Grant implements quetzalpier.KV.
+func (k *KV) Grant(ctx context.Context, ttl time.Duration) (lease string, err error) {
+	err = k.do(ctx, directTimeout, true, func(ctx context.Context) error {
+		lease, err = k.Direct.Grant(ctx, ttl)
+		return err
+	}, &wire.Store{Grant: uint64(ttl.Milliseconds())}, func(s *wire.Stored) { lease = s.GetLease() })
+	return lease, err
+}
+
+// Renew implements quetzalpier.KV.
+func (k *KV) Renew(ctx context.Context, lease string) error {
+	return k.do(ctx, directTimeout, true, func(ctx context.Context) error {
+		return k.Direct.Renew(ctx, lease)
+	}, &wire.Store{Renew: lease}, func(*wire.Stored) {})
+}
+
+// Release implements quetzalpier.KV, directly only.
+func (k *KV) Release(ctx context.Context, lease string) error { return k.Direct.Release(ctx, lease) }
+
+// do makes a call directly, and through other nodes if that fails. A call that
+// may have taken effect is not repeated unless repeating it does no harm.
+func (k *KV) do(ctx context.Context, timeout time.Duration, harmless bool, call func(context.Context) error, message *wire.Store, take func(*wire.Stored)) error {
+	var err error
+	direct := !k.Failed()
+	if direct {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		err = call(limited)
+		cancel()
+		k.note(err)
+		if !turnedAway(err) || (unsure(err) && !harmless) {
+			return err
+		}
+	}
+	relayed := k.relay(ctx, message, take)
+	if direct && refused(relayed) {
+		return err
+	}
+	return relayed
+}
+
+// note takes over whether the direct way works.
+func (k *KV) note(err error) {
+	failed := turnedAway(err)
+	k.mu.Lock()
+	changed := failed != k.failed
+	k.failed = failed
+	k.mu.Unlock()
+	if !changed {
+		return
+	}
+	k.Log.Warn().Bool("lost", failed).AnErr("cause", err).Msg("direct way to the platform's store")
+	if unsure(err) {
+		k.Reset()
+	}
+}
+
+// Run looks whether the direct way works again while it fails, until ctx ends.
+func (k *KV) Run(ctx context.Context) {
+	for sleep.For(ctx, probeEvery) {
+		if !k.Failed() {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, directTimeout)
+		_, err := k.Direct.Get(limited, probeKey)
+		cancel()
+		k.note(err)
+	}
+}
+
+// probeKey is read to see whether the service answers; it need not exist.
+const probeKey = "sys/probe"
+
+func (k *KV) relay(ctx context.Context, message *wire.Store, take func(*wire.Stored)) error {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout+time.Duration(message.GetFollow().GetWait())*time.Millisecond)
+	defer cancel()
+	var err error = &quetzalpier.RefusedError{Call: "relay", Reason: "no other node to ask"}
+	peers := k.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), peersTried)] {
+		reply, callErr := k.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Store{Store: message}})
+		if callErr != nil {
+			return &quetzalpier.UnsureError{Call: "relay by " + peer, Reason: callErr.Error()}
+		}
+		stored := reply.GetStored()
+		if err = wire.UnpackFailure("relay by "+peer, stored.GetFailure()); err == nil {
+			take(stored)
+			return nil
+		}
+		if !refused(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// Serve makes a call for another node, directly only.
+func (k *KV) Serve(ctx context.Context, message *wire.Store) *wire.Stored {
+	if k.Failed() {
+		return &wire.Stored{Failure: wire.PackFailure(&quetzalpier.RefusedError{Reason: "the service turns this node away, too"})}
+	}
+	stored := &wire.Stored{}
+	var err error
+	switch {
+	case message.GetCommit() != nil:
+		stored.Rev, err = k.Direct.Commit(ctx, wire.UnpackTxn(message.GetCommit()))
+	case message.GetGet() != "":
+		var entry quetzalpier.Entry
+		if entry, err = k.Direct.Get(ctx, message.GetGet()); err == nil && entry.Rev != 0 {
+			stored.Entries = wire.PackEntries([]quetzalpier.Entry{entry})
+		}
+	case message.GetRange() != "":
+		var found quetzalpier.Changes
+		found, err = k.Direct.Range(ctx, message.GetRange(), false)
+		stored.Entries, stored.Rev = wire.PackEntries(found.Entries), found.Rev
+	case message.GetFollow() != nil:
+		var found quetzalpier.Changes
+		follow := message.GetFollow()
+		found, err = k.Direct.Follow(ctx, follow.GetPrefix(), follow.GetRev(), time.Duration(follow.GetWait())*time.Millisecond)
+		stored.Entries, stored.Rev = wire.PackEntries(found.Entries), found.Rev
+	case message.GetRenew() != "":
+		err = k.Direct.Renew(ctx, message.GetRenew())
+	case message.GetGrant() != 0:
+		stored.Lease, err = k.Direct.Grant(ctx, time.Duration(message.GetGrant())*time.Millisecond)
+	default:
+		err = &quetzalpier.RefusedError{Call: "relay", Reason: "no call given"}
+	}
+	stored.Failure = wire.PackFailure(err)
+	return stored
+}
+
+// turnedAway tells whether the service did not answer or refused to serve.
+func turnedAway(err error) bool { return unsure(err) || refused(err) }
+
+func unsure(err error) bool {
+	var u *quetzalpier.UnsureError
+	return errors.As(err, &u)
+}
+
+func refused(err error) bool {
+	var r *quetzalpier.RefusedError
+	return errors.As(err, &r)
+}
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -152,10 +152,12 @@
 	return ids
 }
 
-// last stores what is finished before the pool is given up.
+// last stores what is finished, and what there is of the rest, before the pool
+// is given up.
 func (t *term) last() {
 	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
 	defer cancel()
+	t.save(ctx, 1)
 	t.mu.Lock()
 	pages := t.pages()
 	t.mu.Unlock()
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -16,8 +16,12 @@
 
 const (
 	rotateEvery = 50 * time.Millisecond
-	// reportEvery is the time between two looks at an engine that loads.
-	reportEvery = 250 * time.Millisecond
+	// reportEvery is the time between two looks at an engine that is about to
+	// have loaded; its report is some hundred milliseconds old.
+	reportEvery = 100 * time.Millisecond
+	// loadEarly is how much earlier than usual the first look is.
+	loadEarly  = 150 * time.Millisecond
+	loadWeight = 0.2
 	// loadLimit is how long a load may take before the engine is ordered anew.
 	loadLimit = 5 * time.Second
 	// loadsAtOnce is how many loads the weight store bears at a time, or one in
@@ -74,7 +78,8 @@
 		}
 		seats = append(seats, seat)
 	}
-	turn := swap.Turn{Target: target, Floor: t.floor(model, target), Next: t.next(model, target), Room: max(loadsAtOnce, usable/loadShare) - loading}
+	floor := t.floor(model, target)
+	turn := swap.Turn{Target: target, Floor: floor, Next: next(target, floor), Room: max(loadsAtOnce, usable/loadShare) - loading}
 	for _, id := range swap.Rotate(seats, turn) {
 		e := t.engines[id]
 		e.Loading, e.target = model, target
@@ -95,24 +100,14 @@
 	return floor
 }
 
-// learnLag notes how old weights a job takes. The first jobs of a model, which
-// take its first version, show less of it.
-func (t *term) learnLag(job *quetzalpier.Job) {
-	var target quetzalpier.Version
-	t.r.Board.Do(func(s *board.State) { target = s.Targets[job.Model] })
-	if target >= job.Floor {
-		t.lags[job.Model] = max(t.lags[job.Model], target-job.Floor)
-	}
-}
-
-// next is the oldest version that the next job of the model will take, once a
-// newer version than target is named.
-func (t *term) next(model string, target quetzalpier.Version) quetzalpier.Version {
-	lag, known := t.lags[model]
-	if !known || lag == 0 || target <= lag {
+// next is the oldest version that the next job of the model is expected to
+// take: one more than the newest job, whose floor rises by one a step. The
+// first steps take the first version whatever they allow, and tell nothing.
+func next(target, floor quetzalpier.Version) quetzalpier.Version {
+	if floor <= 1 && target < floor+2 {
 		return 0
 	}
-	return target + 1 - lag
+	return min(target, floor+1)
 }
 
 // runs counts the runs of the model on an engine.
@@ -158,6 +153,7 @@
 		e.NotUntil = now.Add(failedOrder)
 	} else {
 		e.Versions[order.Model] = max(e.Versions[order.Model], order.Version)
+		t.noteLoad(now.Sub(start))
 	}
 	t.r.Meter.Orders.WithLabelValues(t.pool, outcome).Inc()
 	t.r.Log.Info().Str("engine", vm.ID).Str("model", order.Model).Uint64("version", uint64(order.Version)).
@@ -189,6 +185,7 @@
 			}
 		}
 	}
+	sleep.For(ctx, max(reportEvery, t.loadTime()))
 	for sleep.For(ctx, reportEvery) {
 		report, err := t.r.Engines.Report(ctx, vm)
 		switch {
@@ -196,7 +193,7 @@
 			return err
 		case report.Versions[order.Model] >= order.Version:
 			return nil
-		case !report.Busy && time.Since(start) > 2*reportEvery:
+		case !report.Busy:
 			return errors.New("the order did not take hold")
 		case time.Since(start) > loadLimit:
 			return errors.New("the load takes too long")
@@ -204,3 +201,19 @@
 	}
 	return ctx.Err()
 }
+
+// noteLoad takes the time of a load into the moving average.
+func (t *term) noteLoad(took time.Duration) {
+	if t.load == 0 {
+		t.load = took
+		return
+	}
+	t.load += time.Duration(loadWeight * float64(took-t.load))
+}
+
+// loadTime is how long a load surely takes, by those before it.
+func (t *term) loadTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load - loadEarly
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -22,6 +22,7 @@
 	"quetzalpier/send"
 	"quetzalpier/sleep"
 	"quetzalpier/vault"
+	"quetzalpier/wire"
 )
 
 const (
@@ -51,6 +52,8 @@
 	Engines *platform.Engines
 	Meter   *meter.Meter
 	Log     zerolog.Logger
+	// Call makes a call to another node.
+	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
 	// Turn is the least time between orders to one engine from two nodes.
 	Turn time.Duration
 	// History is how long results stay readable after a job's submission.
@@ -79,9 +82,14 @@
 func (r *Runner) Run(ctx context.Context) {
 	r.terms = map[string]*term{}
 	r.ownerless = map[string]time.Time{}
+	guards := map[string]bool{}
 	for ctx.Err() == nil {
 		now := time.Now()
 		for _, pool := range r.pools() {
+			if !guards[pool] {
+				guards[pool] = true
+				r.workers.Go(func() { r.guard(ctx, pool) })
+			}
 			r.look(ctx, pool, now)
 		}
 		select {
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -181,6 +181,7 @@
 	r.task.Phase = tasks.Waiting
 	if !r.task.Text.Fits(r.task.Job.Spec) {
 		r.task.Text = tasks.Text{}
+		r.task.Saved = 0
 	}
 	switch {
 	case cut:
--- a/runner/term.go
+++ b/runner/term.go
@@ -56,9 +56,8 @@
 	ended map[string]bool
 	// orders is when this node may first give orders.
 	orders time.Time
-	// lags are, for each model, how many versions older than the newest one
-	// its jobs take.
-	lags   map[string]quetzalpier.Version
+	// load is the moving average time of a load.
+	load   time.Duration
 	loaded bool
 }
 
@@ -69,7 +68,6 @@
 		wake: make(chan struct{}, 1), finished: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		book: tasks.NewBook(), engines: map[string]*engine{},
 		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{},
-		lags:   map[string]quetzalpier.Version{},
 		orders: time.Now().Add(r.Turn),
 	}
 }
@@ -98,6 +96,7 @@
 	t.jobs.Go(func() { t.commits(t.ctx) })
 	t.jobs.Go(func() { t.rotations(t.ctx) })
 	t.jobs.Go(func() { t.reconcile(t.ctx) })
+	t.jobs.Go(func() { t.saves(t.ctx) })
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
 	for t.ctx.Err() == nil {
@@ -150,10 +149,10 @@
 		return
 	}
 	var listed []quetzalpier.Result
+	var parts []vault.Part
 	for old && t.ctx.Err() == nil {
-		found, err := t.r.Vault.Listed(t.ctx, job.ID)
-		if err == nil {
-			listed = found
+		var err error
+		if listed, parts, err = t.stored(job.ID); err == nil {
 			break
 		}
 		t.r.Log.Warn().Str("job", job.ID).Err(err).Msg("results not read")
@@ -163,14 +162,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	opened := t.book.Add(job, listed, now)
-	t.learnLag(job)
+	t.restore(opened, parts)
 	for _, task := range opened.Tasks {
 		if task.Phase == tasks.Scoring {
 			t.score(task)
 		}
 	}
 	t.r.Log.Info().Str("job", job.ID).Str("model", job.Model).Int("step", job.Step).Uint64("floor", uint64(job.Floor)).
-		Int("tasks", len(job.Tasks)).Int("listed", len(listed)).Dur("age_ms", now.Sub(job.Put)).Msg("job opened")
+		Int("tasks", len(job.Tasks)).Int("listed", len(listed)).Int("resumed", len(parts)).Dur("age_ms", now.Sub(job.Put)).Msg("job opened")
+}
+
+// stored reads what earlier owners listed and saved of a job.
+func (t *term) stored(job string) ([]quetzalpier.Result, []vault.Part, error) {
+	listed, err := t.r.Vault.Listed(t.ctx, job)
+	if err != nil {
+		return nil, nil, err
+	}
+	parts, err := t.r.Vault.Parts(t.ctx, job)
+	return listed, parts, err
 }
 
 func (t *term) end(id string, now time.Time) {
@@ -182,6 +191,7 @@
 		return
 	}
 	t.cut(t.book.End(id, now))
+	t.forgetParts(job)
 	t.r.Log.Info().Str("job", id).Int("listed", len(job.Listed)).Int("unfinished", job.Unfinished()).Int("whole", job.Whole).
 		Dur("age_ms", now.Sub(job.Spec.Put)).Msg("job ended")
 }
--- a/tasks/book.go
+++ b/tasks/book.go
@@ -3,6 +3,7 @@
 package tasks
 
 import (
+	"sort"
 	"strings"
 	"time"
 
@@ -77,6 +78,8 @@
 	Crashes  int
 	// NotBefore is when the task may run again.
 	NotBefore time.Time
+	// Saved is how many events are kept where the owner's death can't take them.
+	Saved int
 	// Cut tells that the present run was ordered to end.
 	Cut bool
 }
@@ -312,6 +315,42 @@
 	return left
 }
 
+// Unsaved returns the tasks of which at least least events are not saved yet,
+// at most n of them, those with the most first.
+//
+// Load pattern: the longest tasks last for most of the time that a step has;
+// begun anew after the owner's death, they are late.
+func (b *Book) Unsaved(least, n int, now time.Time) []*Task {
+	var unsaved []*Task
+	for _, job := range b.Jobs {
+		if !job.Open(now) {
+			continue
+		}
+		for _, task := range job.Tasks {
+			if task.Phase != Finished && len(task.Text.Events)-task.Saved >= least {
+				unsaved = append(unsaved, task)
+			}
+		}
+	}
+	sort.Slice(unsaved, func(i, j int) bool {
+		a, b := unsaved[i], unsaved[j]
+		if left, right := len(a.Text.Events)-a.Saved, len(b.Text.Events)-b.Saved; left != right {
+			return left > right
+		}
+		return a.Spec.ID < b.Spec.ID
+	})
+	return unsaved[:min(n, len(unsaved))]
+}
+
+// Restore gives a waiting task the text that an earlier owner saved.
+func (b *Book) Restore(task *Task, text Text) {
+	if task.Phase != Waiting || len(text.Events) <= len(task.Text.Events) || !text.Fits(task.Job.Spec) {
+		return
+	}
+	task.Text = text
+	task.Saved = len(text.Events)
+}
+
 // Due is how long the pending results may still wait for others: not at all
 // when a trainer waits for just these, at most gather otherwise.
 func (b *Book) Due(gather time.Duration, now time.Time) time.Duration {
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -136,13 +136,16 @@
 	return left
 }
 
-// expected is how many events the task is still expected to make.
+// expected is how many events the task is still expected to make. Lengths
+// have a long tail: a task that outlasts its hint is likely to go on for as
+// long as it has lasted, give or take a half.
 func (t *Task) expected() int {
 	length := defaultLength
 	if t.Spec.Hint > 0 {
 		length = (t.Spec.Hint + EventTokens - 1) / EventTokens
 	}
-	return max(1, length-len(t.Text.Events))
+	made := len(t.Text.Events)
+	return max(1, length-made, made/2)
 }
 
 // choose returns the engine on which the task is expected to end first.
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -22,6 +22,7 @@
 	prefixJob  = "in/job/"
 	prefixEnd  = "in/end/"
 	prefixList = "out/"
+	prefixPart = "part/"
 	// Owners starts the keys of pools' owners, and Nodes those of nodes.
 	System = "sys/"
 	Owners = "sys/own/"
@@ -132,16 +133,57 @@
 	return err
 }
 
-// Drop removes a job whose results need not be read any more.
-func (v *Vault) Drop(ctx context.Context, id string) error {
-	found, err := v.KV.Range(ctx, prefixList+id+"/", true)
+// Part is what has been generated of one task.
+type Part struct {
+	Job      string
+	Task     string
+	Events   []string
+	Versions []quetzalpier.Version
+}
+
+// Save writes parts of tasks in one transaction that fails if the pool's owner
+// changed since fence.
+func (v *Vault) Save(ctx context.Context, pool string, fence uint64, parts []Part) error {
+	txn := quetzalpier.Txn{Expect: map[string]uint64{Owners + pool: fence}}
+	for _, part := range parts {
+		data, err := wire.EncodePart(part.Events, part.Versions)
+		if err != nil {
+			return err
+		}
+		txn.Writes = append(txn.Writes, quetzalpier.Write{Key: prefixPart + part.Job + "/" + part.Task, Value: data})
+	}
+	_, err := v.KV.Commit(ctx, txn)
+	return err
+}
+
+// Parts reads what has been generated of a job's tasks.
+func (v *Vault) Parts(ctx context.Context, job string) ([]Part, error) {
+	prefix := prefixPart + job + "/"
+	found, err := v.KV.Range(ctx, prefix, false)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	keys := []string{prefixJob + id, prefixEnd + id}
+	var parts []Part
 	for _, entry := range found.Entries {
-		keys = append(keys, entry.Key)
+		events, versions, err := wire.DecodePart(entry.Value)
+		if err != nil {
+			return nil, errors.Wrap(err, entry.Key)
+		}
+		parts = append(parts, Part{Job: job, Task: strings.TrimPrefix(entry.Key, prefix), Events: events, Versions: versions})
+	}
+	return parts, nil
+}
+
+// Forget removes the parts of a job's tasks.
+func (v *Vault) Forget(ctx context.Context, job string, tasks []string) error {
+	keys := make([]string, 0, len(tasks))
+	for _, task := range tasks {
+		keys = append(keys, prefixPart+job+"/"+task)
 	}
+	return v.remove(ctx, keys)
+}
+
+func (v *Vault) remove(ctx context.Context, keys []string) error {
 	for len(keys) > 0 {
 		n := min(len(keys), quetzalpier.MaxTxn)
 		if _, err := v.KV.Commit(ctx, quetzalpier.Txn{Deletes: keys[:n]}); err != nil {
@@ -152,5 +194,18 @@
 	return nil
 }
 
+// Drop removes a job whose results need not be read any more.
+func (v *Vault) Drop(ctx context.Context, id string) error {
+	found, err := v.KV.Range(ctx, prefixList+id+"/", true)
+	if err != nil {
+		return err
+	}
+	keys := []string{prefixJob + id, prefixEnd + id}
+	for _, entry := range found.Entries {
+		keys = append(keys, entry.Key)
+	}
+	return v.remove(ctx, keys)
+}
+
 // listKey orders as the positions do.
 func listKey(id string, from int) string { return fmt.Sprintf("%s%s/%06d", prefixList, id, from) }
--- a/wire/job.go
+++ b/wire/job.go
@@ -89,3 +89,25 @@
 	}
 	return UnpackResults(message.GetResults()), nil
 }
+
+// EncodePart writes what has been generated of a task.
+func EncodePart(events []string, versions []quetzalpier.Version) ([]byte, error) {
+	message := &Part{Events: events}
+	for _, version := range versions {
+		message.Versions = append(message.Versions, uint64(version))
+	}
+	data, err := proto.Marshal(message)
+	return data, errors.Wrap(err, "encode part")
+}
+
+// DecodePart reads what has been generated of a task.
+func DecodePart(data []byte) (events []string, versions []quetzalpier.Version, err error) {
+	message := &Part{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return nil, nil, errors.Wrap(err, "decode part")
+	}
+	for _, version := range message.GetVersions() {
+		versions = append(versions, quetzalpier.Version(version))
+	}
+	return message.GetEvents(), versions, nil
+}
