keep, mirror, swap: Take jobs while the store is out; follow it once a failure domain; homes of models

- Jobs submitted while the store is out for everyone are synced to one disk more than may be lost and run at once; any holder brings them to the store.
- Fronts read lists of nodes and upstreams from one of their failure domain.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,8 @@
 	History time.Duration
 	// Steady tells whether the list of nodes is up to date.
 	Steady func(now time.Time) bool
+	// Cut tells whether the key-value service turned this node's last call away.
+	Cut func() bool
 }
 
 // Entry serves clients.
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -11,7 +11,9 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/hash"
 	"quetzalpier/platform"
+	"quetzalpier/runner"
 	"quetzalpier/sleep"
 	"quetzalpier/wire"
 )
@@ -23,6 +25,10 @@
 	endWait    = 3 * time.Second
 	storePause = 100 * time.Millisecond
 	storeCall  = 1200 * time.Millisecond
+	// keepCall bounds the keeping of a job on disks, of which keepersTried
+	// nodes besides the owner are asked.
+	keepCall     = 1200 * time.Millisecond
+	keepersTried = 2
 	// maxWait bounds a read's wait for news.
 	maxWait = time.Second
 	// ownerSlack is added to a read's wait for the owner's answer.
@@ -94,15 +100,24 @@
 		Uint64("config", r.config).Dur("took_ms", time.Since(r.start)).Msg("job accepted")
 }
 
-// put stores a job. Its error promises that the job does not exist only if
-// each try was certainly without effect.
+// put stores a job, or has it kept on disks while the key-value service is out
+// for everyone. Its error promises that the job does not exist only if each
+// try was certainly without effect.
+//
+// Load pattern: a service that is out for some seconds while trainers submit
+// their steps on time; a step that is accepted late is late.
 func (e *Entry) put(job *quetzalpier.Job, limit time.Time) (again bool, err error) {
+	data, err := wire.EncodeJob(job)
+	if err != nil {
+		return false, err
+	}
 	ran := quetzalpier.RanNo
 	for {
 		ctx, cancel := context.WithDeadline(context.Background(), earlier(limit, time.Now().Add(storeCall)))
 		again, err = e.Vault.Put(ctx, job)
 		cancel()
 		if err == nil {
+			e.hand(&wire.Keep{Job: data, Stored: true})
 			return again, nil
 		}
 		var unsure *quetzalpier.UnsureError
@@ -110,6 +125,13 @@
 			ran = quetzalpier.RanUnknown
 		}
 		e.Log.Warn().Str("job", job.ID).Err(err).Msg("job not stored")
+		if e.Cut() {
+			// From here on a copy may lie on some disk.
+			ran = quetzalpier.RanUnknown
+			if e.keep(job, data) {
+				return false, nil
+			}
+		}
 		if !time.Now().Add(storePause).Before(limit) {
 			return false, quetzalpier.Busy("store", "the job could not be stored: "+err.Error(), ran, e.Sender.Spread(afterSubmit))
 		}
@@ -117,6 +139,68 @@
 	}
 }
 
+// keep has a job kept by the pool's owner, or by another node with a disk.
+func (e *Entry) keep(job *quetzalpier.Job, data []byte) bool {
+	for _, peer := range e.keepers(job.Pool) {
+		ctx, cancel := context.WithTimeout(context.Background(), keepCall)
+		_, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: &wire.Keep{Job: data}}})
+		cancel()
+		e.Log.Info().Str("job", job.ID).Str("peer", peer).AnErr("cause", err).Msg("job kept on disks")
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// keepers are the nodes that may keep a job of the pool, its owner first.
+func (e *Entry) keepers(pool string) []string {
+	var peers []string
+	e.Board.Do(func(s *board.State) {
+		owner := s.Owners[pool].Node
+		ids := make([]string, 0, len(s.Members))
+		for id, m := range s.Members {
+			if id != owner && m.Usable() && m.Has(runner.ClassStore) {
+				ids = append(ids, id)
+			}
+		}
+		ids = hash.Owners("keep/"+pool, ids, keepersTried)
+		if m, ok := s.Members[owner]; ok && m.Has(runner.ClassStore) {
+			ids = append([]string{owner}, ids...)
+		}
+		for _, id := range ids {
+			peers = append(peers, s.Members[id].Peer)
+		}
+	})
+	return peers
+}
+
+// hand tells the owners of a new job, which otherwise hear of it by their
+// watch: that may be late while the key-value service is not well.
+func (e *Entry) hand(keep *wire.Keep) {
+	for _, peer := range e.owners() {
+		e.workers.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), keepCall)
+			defer cancel()
+			if _, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: keep}}); err != nil {
+				e.Log.Warn().Str("peer", peer).Err(err).Msg("owner not told of a job")
+			}
+		})
+	}
+}
+
+func (e *Entry) owners() []string {
+	var peers []string
+	e.Board.Do(func(s *board.State) {
+		for _, owner := range s.Owners {
+			if m, ok := s.Members[owner.Node]; ok {
+				peers = append(peers, m.Peer)
+			}
+		}
+	})
+	return peers
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -174,10 +258,17 @@
 	if len(have) > 0 {
 		return total, have, nil
 	}
-	from := e.have(job)
-	if answer := e.ask(&wire.Read{Job: job, After: uint64(from), Wait: uint64(wait.Milliseconds())}, wait); answer != nil {
+	// An answer holds as many results as fit: the position that is asked for
+	// may lie behind them.
+	for from := e.have(job); ; {
+		answer := e.ask(&wire.Read{Job: job, After: uint64(from), Wait: uint64(wait.Milliseconds())}, wait)
+		if answer == nil {
+			break
+		}
 		e.remember(job, int(answer.GetTotal()), from, wire.UnpackResults(answer.GetResults()), now)
-		return e.from(job, after)
+		if from = e.have(job); from > after || len(answer.GetResults()) == 0 {
+			return e.from(job, after)
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeCall)
 	defer cancel()
@@ -198,15 +289,7 @@
 
 // ask asks the owners of pools; nil if none of them holds the job.
 func (e *Entry) ask(read *wire.Read, wait time.Duration) *wire.Results {
-	var peers []string
-	e.Board.Do(func(s *board.State) {
-		for _, owner := range s.Owners {
-			if m, ok := s.Members[owner.Node]; ok {
-				peers = append(peers, m.Peer)
-			}
-		}
-	})
-	for _, peer := range peers {
+	for _, peer := range e.owners() {
 		ctx, cancel := context.WithTimeout(context.Background(), wait+ownerSlack)
 		reply, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Read{Read: read}})
 		cancel()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"quetzalpier/board"
 	"quetzalpier/entry"
 	"quetzalpier/hash"
+	"quetzalpier/keep"
 	"quetzalpier/lease"
 	"quetzalpier/link"
 	"quetzalpier/meter"
@@ -46,6 +47,8 @@
 	// entries change with every heartbeat. News of them must be in force in two
 	// seconds.
 	workersGap = 900 * time.Millisecond
+	// nodesGap is the same for the nodes, which come and go in bursts.
+	nodesGap = 250 * time.Millisecond
 	// logLines bounds the lines that wait to be written; more are dropped and
 	// counted.
 	logLines = 4096
@@ -67,17 +70,23 @@
 	Meter    *meter.Meter
 	Log      zerolog.Logger
 
-	kv      *relay.KV
-	lease   *lease.Holder
-	mesh    *peer.Mesh
-	links   *link.Links
-	sender  *send.Sender
-	runner  *runner.Runner
-	entry   *entry.Entry
-	nodes   *mirror.Mirror
-	workers *mirror.Mirror
-	news    *mirror.Mirror
-	vms     *vms
+	kv     *relay.KV
+	lease  *lease.Holder
+	mesh   *peer.Mesh
+	links  *link.Links
+	sender *send.Sender
+	runner *runner.Runner
+	entry  *entry.Entry
+	keeper *keep.Keeper
+	// nodes and workers mirror the lists of nodes and of upstreams, config the
+	// configuration, versions what trainers name and retired which nodes are to
+	// be emptied.
+	nodes    *mirror.Mirror
+	workers  *mirror.Mirror
+	config   *mirror.Mirror
+	versions *mirror.Mirror
+	retired  *mirror.Mirror
+	vms      *vms
 
 	running conc.WaitGroup
 	logs    io.Closer
@@ -120,12 +129,7 @@
 	n.links = link.New()
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.vms = &vms{board: n.Board, settle: n.Settings.Settle.D(), log: n.Log}
-	n.nodes = n.mirror(vault.System, n.applySystem)
-	n.news = n.mirror(platform.PrefixOperator, n.applyNews)
-	n.workers = n.mirror(platform.PrefixWorkers, func(changed []quetzalpier.Entry, whole bool, now time.Time) {
-		n.vms.apply(changed, whole, n.workers.State(), now)
-	})
-	n.workers.Gap = workersGap
+	n.openMirrors()
 	store := &vault.Vault{KV: n.kv}
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: store, Lease: n.lease, Links: n.links, Sender: n.sender,
@@ -133,8 +137,14 @@
 	}
 	n.entry = entry.New(entry.Options{
 		Board: n.Board, Sender: n.sender, Links: n.links, Vault: store, Meter: n.Meter, Log: n.Log,
-		Call: n.call, Keep: n.Settings.Keep.D(), History: n.Settings.History.D(), Steady: n.steady,
+		Call: n.call, Keep: n.Settings.Keep.D(), History: n.Settings.History.D(), Steady: n.steady, Cut: n.kv.Failed,
 	})
+	if n.Settings.Data != "" {
+		n.keeper = &keep.Keeper{
+			Dir: n.Settings.Data, Losses: n.Settings.Losses, History: n.Settings.History.D(), Vault: store,
+			Peers: n.keepers, Call: n.call, Log: n.Log,
+		}
+	}
 	// Other nodes' calls reach what was made above.
 	mesh, err := peer.Open(n.Settings.Peer, n.handle)
 	if err != nil {
@@ -148,6 +158,41 @@
 	return n.mesh.Call(ctx, addr, call)
 }
 
+func (n *Node) openMirrors() {
+	n.nodes = n.mirror(vault.System, n.applySystem)
+	n.config = n.mirror(platform.PrefixConfig, n.applyNews)
+	n.versions = n.mirror(platform.PrefixVersions, n.applyNews)
+	n.retired = n.mirror(platform.PrefixRetired, n.applyNews)
+	n.workers = n.mirror(platform.PrefixWorkers, func(changed []quetzalpier.Entry, whole bool, now time.Time) {
+		n.vms.apply(changed, whole, n.workers.State(), now)
+	})
+	n.workers.Gap = workersGap
+	if n.Settings.Front == "" {
+		return
+	}
+	n.nodes.Gap = nodesGap
+	n.nodes.KV = &mirror.Feed{Direct: n.kv, Leader: n.leader, Call: n.call}
+	n.workers.KV = &mirror.Feed{Direct: n.kv, Leader: n.leader, Call: n.call}
+}
+
+// leader is the node of this failure domain that follows the key-value service
+// for the others; empty if it is this one.
+func (n *Node) leader() string {
+	addr := ""
+	n.Board.Do(func(s *board.State) {
+		var ids []string
+		for id, m := range s.Members {
+			if m.Domain == s.Self.Domain && m.HTTP != "" && m.Usable() {
+				ids = append(ids, id)
+			}
+		}
+		if owner := hash.Owner("watch/"+s.Self.Domain, ids); owner != s.Self.ID {
+			addr = s.Members[owner].Peer
+		}
+	})
+	return addr
+}
+
 func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
 	return &mirror.Mirror{KV: n.kv, Prefix: prefix, Wait: watchWait, Log: n.Log, Apply: apply}
 }
@@ -183,6 +228,12 @@
 	if read := call.GetRead(); read != nil {
 		return &wire.Reply{Kind: &wire.Reply_Results{Results: n.runner.Read(ctx, read)}}
 	}
+	if feed := call.GetFeed(); feed != nil {
+		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.feed(ctx, feed)}}
+	}
+	if message := call.GetKeep(); message != nil {
+		return n.take(ctx, message)
+	}
 	if store := call.GetStore(); store != nil {
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
 	}
@@ -193,6 +244,59 @@
 	return &wire.Reply{Fault: "unknown call"}
 }
 
+func (n *Node) feed(ctx context.Context, feed *wire.Feed) *wire.Stored {
+	for _, m := range []*mirror.Mirror{n.nodes, n.workers} {
+		if m.Prefix == feed.GetPrefix() {
+			return m.Serve(ctx, feed)
+		}
+	}
+	return &wire.Stored{Failure: &wire.Failure{Kind: wire.Failure_REFUSED, Text: "no copy of " + feed.GetPrefix()}}
+}
+
+// take takes over a job from another node.
+func (n *Node) take(ctx context.Context, message *wire.Keep) *wire.Reply {
+	job, err := wire.DecodeJob(message.GetJob())
+	if err == nil && !message.GetStored() {
+		if n.keeper == nil {
+			return &wire.Reply{Fault: "this node has no disk"}
+		}
+		err = n.keeper.Keep(ctx, job, message.GetJob(), message.GetCopy())
+	}
+	if err != nil {
+		n.Log.Warn().Err(err).Msg("job not taken over")
+		return &wire.Reply{Fault: err.Error()}
+	}
+	if !message.GetCopy() {
+		n.runner.Open(job, time.Now())
+	}
+	return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+}
+
+// keepers are the addresses of the other nodes with a disk, those of other
+// failure domains first.
+func (n *Node) keepers() []string {
+	var far, near []string
+	n.Board.Do(func(s *board.State) {
+		for id, m := range s.Members {
+			switch {
+			case id == s.Self.ID || !m.Usable() || !m.Has(runner.ClassStore) || s.Retiring[id]:
+			case m.Domain == s.Self.Domain:
+				near = append(near, m.Peer)
+			default:
+				far = append(far, m.Peer)
+			}
+		}
+	})
+	return append(far, near...)
+}
+
+// bring brings kept jobs to the key-value service.
+func (n *Node) bring(ctx context.Context) {
+	if n.keeper != nil {
+		n.keeper.Run(ctx, n.kv.Failed)
+	}
+}
+
 // peers are the other nodes' addresses.
 func (n *Node) peers() []string {
 	var peers []string
@@ -213,7 +317,7 @@
 	owning, resign := context.WithCancel(work)
 	defer resign()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.news.Run, n.watchWorkers, n.kv.Run, n.sender.Run, n.register, n.vms.run,
+		n.nodes.Run, n.config.Run, n.watchWorkers, n.watchVersions, n.watchRetired, n.bring, n.kv.Run, n.sender.Run, n.register, n.vms.run,
 	} {
 		n.running.Go(func() { run(work) })
 	}
@@ -234,14 +338,34 @@
 
 // watchWorkers follows the upstreams once the node sends work to any.
 func (n *Node) watchWorkers(ctx context.Context) {
+	if n.Settings.Front != "" || n.holds(ctx) {
+		n.workers.Run(ctx)
+	}
+}
+
+// watchVersions follows the versions that trainers name once the node orders
+// engines.
+func (n *Node) watchVersions(ctx context.Context) {
+	if n.holds(ctx) {
+		n.versions.Run(ctx)
+	}
+}
+
+// watchRetired follows which nodes are to be emptied, on VMs that may be.
+func (n *Node) watchRetired(ctx context.Context) {
 	if n.Settings.Front == "" {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.runner.Holding():
-		}
+		n.retired.Run(ctx)
+	}
+}
+
+// holds waits until the node holds a pool; false if ctx ended first.
+func (n *Node) holds(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.runner.Holding():
+		return true
 	}
-	n.workers.Run(ctx)
 }
 
 // await waits for the stop; a node that is to be emptied gives its pools up
@@ -267,6 +391,9 @@
 func (n *Node) retire(ctx context.Context, resign func()) {
 	n.Log.Info().Msg("node is to be emptied")
 	resign()
+	for ctx.Err() == nil && n.keeper != nil && !n.keeper.Bring(ctx, time.Now()) {
+		sleep.For(ctx, leaseEvery)
+	}
 	for ctx.Err() == nil {
 		_, err := n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{platform.RetireStatus(n.Settings.Name, true)}})
 		if err == nil {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sort"
 	"sync"
 	"time"
 
@@ -22,9 +23,16 @@
 	backoffLimit = 500 * time.Millisecond
 )
 
+// Source is where a mirror reads from: the key-value service, or another
+// node's mirror.
+type Source interface {
+	Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error)
+	Follow(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error)
+}
+
 // Mirror follows a prefix.
 type Mirror struct {
-	KV     quetzalpier.KV
+	KV     Source
 	Prefix string
 	// Wait is how long one watch waits for news, and Gap the least time between
 	// two watches: each is a call that the platform counts, and keys that change
@@ -37,6 +45,10 @@
 	Apply func(changed []quetzalpier.Entry, whole bool, now time.Time)
 
 	mu       sync.Mutex
+	content  map[string]quetzalpier.Entry
+	rev      uint64
+	oldest   uint64
+	changed  chan struct{}
 	heard    time.Time
 	failing  bool
 	returned time.Time
@@ -72,6 +84,7 @@
 		switch {
 		case err == nil:
 			failures = 0
+			m.keep(changes, !known)
 			if !known || len(changes.Entries) > 0 {
 				m.Apply(changes.Entries, !known, now)
 			}
@@ -117,3 +130,93 @@
 	pause := min(backoffLimit, backoffBase<<min(failures-1, 4))
 	return pause/2 + rand.N(pause/2)
 }
+
+// keep takes changes over for those that follow this mirror.
+func (m *Mirror) keep(changes quetzalpier.Changes, whole bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if whole {
+		m.content = make(map[string]quetzalpier.Entry, len(changes.Entries))
+		m.oldest = changes.Rev
+	}
+	for _, entry := range changes.Entries {
+		m.content[entry.Key] = entry
+	}
+	m.rev = changes.Rev
+	m.forget()
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+// maxDeleted bounds the deleted keys that are remembered.
+const maxDeleted = 512
+
+// forget drops the deleted keys when there are many; the caller holds the lock.
+func (m *Mirror) forget() {
+	deleted := 0
+	for _, entry := range m.content {
+		if entry.Deleted {
+			deleted++
+		}
+	}
+	if deleted <= maxDeleted {
+		return
+	}
+	for key, entry := range m.content {
+		if entry.Deleted {
+			delete(m.content, key)
+		}
+	}
+	m.oldest = m.rev
+}
+
+// Range returns the whole content; false while the mirror itself hears
+// nothing.
+func (m *Mirror) Range() (quetzalpier.Changes, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing || m.content == nil {
+		return quetzalpier.Changes{}, false
+	}
+	return m.since(0), true
+}
+
+// Follow waits for changes after revision rev, at most until ctx ends. It is
+// false while the mirror hears nothing or no longer knows what came after rev.
+func (m *Mirror) Follow(ctx context.Context, rev uint64) (quetzalpier.Changes, bool) {
+	for {
+		m.mu.Lock()
+		if m.failing || m.content == nil || rev < m.oldest {
+			m.mu.Unlock()
+			return quetzalpier.Changes{}, false
+		}
+		changes := m.since(rev)
+		if m.changed == nil {
+			m.changed = make(chan struct{})
+		}
+		changed := m.changed
+		m.mu.Unlock()
+		if len(changes.Entries) > 0 {
+			return changes, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return changes, true
+		}
+	}
+}
+
+// since returns what changed after rev, in order; the caller holds the lock.
+func (m *Mirror) since(rev uint64) quetzalpier.Changes {
+	changes := quetzalpier.Changes{Rev: m.rev}
+	for _, entry := range m.content {
+		if entry.Rev > rev && (rev > 0 || !entry.Deleted) {
+			changes.Entries = append(changes.Entries, entry)
+		}
+	}
+	sort.Slice(changes.Entries, func(i, j int) bool { return changes.Entries[i].Rev < changes.Entries[j].Rev })
+	return changes
+}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -40,12 +40,56 @@
 		if !ok || now.Before(t.orders) {
 			continue
 		}
-		for model, target := range t.targets() {
-			t.rotate(ctx, model, target, fence, now)
+		t.rotateAll(ctx, fence, now)
+	}
+}
+
+// rotateAll rotates each model on its own engines.
+func (t *term) rotateAll(ctx context.Context, fence uint64, now time.Time) {
+	targets := t.targets()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteTargets(targets, now)
+	models := sortedKeys(targets)
+	var ids []string
+	for _, id := range sortedKeys(t.engines) {
+		if t.engines[id].VM.State == quetzalpier.VMLive {
+			ids = append(ids, id)
+		}
+	}
+	atOnce := max(loadsAtOnce, len(ids)/loadShare)
+	width := swap.Width(len(ids), len(models), atOnce, t.load, t.gap)
+	for place, model := range models {
+		t.rotate(ctx, model, targets[model], fence, swap.Homes(ids, place, len(models), width), atOnce, now)
+	}
+}
+
+// noteTargets measures the time between two versions of one model; the caller
+// holds the lock.
+func (t *term) noteTargets(targets map[string]quetzalpier.Version, now time.Time) {
+	for model, version := range targets {
+		last := t.named[model]
+		if last.version == version {
+			continue
+		}
+		t.named[model] = named{version, now}
+		if last.version == 0 || version != last.version+1 {
+			continue
+		}
+		if took := now.Sub(last.at); t.gap == 0 || took < t.gap {
+			t.gap = took
+		} else {
+			t.gap += time.Duration(loadWeight * float64(took-t.gap))
 		}
 	}
 }
 
+// named is when a version was first seen.
+type named struct {
+	version quetzalpier.Version
+	at      time.Time
+}
+
 func (t *term) targets() map[string]quetzalpier.Version {
 	targets := map[string]quetzalpier.Version{}
 	t.r.Board.Do(func(s *board.State) {
@@ -58,20 +102,12 @@
 	return targets
 }
 
-func (t *term) rotate(ctx context.Context, model string, target quetzalpier.Version, fence uint64, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// rotate orders the engines of one model that are due; the caller holds the
+// lock.
+func (t *term) rotate(ctx context.Context, model string, target quetzalpier.Version, fence uint64, homes []string, atOnce int, now time.Time) {
 	var seats []swap.Seat
-	loading, usable := 0, 0
-	for _, id := range sortedKeys(t.engines) {
+	for _, id := range homes {
 		e := t.engines[id]
-		if e.Loading != "" {
-			loading++
-		}
-		if e.VM.State != quetzalpier.VMLive {
-			continue
-		}
-		usable++
 		seat := swap.Seat{ID: id, Version: e.Versions[model], Running: t.runs(id, model), Busy: e.Loading != "" || now.Before(e.NotUntil)}
 		if e.Loading == model {
 			seat.Loading = e.target
@@ -79,7 +115,7 @@
 		seats = append(seats, seat)
 	}
 	floor := t.floor(model, target)
-	turn := swap.Turn{Target: target, Floor: floor, Next: next(target, floor), Room: max(loadsAtOnce, usable/loadShare) - loading}
+	turn := swap.Turn{Target: target, Floor: floor, Next: next(target, floor), Room: atOnce - t.loading()}
 	for _, id := range swap.Rotate(seats, turn) {
 		e := t.engines[id]
 		e.Loading, e.target = model, target
@@ -88,6 +124,17 @@
 	}
 }
 
+// loading counts the loads under way.
+func (t *term) loading() int {
+	loading := 0
+	for _, e := range t.engines {
+		if e.Loading != "" {
+			loading++
+		}
+	}
+	return loading
+}
+
 // floor is the oldest version that the newest job of the model takes.
 func (t *term) floor(model string, target quetzalpier.Version) quetzalpier.Version {
 	floor := target - 1
--- a/runner/read.go
+++ b/runner/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"quetzalpier"
 	"quetzalpier/tasks"
 	"quetzalpier/wire"
 )
@@ -96,3 +97,15 @@
 	}
 	return task.Body, true
 }
+
+// Open takes over a job that a client submitted, if this node holds its pool.
+func (r *Runner) Open(job *quetzalpier.Job, now time.Time) {
+	r.mu.Lock()
+	t := r.terms[job.Pool]
+	r.mu.Unlock()
+	if t == nil {
+		return
+	}
+	t.open(job, false, now)
+	signal(t.wake)
+}
--- a/runner/term.go
+++ b/runner/term.go
@@ -20,7 +20,12 @@
 	planEvery = 50 * time.Millisecond
 	// followWait is how long one watch for jobs waits.
 	followWait = 25 * time.Second
-	loadPause  = 100 * time.Millisecond
+	// endedTime is how long the results of an ended job are kept at hand.
+	endedTime = 10 * time.Second
+	// historyMore is added to the time that results must stay readable, since
+	// the time of day differs between VMs.
+	historyMore = 30 * time.Second
+	loadPause   = 100 * time.Millisecond
 	// expireMargin is added to the life of tasks, since the time of day differs
 	// between VMs.
 	expireMargin = 3 * time.Second
@@ -54,9 +59,15 @@
 	cancels map[*tasks.Task]context.CancelFunc
 	// ended are jobs whose end is known; one may be heard before its job.
 	ended map[string]bool
+	// old are jobs that were dropped here and are to be removed from the store,
+	// with the time of their submission.
+	old map[string]time.Time
 	// orders is when this node may first give orders.
 	orders time.Time
-	// load is the moving average time of a load.
+	// load is the moving average time of a load, and gap that between two
+	// versions of one model, as named tells.
+	gap    time.Duration
+	named  map[string]named
 	load   time.Duration
 	loaded bool
 }
@@ -67,7 +78,7 @@
 		r: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), finished: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		book: tasks.NewBook(), engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{}, old: map[string]time.Time{}, named: map[string]named{},
 		orders: time.Now().Add(r.Turn),
 	}
 }
@@ -144,6 +155,9 @@
 func (t *term) open(job *quetzalpier.Job, old bool, now time.Time) {
 	t.mu.Lock()
 	skip := t.ended[job.ID] || t.book.Jobs[job.ID] != nil
+	if t.ended[job.ID] {
+		t.old[job.ID] = job.Put
+	}
 	t.mu.Unlock()
 	if skip {
 		return
@@ -220,8 +234,14 @@
 	for _, launch := range t.book.Plan(engines, now) {
 		t.launch(launch)
 	}
-	for _, job := range t.book.Forget(t.r.History, now) {
-		t.jobs.Go(func() { t.forget(job.Spec.ID) })
+	for _, job := range t.book.Forget(endedTime, now) {
+		t.old[job.Spec.ID] = job.Spec.Put
+	}
+	for id, put := range t.old {
+		if now.Sub(put) > t.r.History+historyMore {
+			delete(t.old, id)
+			t.jobs.Go(func() { t.forget(id) })
+		}
 	}
 }
 
--- a/setup/serve.go
+++ b/setup/serve.go
@@ -39,6 +39,10 @@
 	// Settle is how long after the key-value service's return entries that
 	// lapsed meanwhile may still be missing.
 	Settle Duration `toml:"settle" validate:"min=0,max=60000000000"`
+	// Data is the folder on the VM's disk; empty on a VM without one. Losses is
+	// how many disks may be lost at a time.
+	Data   string `toml:"data"`
+	Losses int    `toml:"losses" validate:"min=0,max=16"`
 	// Log is the least level that is logged.
 	Log string `toml:"log" validate:"oneof=debug info warn error"`
 }
--- a/tasks/book.go
+++ b/tasks/book.go
@@ -100,6 +100,7 @@
 	// PendingAt is when the oldest pending result came.
 	PendingAt time.Time
 	Ended     bool
+	EndedAt   time.Time
 	// Whole counts the groups of which every task is finished.
 	Whole int
 	// News is closed when results are listed or the job ends.
@@ -186,6 +187,7 @@
 		return nil
 	}
 	job.Ended = true
+	job.EndedAt = now
 	var running []*Task
 	for _, task := range job.Tasks {
 		if task.Phase == Running {
@@ -193,6 +195,7 @@
 			running = append(running, task)
 		}
 		b.carry(task, now)
+		task.Text = Text{}
 	}
 	job.announce()
 	return running
@@ -214,12 +217,14 @@
 	b.carried[task.Spec.ID] = kept
 }
 
-// Forget drops jobs that need not be read any more, and texts that no job
-// came back for. It returns the dropped jobs.
-func (b *Book) Forget(history time.Duration, now time.Time) []*Job {
+// Forget drops jobs that ended more than a while ago, whose results are read
+// where they are stored, and texts that no job came back for. It returns the
+// dropped jobs.
+func (b *Book) Forget(while time.Duration, now time.Time) []*Job {
 	var old []*Job
 	for id, job := range b.Jobs {
-		if now.Sub(job.Spec.Put) > history && (job.Ended || now.After(job.Spec.Expires)) {
+		over := job.Ended && now.Sub(job.EndedAt) > while
+		if over || (len(job.Pending) == 0 && now.Sub(job.Spec.Expires) > while) {
 			old = append(old, job)
 			delete(b.Jobs, id)
 		}
