soak, stand, runner: Add a fault soak with real processes; serve the neediest model first

The soak starts fronts, store nodes and stand-ins, puts a loopback proxy before each node's way to the store, kills, stops and pauses processes, disturbs the store and engines, and checks positions, texts, versions, scores, refusals and turns of orders.

--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -27,7 +27,7 @@
 	parser := flags.NewNamedParser("quetzalpier", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Rollout service for reinforcement learning."
 	for _, add := range []func(*flags.Parser) error{
-		addNode, addServe, addCheck, addConfig, addStatus, addDrain, addLoad, addTrial, addScale, addAudit, addStand, addVersion,
+		addNode, addServe, addCheck, addConfig, addStatus, addDrain, addLoad, addTrial, addScale, addAudit, addSoak, addStand, addVersion,
 	} {
 		if err := add(parser); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -28,6 +28,10 @@
 	// loadShare of the engines if that is more.
 	loadsAtOnce = 2
 	loadShare   = 5
+	// usualLoad and usualGap stand for the time of a load and between two
+	// versions until they are measured.
+	usualLoad = time.Second
+	usualGap  = 4 * time.Second
 	// failedOrder is the wait after an order that did not take hold.
 	failedOrder = 300 * time.Millisecond
 )
@@ -37,13 +41,35 @@
 	for sleep.For(ctx, rotateEvery) {
 		now := time.Now()
 		fence, ok := t.owned(now)
-		if !ok || now.Before(t.orders) {
+		if !ok || !t.succeed(ctx, fence, now) || now.Before(t.orders) {
 			continue
 		}
 		t.rotateAll(ctx, fence, now)
 	}
 }
 
+// succeed notes in the store, once for each fencing token, that this node gives
+// the orders from now on. If another one did before, its last orders must be
+// over first.
+func (t *term) succeed(ctx context.Context, fence uint64, now time.Time) bool {
+	if t.settled == fence {
+		return true
+	}
+	last, err := t.r.Vault.Succeed(ctx, t.pool, t.r.Lease.Node)
+	if err != nil {
+		t.r.Log.Warn().Str("pool", t.pool).Err(err).Msg("orders not taken over")
+		sleep.For(ctx, loadPause)
+		return false
+	}
+	t.settled = fence
+	t.orders = now
+	if last != "" && last != t.r.Lease.Node {
+		t.orders = now.Add(t.r.Turn)
+	}
+	t.r.Log.Info().Str("pool", t.pool).Uint64("fence", fence).Str("before", last).Msg("orders are given by this node")
+	return true
+}
+
 // rotateAll rotates each model on its own engines.
 func (t *term) rotateAll(ctx context.Context, fence uint64, now time.Time) {
 	targets := t.targets()
@@ -58,10 +84,35 @@
 		}
 	}
 	atOnce := max(loadsAtOnce, len(ids)/loadShare)
-	width := swap.Width(len(ids), len(models), atOnce, t.load, t.gap)
+	load, gap := t.load, t.gap
+	if load == 0 {
+		load = usualLoad
+	}
+	if gap == 0 {
+		gap = usualGap
+	}
+	width := swap.Width(len(ids), len(models), atOnce, load, gap)
+	var shares []swap.Share
+	homes := map[string][]string{}
 	for place, model := range models {
-		t.rotate(ctx, model, targets[model], fence, swap.Homes(ids, place, len(models), width), atOnce, now)
+		homes[model] = swap.Homes(ids, place, len(models), width)
+		shares = append(shares, t.share(model, targets[model], homes[model]))
+	}
+	for _, model := range swap.Neediest(shares) {
+		t.rotate(ctx, model, targets[model], fence, homes[model], atOnce, now)
+	}
+}
+
+// share counts the engines that the model's newest job takes.
+func (t *term) share(model string, target quetzalpier.Version, homes []string) swap.Share {
+	share := swap.Share{Model: model, Homes: len(homes)}
+	floor := t.floor(model, target)
+	for _, id := range homes {
+		if e := t.engines[id]; max(e.Versions[model], e.target) >= floor {
+			share.Useful++
+		}
 	}
+	return share
 }
 
 // noteTargets measures the time between two versions of one model; the caller
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -88,7 +88,7 @@
 	defer func() { _ = answer.Close() }()
 	if answer.Status != http.StatusOK {
 		_, _ = io.Copy(io.Discard, answer)
-		other := string(answer.Header.Peek("X-Quetzalpier-Worker-Id"))
+		other := string(answer.Header.Peek(platform.HeaderWorker))
 		return &statusError{
 			Engine: r.vm.ID, Status: answer.Status, Other: other != "" && other != r.vm.ID,
 			NotRun: len(answer.Header.Peek(platform.HeaderNotRun)) > 0 || answer.Status == http.StatusMisdirectedRequest,
--- a/runner/term.go
+++ b/runner/term.go
@@ -62,8 +62,10 @@
 	// old are jobs that were dropped here and are to be removed from the store,
 	// with the time of their submission.
 	old map[string]time.Time
-	// orders is when this node may first give orders.
-	orders time.Time
+	// settled is the fencing token under which this node gives orders, from
+	// the time orders on. Only the rotation uses them.
+	settled uint64
+	orders  time.Time
 	// load is the moving average time of a load, and gap that between two
 	// versions of one model, as named tells.
 	gap    time.Duration
@@ -79,7 +81,6 @@
 		wake: make(chan struct{}, 1), finished: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		book: tasks.NewBook(), engines: map[string]*engine{},
 		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{}, old: map[string]time.Time{}, named: map[string]named{},
-		orders: time.Now().Add(r.Turn),
 	}
 }
 
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,256 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"quetzalpier"
+	"quetzalpier/sleep"
+	"quetzalpier/stand"
+)
+
+const (
+	// settleTime is how long a run goes on without faults before its end, and
+	// readyTime how long the processes have to become ready.
+	settleTime = 12 * time.Second
+	readyTime  = 15 * time.Second
+	faultLeast = 300 * time.Millisecond
+	faultMore  = 1500 * time.Millisecond
+	// lastLeast and lastMore bound how long a fault lasts.
+	lastLeast = 400 * time.Millisecond
+	lastMore  = 3 * time.Second
+)
+
+// Plan is a run of faults.
+type Plan struct {
+	Seed uint64
+	For  time.Duration
+	Log  zerolog.Logger
+}
+
+// Run injects faults drawn from the seed for the given time, lets the
+// deployment settle, and returns what was seen.
+func Run(ctx context.Context, r *Rig, plan Plan) *Ledger {
+	ledger := newLedger()
+	if !r.Ready(ctx, readyTime) {
+		ledger.breach("the deployment did not become ready within %s", readyTime)
+		return ledger
+	}
+	work, cancel := context.WithTimeout(ctx, plan.For+settleTime)
+	defer cancel()
+	var callers conc.WaitGroup
+	callers.Go(func() { newTrainer(r, ledger, plan.Seed).run(work) })
+	callers.Go(func() { newTrainer(r, ledger, plan.Seed+1).views(work) })
+	f := &faults{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 2)), log: plan.Log}
+	f.run(ctx, plan.For)
+	callers.Wait()
+	r.checkRuns(ledger)
+	return ledger
+}
+
+// Ready waits until all fronts say that they are ready.
+func (r *Rig) Ready(ctx context.Context, limit time.Duration) bool {
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(limit); time.Now().Before(end); sleep.For(ctx, pollPause) {
+		ready := 0
+		for _, n := range r.Fronts {
+			resp, err := client.Get("http://" + n.Settings.Ready + "/ready")
+			if err != nil {
+				continue
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(r.Fronts) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkRuns holds what the engines saw to the promises.
+func (r *Rig) checkRuns(l *Ledger) {
+	ran := map[string]bool{}
+	for _, e := range r.Engines {
+		for _, run := range e.Runs() {
+			ran[run.ID] = true
+		}
+		for _, fault := range e.Turns(r.Stores[0].Settings.Turn.D()) {
+			l.breach("%s", fault)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, seen := range l.jobs {
+		for _, task := range seen.job.Tasks {
+			if !seen.accepted && seen.promised && ran[task.ID] {
+				l.Broken = append(l.Broken, fmt.Sprintf("job %s was refused at every attempt, and task %s has run", id, task.ID))
+			}
+		}
+	}
+}
+
+// faults injects faults until its time is over, then mends everything.
+type faults struct {
+	rig    *Rig
+	ledger *Ledger
+	rnd    *rand.Rand
+	log    zerolog.Logger
+	busy   conc.WaitGroup
+}
+
+func (f *faults) run(ctx context.Context, span time.Duration) {
+	kinds := []func(context.Context, time.Duration){f.process, f.process, f.link, f.link, f.store, f.worker}
+	for end := time.Now().Add(span); time.Now().Before(end) && ctx.Err() == nil; {
+		last := lastLeast + time.Duration(f.rnd.Int64N(int64(lastMore-lastLeast)))
+		kind := kinds[f.rnd.IntN(len(kinds))]
+		kind(ctx, last)
+		sleep.For(ctx, faultLeast+time.Duration(f.rnd.Int64N(int64(faultMore-faultLeast))))
+	}
+	f.busy.Wait()
+	f.rig.KV.SetFaults(stand.KVFaults{})
+}
+
+// later mends a fault after its time.
+func (f *faults) later(ctx context.Context, after time.Duration, mend func()) {
+	f.busy.Go(func() {
+		sleep.For(ctx, after)
+		mend()
+	})
+}
+
+func (f *faults) note(kind, target string, last time.Duration) {
+	f.log.Info().Str("fault", kind).Str("target", target).Dur("for_ms", last).Msg("fault")
+}
+
+// process kills, stops or pauses a node and starts it again.
+func (f *faults) process(ctx context.Context, last time.Duration) {
+	nodes := f.rig.Stores
+	if f.rnd.IntN(2) == 0 {
+		nodes = f.rig.Fronts
+	}
+	n := nodes[f.rnd.IntN(len(nodes))]
+	if !n.busy.CompareAndSwap(false, true) {
+		return
+	}
+	switch f.rnd.IntN(3) {
+	case 0:
+		f.note("kill", n.Settings.Name, last)
+		n.Kill()
+		f.later(ctx, last, func() { f.start(n) })
+	case 1:
+		f.note("stop", n.Settings.Name, last)
+		f.busy.Go(func() {
+			if !n.Stop() {
+				f.ledger.breach("%s did not end within its grace", n.Settings.Name)
+			}
+			f.start(n)
+		})
+	default:
+		f.note("pause", n.Settings.Name, last)
+		n.Signal(syscall.SIGSTOP)
+		f.later(ctx, last, func() {
+			n.Signal(syscall.SIGCONT)
+			n.busy.Store(false)
+		})
+	}
+}
+
+func (f *faults) start(n *Node) {
+	if err := n.Start(); err != nil {
+		f.ledger.breach("%s not started: %v", n.Settings.Name, err)
+	}
+	n.busy.Store(false)
+}
+
+// link disturbs a node's way to the key-value service.
+func (f *faults) link(ctx context.Context, last time.Duration) {
+	nodes := append(append([]*Node(nil), f.rig.Stores...), f.rig.Fronts...)
+	n := nodes[f.rnd.IntN(len(nodes))]
+	mode := []Mode{Delay, Reset, Silence, Cut, OneWay}[f.rnd.IntN(5)]
+	f.note("link "+string(mode), n.Settings.Name, last)
+	n.Link.Set(mode)
+	f.later(ctx, last, func() { n.Link.Set(Pass) })
+}
+
+// store disturbs the key-value service itself.
+func (f *faults) store(ctx context.Context, last time.Duration) {
+	kv := f.rig.KV
+	kind := []string{"out", "slow", "lose", "compact", "revoke"}[f.rnd.IntN(5)]
+	f.note("store "+kind, "", last)
+	switch kind {
+	case "out":
+		kv.SetFaults(stand.KVFaults{Out: true})
+	case "slow":
+		kv.SetFaults(stand.KVFaults{Slow: 200})
+	case "lose":
+		kv.SetFaults(stand.KVFaults{Lose: 3})
+	case "compact":
+		kv.Compact()
+		return
+	case "revoke":
+		f.revoke(ctx, kv)
+		return
+	}
+	f.later(ctx, last, func() { kv.SetFaults(stand.KVFaults{}) })
+}
+
+// revoke takes the owner's key away, as the end of its lease would.
+func (f *faults) revoke(ctx context.Context, kv *stand.KV) {
+	found, err := kv.Range(ctx, "sys/own/", false)
+	if err != nil {
+		return
+	}
+	for _, e := range found.Entries {
+		kv.Revoke(e.Key)
+	}
+}
+
+// worker disturbs an upstream.
+func (f *faults) worker(ctx context.Context, last time.Duration) {
+	w := f.rig.Engines[f.rnd.IntN(len(f.rig.Engines))]
+	kind := []string{"cut", "silent", "error", "leave"}[f.rnd.IntN(4)]
+	f.note("engine "+kind, w.ID, last)
+	switch kind {
+	case "cut":
+		w.SetFaults(stand.WorkerFaults{Cut: 4})
+	case "silent":
+		w.SetFaults(stand.WorkerFaults{Silent: 4})
+	case "error":
+		w.SetFaults(stand.WorkerFaults{Status: http.StatusBadGateway, Times: 4})
+	case "leave":
+		vm := w.VM()
+		vm.State = quetzalpier.VMLeaving
+		f.list(vm)
+		f.later(ctx, last, func() { f.list(w.VM()) })
+		return
+	}
+	f.later(ctx, last, func() { w.SetFaults(stand.WorkerFaults{}) })
+}
+
+func (f *faults) list(vm quetzalpier.VM) {
+	if err := f.rig.List(vm); err != nil {
+		f.ledger.breach("%s not listed: %v", vm.ID, err)
+	}
+}
+
+// Summary tells what a run saw, in one line.
+func (l *Ledger) Summary() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	text := fmt.Sprintf("%d steps whole, %d late; %d requests, %d failed; %d promises broken", l.Steps, l.Late, l.Views, l.Failed, len(l.Broken))
+	if len(l.Broken) > 0 {
+		text += ":\n  " + strings.Join(l.Broken, "\n  ")
+	}
+	return text
+}
--- a/swap/homes.go
+++ b/swap/homes.go
@@ -1,6 +1,9 @@
 package swap
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// homeSlack is the share of the loads that the weight store bears in time
@@ -38,3 +41,26 @@
 	}
 	return homes
 }
+
+// Share is how many of a model's engines its newest job takes.
+type Share struct {
+	Model  string
+	Useful int
+	Homes  int
+}
+
+// Neediest returns the models in the order in which they get loads: the one
+// with the smallest share of useful engines first.
+//
+// Load pattern: after an outage all engines are behind for all models, and the
+// model that is served first would take all loads for several steps.
+func Neediest(shares []Share) []string {
+	sort.SliceStable(shares, func(i, j int) bool {
+		return shares[i].Useful*shares[j].Homes < shares[j].Useful*shares[i].Homes
+	})
+	models := make([]string, 0, len(shares))
+	for _, share := range shares {
+		models = append(models, share.Model)
+	}
+	return models
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -23,6 +23,7 @@
 	prefixEnd  = "in/end/"
 	prefixList = "out/"
 	prefixPart = "part/"
+	prefixLast = "last/"
 	// Owners starts the keys of pools' owners, and Nodes those of nodes.
 	System = "sys/"
 	Owners = "sys/own/"
@@ -194,6 +195,17 @@
 	return nil
 }
 
+// Succeed notes that the node gives a pool's engines orders from now on, and
+// returns the one that did so before; empty if none did.
+func (v *Vault) Succeed(ctx context.Context, pool, node string) (string, error) {
+	last, err := v.KV.Get(ctx, prefixLast+pool)
+	if err != nil || string(last.Value) == node {
+		return string(last.Value), err
+	}
+	_, err = v.KV.Swap(ctx, prefixLast+pool, []byte(node), last.Rev, "")
+	return string(last.Value), err
+}
+
 // Drop removes a job whose results need not be read any more.
 func (v *Vault) Drop(ctx context.Context, id string) error {
 	found, err := v.KV.Range(ctx, prefixList+id+"/", true)
