--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -117,7 +117,9 @@
 		again, err = e.Vault.Put(ctx, job)
 		cancel()
 		if err == nil {
-			e.hand(&wire.Keep{Job: data, Stored: true})
+			if !again {
+				e.hand(&wire.Keep{Job: data, Stored: true})
+			}
 			return again, nil
 		}
 		var unsure *quetzalpier.UnsureError
@@ -277,7 +279,7 @@
 		return 0, nil, quetzalpier.Busy("store", "the job could not be looked up: "+err.Error(), quetzalpier.RanNo, e.Sender.Spread(storePause))
 	}
 	if spec == nil {
-		return 0, nil, quetzalpier.Missing("job", "job "+job+" does not exist")
+		return 0, nil, e.missing(job)
 	}
 	listed, err := e.Vault.Listed(ctx, job)
 	if err != nil {
@@ -377,7 +379,7 @@
 		return nil, quetzalpier.Busy("store", "the job could not be looked up: "+err.Error(), quetzalpier.RanNo, e.Sender.Spread(storePause))
 	}
 	if spec == nil {
-		return nil, gone
+		return nil, e.missing(job)
 	}
 	task, ok := spec.Find(id)
 	if !ok {
@@ -385,3 +387,12 @@
 	}
 	return task.Body, nil
 }
+
+// missing answers for a job that is not stored. One that was taken while the
+// store was out may still lie on a disk.
+func (e *Entry) missing(job string) error {
+	if !e.Steady(time.Now()) {
+		return quetzalpier.Busy("store", "job "+job+" is not stored, and the store was out a moment ago", quetzalpier.RanNo, e.Sender.Spread(storePause))
+	}
+	return quetzalpier.Missing("job", "job "+job+" does not exist")
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -88,6 +88,7 @@
 	retired  *mirror.Mirror
 	vms      *vms
 
+	born    time.Time
 	running conc.WaitGroup
 	logs    io.Closer
 }
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
-	n := &Node{Settings: settings, Meter: meter.New()}
+	n := &Node{Settings: settings, Meter: meter.New(), born: time.Now()}
 	n.openLog(out, level)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory<<20)))
 	n.Board = board.New(board.Member{
@@ -217,10 +218,12 @@
 	return nil
 }
 
-// steady tells whether the list of nodes is up to date.
+// steady tells whether the store has answered for long enough that what is
+// missing in it is gone, in this process's life as well.
 func (n *Node) steady(now time.Time) bool {
 	state := n.nodes.State()
-	return !state.Failing && now.Sub(state.Returned) > n.Settings.Settle.D()
+	settle := n.Settings.Settle.D()
+	return n.kv.Steady(settle, now) && !state.Failing && now.Sub(state.Returned) > settle && now.Sub(n.born) > settle
 }
 
 // handle answers another node's call.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,8 +43,9 @@
 	Reset func()
 	Log   zerolog.Logger
 
-	mu     sync.Mutex
-	failed bool
+	mu       sync.Mutex
+	failed   bool
+	returned time.Time
 }
 
 var _ quetzalpier.KV = (*KV)(nil)
@@ -56,6 +57,13 @@
 	return k.failed
 }
 
+// Steady tells whether the direct way has worked for the given time.
+func (k *KV) Steady(during time.Duration, now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.failed && now.Sub(k.returned) > during
+}
+
 // Get implements quetzalpier.KV.
 func (k *KV) Get(ctx context.Context, key string) (entry quetzalpier.Entry, err error) {
 	err = k.do(ctx, directTimeout, true, func(ctx context.Context) error {
@@ -167,6 +175,9 @@
 	k.mu.Lock()
 	changed := failed != k.failed
 	k.failed = failed
+	if changed && !failed {
+		k.returned = time.Now()
+	}
 	k.mu.Unlock()
 	if !changed {
 		return
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -94,6 +94,7 @@
 		if job == nil || len(job.Listed) != page.From {
 			continue
 		}
+		delete(t.doubted, page.Job)
 		waited := now.Sub(job.PendingAt)
 		job.List(len(page.Results), now)
 		t.r.Log.Info().Str("job", page.Job).Int("from", page.From).Int("results", len(page.Results)).
@@ -101,8 +102,22 @@
 	}
 }
 
+// doubt notes that the store may hold more results of jobs than are known
+// here: it is asked until that is settled.
+func (t *term) doubt(pages []vault.Page) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, page := range pages {
+		t.doubted[page.Job] = true
+	}
+}
+
 func (t *term) listFailed(err error, fence uint64, pages []vault.Page) {
 	t.r.Log.Warn().Str("pool", t.pool).Uint64("fence", fence).Int("jobs", len(pages)).Err(err).Msg("results not listed")
+	var refused *quetzalpier.RefusedError
+	if !errors.As(err, &refused) {
+		t.doubt(pages)
+	}
 	var swap *quetzalpier.SwapError
 	if !errors.As(err, &swap) {
 		return
@@ -135,6 +150,7 @@
 			}
 			t.mu.Lock()
 			t.cut(t.book.Reconcile(id, listed, time.Now()))
+			delete(t.doubted, id)
 			t.mu.Unlock()
 		}
 	}
--- a/runner/read.go
+++ b/runner/read.go
@@ -63,7 +63,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	job := t.book.Jobs[read.GetJob()]
-	if job == nil {
+	if job == nil || t.doubted[read.GetJob()] {
 		return &wire.Results{}, nil
 	}
 	answer := &wire.Results{Known: true, Total: uint64(len(job.Tasks)), Open: !job.Ended}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -97,12 +97,13 @@
 	if id := string(answer.Header.Peek(platform.HeaderAttempt)); id != r.task.Spec.ID {
 		return errors.Errorf("answer of engine %s belongs to %q", r.vm.ID, id)
 	}
-	version, err := platform.ParseVersion(string(answer.Header.Peek(platform.HeaderVersion)))
-	if err != nil {
-		return errors.Wrap(err, "answer of engine "+r.vm.ID)
-	}
-	if string(answer.Header.Peek("Connection")) == "close" {
-		r.term.r.Log.Debug().Str("engine", r.vm.ID).Msg("engine closes its connections")
+	// A run that was resumed behind its last event makes none, and names no
+	// version.
+	var version quetzalpier.Version
+	if text := string(answer.Header.Peek(platform.HeaderVersion)); text != "" {
+		if version, err = platform.ParseVersion(text); err != nil {
+			return errors.Wrap(err, "answer of engine "+r.vm.ID)
+		}
 	}
 	return r.events(platform.NewEvents(answer), version)
 }
@@ -139,6 +140,9 @@
 		if event.Version > 0 {
 			version = event.Version
 		}
+		if version == 0 {
+			return errors.Errorf("engine %s names no version for event %d", r.vm.ID, event.ID)
+		}
 		if event.ID != r.last+1 {
 			return errors.Errorf("engine %s sent event %d after %d", r.vm.ID, event.ID, r.last)
 		}
--- a/runner/term.go
+++ b/runner/term.go
@@ -59,6 +59,8 @@
 	cancels map[*tasks.Task]context.CancelFunc
 	// ended are jobs whose end is known; one may be heard before its job.
 	ended map[string]bool
+	// doubted are jobs of which the store may hold more results than the book.
+	doubted map[string]bool
 	// old are jobs that were dropped here and are to be removed from the store,
 	// with the time of their submission.
 	old map[string]time.Time
@@ -80,7 +82,7 @@
 		r: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), finished: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		book: tasks.NewBook(), engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{}, old: map[string]time.Time{}, named: map[string]named{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, ended: map[string]bool{}, old: map[string]time.Time{}, named: map[string]named{}, doubted: map[string]bool{},
 	}
 }
 
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -237,7 +237,9 @@
 	}
 	length, _ := strconv.Atoi(string(c.Request.Body()))
 	version, _ := w.Version(model)
-	c.Response.Header.Set(platform.HeaderVersion, strconv.FormatUint(uint64(version), 10))
+	if last < length {
+		c.Response.Header.Set(platform.HeaderVersion, strconv.FormatUint(uint64(version), 10))
+	}
 	c.SetContentType("text/event-stream")
 	c.SetBodyStreamWriter(func(out *bufio.Writer) { w.stream(out, id, model, last, length, faults) })
 }
