--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -31,10 +33,13 @@
 	if err != nil {
 		return err
 	}
+	// An interrupted run ends the processes that it started.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	broken := 0
-	for i := range c.Seeds {
+	for i := 0; i < c.Seeds && ctx.Err() == nil; i++ {
 		seed := c.Seed + uint64(i)
-		ledger, dir, err := c.one(program, seed)
+		ledger, dir, err := c.one(ctx, program, seed)
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
@@ -52,7 +57,7 @@
 	return nil
 }
 
-func (c *soakCommand) one(program string, seed uint64) (*soak.Ledger, string, error) {
+func (c *soakCommand) one(ctx context.Context, program string, seed uint64) (*soak.Ledger, string, error) {
 	dir, err := os.MkdirTemp(c.Logs, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		return nil, "", err
@@ -70,5 +75,5 @@
 	}
 	defer r.Close()
 	plan := soak.Plan{Seed: seed, For: c.For, Log: zerolog.New(log).With().Timestamp().Logger()}
-	return soak.Run(context.Background(), r, plan), dir, nil
+	return soak.Run(ctx, r, plan), dir, nil
 }
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -146,7 +146,11 @@
 	if s := c.known(key); s != nil {
 		return s, nil
 	}
-	conn, err := client.Dial(key.addr, dialTimeout)
+	timeout := dialTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	conn, err := client.Dial(key.addr, timeout)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
--- a/runner/term.go
+++ b/runner/term.go
@@ -230,7 +230,7 @@
 	if !t.loaded {
 		return
 	}
-	t.refresh(now)
+	t.refresh()
 	t.cut(t.book.Expire(now))
 	engines := t.list()
 	t.cut(t.book.Stuck(engines, now))
@@ -265,7 +265,7 @@
 }
 
 // refresh takes over which engines there are; the caller holds the lock.
-func (t *term) refresh(now time.Time) {
+func (t *term) refresh() {
 	live := map[string]bool{}
 	t.r.Board.Do(func(s *board.State) {
 		for id, u := range s.Upstreams {
