--- /dev/null
+++ b/keep/keep_test.go
@@ -0,0 +1,121 @@
+package keep_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/keep"
+	"quetzalpier/stand"
+	"quetzalpier/vault"
+	"quetzalpier/wire"
+)
+
+func newJob(t *testing.T) (*quetzalpier.Job, []byte) {
+	t.Helper()
+	job := &quetzalpier.Job{
+		ID: "j1", Model: "m", Pool: "p", Put: time.UnixMilli(time.Now().UnixMilli()), Due: time.UnixMilli(1), Expires: time.UnixMilli(2),
+		Tasks: []quetzalpier.Task{{ID: "t1", Path: "/t", Body: []byte("body"), Headers: map[string]string{"A": "b"}}},
+	}
+	data, err := wire.EncodeJob(job)
+	require.NoError(t, err)
+	return job, data
+}
+
+// keepers returns n keepers that reach each other; the last ones fail.
+func keepers(t *testing.T, n, failing, losses int) (*keep.Keeper, []*keep.Keeper, *stand.Memory) {
+	t.Helper()
+	service := stand.NewMemory()
+	all := map[string]*keep.Keeper{}
+	var list []*keep.Keeper
+	call := func(ctx context.Context, addr string, message *wire.Call) (*wire.Reply, error) {
+		k := all[addr]
+		if k == nil {
+			return nil, errors.New("no answer")
+		}
+		job, err := wire.DecodeJob(message.GetKeep().GetJob())
+		require.NoError(t, err)
+		return &wire.Reply{}, k.Keep(ctx, job, message.GetKeep().GetJob(), message.GetKeep().GetCopy())
+	}
+	var addrs []string
+	for i := range n {
+		addr := string(rune('a' + i))
+		k := &keep.Keeper{Dir: t.TempDir(), Losses: losses, History: time.Minute, Vault: &vault.Vault{KV: service}, Call: call, Log: zerolog.Nop()}
+		if i < n-failing {
+			all[addr] = k
+		}
+		if i > 0 {
+			addrs = append(addrs, addr)
+		}
+		list = append(list, k)
+	}
+	list[0].Peers = func() []string { return addrs }
+	return list[0], list[1:], service
+}
+
+func files(t *testing.T, k *keep.Keeper) int {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(k.Dir, "*.job"))
+	require.NoError(t, err)
+	return len(names)
+}
+
+func TestKeep(t *testing.T) {
+	t.Run("one copy more than disks may be lost", func(t *testing.T) {
+		first, others, _ := keepers(t, 4, 0, 2)
+		job, data := newJob(t)
+		require.NoError(t, first.Keep(t.Context(), job, data, false))
+		require.Equal(t, []int{1, 1, 1, 0}, []int{files(t, first), files(t, others[0]), files(t, others[1]), files(t, others[2])})
+	})
+	t.Run("too few nodes with a disk", func(t *testing.T) {
+		first, _, _ := keepers(t, 1, 0, 1)
+		job, data := newJob(t)
+		var few *keep.TooFewError
+		require.True(t, errors.As(first.Keep(t.Context(), job, data, false), &few))
+		require.Equal(t, keep.TooFewError{Job: "j1", Copies: 1, Wanted: 2}, *few)
+	})
+	t.Run("a copy that is not acknowledged is none", func(t *testing.T) {
+		first, _, _ := keepers(t, 2, 1, 1)
+		job, data := newJob(t)
+		require.Error(t, first.Keep(t.Context(), job, data, false))
+	})
+	t.Run("each holder brings it, and it exists once", func(t *testing.T) {
+		first, others, service := keepers(t, 2, 0, 1)
+		job, data := newJob(t)
+		require.NoError(t, first.Keep(t.Context(), job, data, false))
+		require.True(t, others[0].Bring(t.Context(), time.Now()))
+		require.True(t, first.Bring(t.Context(), time.Now()))
+		require.Zero(t, files(t, first)+files(t, others[0]))
+		stored, err := (&vault.Vault{KV: service}).Get(t.Context(), "j1")
+		require.NoError(t, err)
+		require.Equal(t, job, stored)
+	})
+	t.Run("a job that nobody needs any more is not revived", func(t *testing.T) {
+		first, _, service := keepers(t, 1, 0, 0)
+		job, data := newJob(t)
+		require.NoError(t, first.Keep(t.Context(), job, data, false))
+		require.True(t, first.Bring(t.Context(), time.Now().Add(2*time.Minute)))
+		stored, err := (&vault.Vault{KV: service}).Get(t.Context(), "j1")
+		require.NoError(t, err)
+		require.Nil(t, stored)
+	})
+	t.Run("an unfinished file is not brought", func(t *testing.T) {
+		first, _, _ := keepers(t, 1, 0, 0)
+		require.NoError(t, os.WriteFile(filepath.Join(first.Dir, "j1.job.new"), []byte("torn"), 0o600))
+		require.True(t, first.Bring(t.Context(), time.Now()))
+	})
+	t.Run("an id names no other file", func(t *testing.T) {
+		first, _, _ := keepers(t, 1, 0, 0)
+		job, data := newJob(t)
+		job.ID = "../j1"
+		var field *quetzalpier.FieldError
+		require.True(t, errors.As(first.Keep(t.Context(), job, data, false), &field))
+	})
+}
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,180 @@
+package mirror_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/mirror"
+	"quetzalpier/stand"
+	"quetzalpier/wire"
+)
+
+const patience = 10 * time.Second
+
+// copied is what a mirror's Apply was told.
+type copied struct {
+	mu     sync.Mutex
+	keys   map[string]string
+	wholes int
+}
+
+func (c *copied) apply(changed []quetzalpier.Entry, whole bool, _ time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if whole {
+		c.keys = map[string]string{}
+		c.wholes++
+	}
+	for _, e := range changed {
+		if e.Deleted {
+			delete(c.keys, e.Key)
+			continue
+		}
+		c.keys[e.Key] = string(e.Value)
+	}
+}
+
+func (c *copied) has(key, value string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keys[key] == value
+}
+
+func follow(t *testing.T, source mirror.Source) (*mirror.Mirror, *copied) {
+	t.Helper()
+	c := &copied{}
+	m := &mirror.Mirror{KV: source, Prefix: "p/", Wait: 50 * time.Millisecond, Log: zerolog.Nop(), Apply: c.apply}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	running.Go(func() { m.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return m, c
+}
+
+func put(t *testing.T, kv quetzalpier.KV, key, value string) {
+	t.Helper()
+	_, err := kv.Commit(t.Context(), quetzalpier.Txn{Writes: []quetzalpier.Write{{Key: key, Value: []byte(value)}}})
+	require.NoError(t, err)
+}
+
+func requireCopied(t *testing.T, c *copied, key, value string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return c.has(key, value) }, patience, time.Millisecond)
+}
+
+func TestMirror(t *testing.T) {
+	t.Run("it holds what is there and what comes", func(t *testing.T) {
+		kv := stand.NewMemory()
+		put(t, kv, "p/a", "1")
+		_, c := follow(t, kv)
+		requireCopied(t, c, "p/a", "1")
+		put(t, kv, "p/b", "2")
+		requireCopied(t, c, "p/b", "2")
+		_, err := kv.Commit(t.Context(), quetzalpier.Txn{Deletes: []string{"p/a"}})
+		require.NoError(t, err)
+		requireCopied(t, c, "p/a", "")
+	})
+	t.Run("it reads all again when the history is gone", func(t *testing.T) {
+		kv := &gappy{Memory: stand.NewMemory()}
+		put(t, kv, "p/a", "1")
+		_, c := follow(t, kv)
+		requireCopied(t, c, "p/a", "1")
+		kv.set(errors.New("out"))
+		put(t, kv, "p/a", "2")
+		kv.Compact()
+		kv.set(nil)
+		requireCopied(t, c, "p/a", "2")
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		require.Equal(t, 2, c.wholes)
+	})
+	t.Run("it tells how long it has heard nothing", func(t *testing.T) {
+		kv := &gappy{Memory: stand.NewMemory()}
+		m, _ := follow(t, kv)
+		require.Eventually(t, func() bool { return !m.State().Heard.IsZero() }, patience, time.Millisecond)
+		kv.set(errors.New("out"))
+		require.Eventually(t, func() bool { return m.State().Failing }, patience, time.Millisecond)
+		kv.set(nil)
+		require.Eventually(t, func() bool { return !m.State().Failing && !m.State().Returned.IsZero() }, patience, time.Millisecond)
+	})
+}
+
+// gappy is a service that can be switched off for watches.
+type gappy struct {
+	*stand.Memory
+	mu  sync.Mutex
+	err error
+}
+
+func (g *gappy) set(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.err = err
+}
+
+func (g *gappy) fault() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.err
+}
+
+func (g *gappy) Follow(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
+	if err := g.fault(); err != nil {
+		return quetzalpier.Changes{}, err
+	}
+	return g.Memory.Follow(ctx, prefix, rev, wait)
+}
+
+func TestFeed(t *testing.T) {
+	feed := func(leader *mirror.Mirror, direct mirror.Source, fault func() error) *mirror.Feed {
+		return &mirror.Feed{
+			Direct: direct, Leader: func() string { return "leader" },
+			Call: func(ctx context.Context, _ string, call *wire.Call) (*wire.Reply, error) {
+				if err := fault(); err != nil {
+					return nil, err
+				}
+				return &wire.Reply{Kind: &wire.Reply_Stored{Stored: leader.Serve(ctx, call.GetFeed())}}, nil
+			},
+		}
+	}
+	none := func() error { return nil }
+	t.Run("a follower makes no call to the service", func(t *testing.T) {
+		kv, unused := stand.NewMemory(), stand.NewMemory()
+		put(t, kv, "p/a", "1")
+		leader, c := follow(t, kv)
+		requireCopied(t, c, "p/a", "1")
+		_, followed := follow(t, feed(leader, unused, none))
+		requireCopied(t, followed, "p/a", "1")
+		put(t, kv, "p/b", "2")
+		requireCopied(t, followed, "p/b", "2")
+		require.Zero(t, unused.Counts().Reads+unused.Counts().Watches)
+	})
+	t.Run("a follower turns to the service when its leader fails", func(t *testing.T) {
+		kv := stand.NewMemory()
+		leader, c := follow(t, kv)
+		put(t, kv, "p/a", "1")
+		requireCopied(t, c, "p/a", "1")
+		_, followed := follow(t, feed(leader, kv, func() error { return errors.New("reset") }))
+		requireCopied(t, followed, "p/a", "1")
+		put(t, kv, "p/b", "2")
+		requireCopied(t, followed, "p/b", "2")
+	})
+	t.Run("a leader that hears nothing is not followed", func(t *testing.T) {
+		kv := &gappy{Memory: stand.NewMemory()}
+		leader, _ := follow(t, kv)
+		require.Eventually(t, func() bool { return !leader.State().Heard.IsZero() }, patience, time.Millisecond)
+		kv.set(errors.New("cut"))
+		require.Eventually(t, func() bool { return leader.State().Failing }, patience, time.Millisecond)
+		put(t, kv.Memory, "p/a", "1")
+		_, followed := follow(t, feed(leader, kv.Memory, none))
+		requireCopied(t, followed, "p/a", "1")
+	})
+}
--- /dev/null
+++ b/swap/rotate_test.go
@@ -0,0 +1,111 @@
+package swap_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/swap"
+)
+
+func seats(versions ...quetzalpier.Version) []swap.Seat {
+	list := make([]swap.Seat, 0, len(versions))
+	for i, version := range versions {
+		list = append(list, swap.Seat{ID: fmt.Sprintf("e%d", i), Version: version})
+	}
+	return list
+}
+
+func TestRotate(t *testing.T) {
+	cases := []struct {
+		name  string
+		seats []swap.Seat
+		turn  swap.Turn
+		want  []string
+	}{
+		{"half of the engines at a version", seats(1, 1, 1, 1), swap.Turn{Target: 2, Floor: 1, Room: 4}, []string{"e0", "e1"}},
+		{"as many as there is room for", seats(1, 1, 1, 1), swap.Turn{Target: 2, Floor: 1, Room: 1}, []string{"e0"}},
+		{"those that the next job does not take", seats(3, 2, 3, 2), swap.Turn{Target: 4, Floor: 2, Next: 3, Room: 4}, []string{"e1", "e3"}},
+		{"none that the next job takes, once half are fresh", seats(4, 3, 4, 3), swap.Turn{Target: 4, Floor: 2, Next: 3, Room: 4}, nil},
+		{"none with runs", []swap.Seat{{ID: "a", Version: 1, Running: 1}, {ID: "b", Version: 1}}, swap.Turn{Target: 2, Floor: 1, Next: 2, Room: 2}, []string{"b"}},
+		{"those with runs once too few are of use", []swap.Seat{{ID: "a", Version: 1, Running: 1}, {ID: "b", Version: 1, Running: 2}}, swap.Turn{Target: 3, Floor: 3, Next: 3, Room: 2}, []string{"a"}},
+		{"none that carries out an order", []swap.Seat{{ID: "a", Version: 1, Busy: true}, {ID: "b", Version: 1, Busy: true}}, swap.Turn{Target: 2, Floor: 2, Next: 2, Room: 2}, nil},
+		{"a load under way counts", []swap.Seat{{ID: "a", Version: 1, Loading: 2, Busy: true}, {ID: "b", Version: 1}}, swap.Turn{Target: 2, Floor: 1, Room: 1}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, swap.Rotate(c.seats, c.turn))
+		})
+	}
+}
+
+// TestRotation replays a trainer that names a version and submits a step every
+// four seconds, whose floor is one version behind, on engines of which two load
+// at a time for a second each. Every engine must be of use when a step begins,
+// and no version may cost more loads than half of the engines, rounded up.
+func TestRotation(t *testing.T) {
+	const engines = 9
+	list := seats(make([]quetzalpier.Version, engines)...)
+	for i := range list {
+		list[i].Version = 1
+	}
+	for target := quetzalpier.Version(2); target < 12; target++ {
+		floor := max(1, target-2)
+		loads := 0
+		for second := range 4 {
+			next := quetzalpier.Version(0)
+			if floor > 1 || target >= floor+2 {
+				next = floor + 1
+			}
+			due := swap.Rotate(list, swap.Turn{Target: target, Floor: floor, Next: next, Room: 2})
+			for _, id := range due {
+				loads++
+				for i := range list {
+					if list[i].ID == id {
+						list[i].Version = target
+					}
+				}
+			}
+			if second == 0 && target > 2 {
+				for _, seat := range list {
+					require.GreaterOrEqual(t, seat.Version, floor, "version %d: %s is of no use", target, seat.ID)
+				}
+			}
+		}
+		require.LessOrEqual(t, loads, (engines+1)/2, "version %d", target)
+	}
+}
+
+func TestHomes(t *testing.T) {
+	t.Run("one model has all engines", func(t *testing.T) {
+		require.Equal(t, 36, swap.Width(36, 1, 7, time.Second, 4*time.Second))
+	})
+	t.Run("four models have as many as can be kept fresh", func(t *testing.T) {
+		require.Equal(t, 11, swap.Width(36, 4, 7, time.Second, 4*time.Second))
+	})
+	t.Run("rare versions let every model have all engines", func(t *testing.T) {
+		require.Equal(t, 36, swap.Width(36, 4, 7, time.Second, 7*time.Minute))
+	})
+	t.Run("every engine is some model's home", func(t *testing.T) {
+		var ids []string
+		for i := range 9 {
+			ids = append(ids, fmt.Sprintf("e%d", i))
+		}
+		seen := map[string]bool{}
+		for place := range 2 {
+			homes := swap.Homes(ids, place, 2, 5)
+			require.Len(t, homes, 5)
+			for _, id := range homes {
+				seen[id] = true
+			}
+		}
+		require.Len(t, seen, 9)
+	})
+	t.Run("the model with the least useful engines goes first", func(t *testing.T) {
+		order := swap.Neediest([]swap.Share{{"a", 3, 6}, {"b", 0, 6}, {"c", 6, 6}})
+		require.Equal(t, []string{"b", "a", "c"}, order)
+	})
+}
--- /dev/null
+++ b/tasks/book_test.go
@@ -0,0 +1,188 @@
+package tasks_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"quetzalpier"
+	"quetzalpier/tasks"
+)
+
+var start = time.Unix(1000, 0)
+
+// newSpec returns a job of groups tasks each; hints are in events.
+func newSpec(id string, groups, size int, hints ...int) *quetzalpier.Job {
+	job := &quetzalpier.Job{
+		ID: id, Model: "m", Floor: 2, Want: groups, Attempts: 3,
+		Put: start, Due: start.Add(8 * time.Second), Expires: start.Add(40 * time.Second),
+	}
+	for i := range groups * size {
+		task := quetzalpier.Task{ID: fmt.Sprintf("%s-%d", id, i), Group: fmt.Sprintf("g%d", i/size), Path: "/t"}
+		if i < len(hints) {
+			task.Hint = hints[i] * tasks.EventTokens
+		}
+		job.Tasks = append(job.Tasks, task)
+	}
+	return job
+}
+
+func finish(b *tasks.Book, task *tasks.Task, at time.Time) {
+	task.Text.Add("text of "+task.Spec.ID, 2)
+	b.Finish(task, "score", at)
+}
+
+func ids(results []quetzalpier.Result) []string {
+	list := make([]string, 0, len(results))
+	for _, result := range results {
+		list = append(list, result.ID)
+	}
+	return list
+}
+
+func TestBook(t *testing.T) {
+	t.Run("results get positions in the order in which they are stored", func(t *testing.T) {
+		book := tasks.NewBook()
+		job := book.Add(newSpec("j", 2, 2), nil, start)
+		finish(book, job.Tasks[3], start)
+		finish(book, job.Tasks[0], start)
+		require.Empty(t, job.Listed)
+		job.List(1, start)
+		require.Equal(t, []string{"j-3"}, ids(job.Listed))
+		require.Equal(t, []string{"j-0"}, ids(job.Pending))
+	})
+	t.Run("a job that is known stays as it is", func(t *testing.T) {
+		book := tasks.NewBook()
+		job := book.Add(newSpec("j", 1, 2), nil, start)
+		finish(book, job.Tasks[0], start)
+		require.Same(t, job, book.Add(newSpec("j", 1, 2), nil, start))
+		require.Len(t, job.Pending, 1)
+	})
+	t.Run("what an earlier owner listed is not run again", func(t *testing.T) {
+		book := tasks.NewBook()
+		listed := []quetzalpier.Result{{ID: "j-1", Done: true}}
+		job := book.Add(newSpec("j", 1, 2), listed, start)
+		require.Equal(t, tasks.Finished, job.Tasks[1].Phase)
+		require.Equal(t, 1, job.Unfinished())
+	})
+	t.Run("an ended job cuts its runs and lists no more", func(t *testing.T) {
+		book := tasks.NewBook()
+		job := book.Add(newSpec("j", 1, 2), nil, start)
+		job.Tasks[0].Phase = tasks.Running
+		require.Len(t, book.End("j", start), 1)
+		finish(book, job.Tasks[1], start)
+		require.Empty(t, job.Pending)
+		require.Empty(t, book.End("j", start))
+	})
+	t.Run("a task that outlives its job's time is given up", func(t *testing.T) {
+		book := tasks.NewBook()
+		job := book.Add(newSpec("j", 1, 1), nil, start)
+		require.Empty(t, book.Expire(start.Add(39*time.Second)))
+		require.Empty(t, job.Pending)
+		book.Expire(start.Add(40 * time.Second))
+		require.Equal(t, []quetzalpier.Result{{ID: "j-0"}}, job.Pending)
+	})
+	t.Run("a group that comes again goes on with its text", func(t *testing.T) {
+		book := tasks.NewBook()
+		first := book.Add(newSpec("a", 1, 2), nil, start)
+		first.Tasks[0].Text.Add("one", 3)
+		book.End("a", start)
+		second := newSpec("b", 1, 2)
+		second.Tasks[0].ID = "a-0"
+		require.Equal(t, []string{"one"}, book.Add(second, nil, start).Tasks[0].Text.Events)
+	})
+	t.Run("a text that is too old for the next job is made anew", func(t *testing.T) {
+		book := tasks.NewBook()
+		first := book.Add(newSpec("a", 1, 2), nil, start)
+		first.Tasks[0].Text.Add("one", 2)
+		book.End("a", start)
+		second := newSpec("b", 1, 2)
+		second.Floor = 3
+		second.Tasks[0].ID = "a-0"
+		require.Empty(t, book.Add(second, nil, start).Tasks[0].Text.Events)
+	})
+	t.Run("single-version jobs take no mixed text", func(t *testing.T) {
+		var text tasks.Text
+		text.Add("one", 2)
+		text.Add("two", 3)
+		require.True(t, text.Fits(&quetzalpier.Job{Floor: 2}))
+		require.False(t, text.Fits(&quetzalpier.Job{Floor: 2, Single: true}))
+	})
+	t.Run("results wait for others unless the trainer waits for just these", func(t *testing.T) {
+		book := tasks.NewBook()
+		job := book.Add(newSpec("j", 2, 1), nil, start)
+		finish(book, job.Tasks[0], start)
+		require.Equal(t, 100*time.Millisecond, book.Due(100*time.Millisecond, start))
+		require.Equal(t, 40*time.Millisecond, book.Due(100*time.Millisecond, start.Add(60*time.Millisecond)))
+		finish(book, job.Tasks[1], start)
+		require.Zero(t, book.Due(100*time.Millisecond, start))
+	})
+	t.Run("the longest unsaved texts are saved first", func(t *testing.T) {
+		book := tasks.NewBook()
+		job := book.Add(newSpec("j", 1, 3), nil, start)
+		for i, events := range []int{3, 9, 20} {
+			for range events {
+				job.Tasks[i].Text.Add("e", 2)
+			}
+		}
+		job.Tasks[2].Saved = 15
+		unsaved := book.Unsaved(4, 5, start)
+		require.Len(t, unsaved, 2)
+		require.Equal(t, "j-1", unsaved[0].Spec.ID)
+	})
+	t.Run("an older part does not replace a newer text", func(t *testing.T) {
+		book := tasks.NewBook()
+		task := book.Add(newSpec("j", 1, 1), nil, start).Tasks[0]
+		book.Restore(task, tasks.Text{Events: []string{"a", "b"}, Versions: []quetzalpier.Version{2}})
+		book.Restore(task, tasks.Text{Events: []string{"a"}, Versions: []quetzalpier.Version{2}})
+		require.Len(t, task.Text.Events, 2)
+		book.Restore(task, tasks.Text{Events: []string{"a", "b", "c"}, Versions: []quetzalpier.Version{1}})
+		require.Len(t, task.Text.Events, 2, "a part below the floor is of no use")
+	})
+	t.Run("jobs that ended are forgotten after a while", func(t *testing.T) {
+		book := tasks.NewBook()
+		book.Add(newSpec("j", 1, 1), nil, start)
+		book.End("j", start)
+		require.Empty(t, book.Forget(10*time.Second, start.Add(10*time.Second)))
+		require.Len(t, book.Forget(10*time.Second, start.Add(11*time.Second)), 1)
+	})
+}
+
+// TestPositions holds the book to this: whatever of its transactions took
+// effect without an answer, stored positions never change and no task stands
+// at two of them.
+func TestPositions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := tasks.NewBook()
+		spec := newSpec("j", 3, 4)
+		job := book.Add(spec, nil, start)
+		var stored []quetzalpier.Result
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				finish(book, job.Tasks[rapid.IntRange(0, 11).Draw(t, "task")], start)
+			case 1, 2:
+				if len(job.Pending) == 0 || len(stored) != len(job.Listed) {
+					continue
+				}
+				n := rapid.IntRange(1, len(job.Pending)).Draw(t, "results")
+				stored = append(stored, job.Pending[:n]...)
+				if rapid.Bool().Draw(t, "answered") {
+					job.List(n, start)
+				}
+			case 3:
+				book.Reconcile("j", append([]quetzalpier.Result(nil), stored...), start)
+			}
+		}
+		book.Reconcile("j", stored, start)
+		require.Equal(t, ids(stored), ids(job.Listed))
+		seen := map[string]bool{}
+		for _, id := range append(ids(job.Listed), ids(job.Pending)...) {
+			require.False(t, seen[id], "%s stands twice", id)
+			seen[id] = true
+		}
+	})
+}
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -98,18 +98,22 @@
 		if engine == nil {
 			continue
 		}
-		engine.Running++
-		engine.Tokens += task.Spec.Tokens
-		task.Phase = Running
-		task.Cut = false
-		task.Engine = engine.VM.ID
-		task.Started = now
-		task.Moved = now
-		launches = append(launches, Launch{task, engine})
+		launches = append(launches, start(task, engine, now))
 	}
 	return launches
 }
 
+func start(task *Task, engine *Engine, now time.Time) Launch {
+	engine.Running++
+	engine.Tokens += task.Spec.Tokens
+	task.Phase = Running
+	task.Cut = false
+	task.Engine = engine.VM.ID
+	task.Started = now
+	task.Moved = now
+	return Launch{task, engine}
+}
+
 func (b *Book) waiting(now time.Time) []*Task {
 	var waiting []*Task
 	for _, job := range b.Jobs {
--- /dev/null
+++ b/tasks/plan_test.go
@@ -0,0 +1,187 @@
+package tasks_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/tasks"
+)
+
+func newEngine(id string, slots int, version quetzalpier.Version) *tasks.Engine {
+	return &tasks.Engine{
+		VM:       quetzalpier.VM{ID: id, State: quetzalpier.VMLive, Slots: slots},
+		Versions: map[string]quetzalpier.Version{"m": version},
+	}
+}
+
+func TestPlan(t *testing.T) {
+	t.Run("the longest tasks begin first", func(t *testing.T) {
+		book := tasks.NewBook()
+		book.Add(newSpec("j", 1, 3, 5, 100, 20), nil, start)
+		launches := book.Plan([]*tasks.Engine{newEngine("e", 2, 2)}, start)
+		require.Len(t, launches, 2)
+		require.Equal(t, "j-1", launches[0].Task.Spec.ID)
+		require.Equal(t, "j-2", launches[1].Task.Spec.ID)
+	})
+	t.Run("a task goes to the engine that ends it first", func(t *testing.T) {
+		book := tasks.NewBook()
+		book.Add(newSpec("j", 1, 1), nil, start)
+		slow, fast := newEngine("a", 8, 2), newEngine("b", 8, 2)
+		slow.Pace, fast.Pace = 100*time.Millisecond, 30*time.Millisecond
+		fast.Running = 4
+		require.Equal(t, "b", book.Plan([]*tasks.Engine{slow, fast}, start)[0].Engine.VM.ID)
+	})
+	t.Run("no engine that is no use", func(t *testing.T) {
+		cases := map[string]func(*tasks.Engine){
+			"old weights": func(e *tasks.Engine) { e.Versions["m"] = 1 },
+			"leaving":     func(e *tasks.Engine) { e.VM.State = quetzalpier.VMLeaving },
+			"full":        func(e *tasks.Engine) { e.Running = 8 },
+			"loading":     func(e *tasks.Engine) { e.Loading = "m" },
+			"failed":      func(e *tasks.Engine) { e.NotUntil = start.Add(time.Second) },
+		}
+		for name, spoil := range cases {
+			t.Run(name, func(t *testing.T) {
+				book := tasks.NewBook()
+				book.Add(newSpec("j", 1, 1), nil, start)
+				engine := newEngine("e", 8, 2)
+				spoil(engine)
+				require.Empty(t, book.Plan([]*tasks.Engine{engine}, start))
+			})
+		}
+	})
+	t.Run("a long task keeps clear of engines that are about to load", func(t *testing.T) {
+		book := tasks.NewBook()
+		book.Add(newSpec("j", 1, 1, 150), nil, start)
+		due, fresh := newEngine("a", 8, 2), newEngine("b", 8, 3)
+		fresh.Running = 2
+		require.Equal(t, "b", book.Plan([]*tasks.Engine{due, fresh}, start)[0].Engine.VM.ID)
+	})
+	t.Run("a job that has what its trainer waits for comes last", func(t *testing.T) {
+		book := tasks.NewBook()
+		satisfied := newSpec("a", 2, 1)
+		satisfied.Want = 1
+		job := book.Add(satisfied, nil, start)
+		finish(book, job.Tasks[0], start)
+		later := newSpec("b", 1, 1)
+		later.Due = start.Add(20 * time.Second)
+		book.Add(later, nil, start)
+		require.Equal(t, "b-0", book.Plan([]*tasks.Engine{newEngine("e", 1, 2)}, start)[0].Task.Spec.ID)
+	})
+}
+
+func TestStuck(t *testing.T) {
+	running := func(t *testing.T, events int, silent time.Duration) (*tasks.Book, []*tasks.Engine) {
+		t.Helper()
+		book := tasks.NewBook()
+		book.Add(newSpec("j", 1, 1, 100), nil, start)
+		engines := []*tasks.Engine{newEngine("a", 8, 2), newEngine("b", 8, 2), newEngine("c", 8, 2)}
+		for _, e := range engines {
+			e.Pace = 35 * time.Millisecond
+		}
+		task := book.Plan(engines, start)[0].Task
+		for range events {
+			task.Text.Add("e", 2)
+		}
+		task.Moved = start.Add(5*time.Second - silent)
+		return book, engines
+	}
+	now := start.Add(5 * time.Second)
+	t.Run("a run that goes on stays", func(t *testing.T) {
+		book, engines := running(t, 50, 30*time.Millisecond)
+		require.Empty(t, book.Stuck(engines, now))
+	})
+	t.Run("a silent run moves, and its engine rests", func(t *testing.T) {
+		book, engines := running(t, 50, time.Second)
+		require.Len(t, book.Stuck(engines, now), 1)
+		require.True(t, engines[0].NotUntil.After(now))
+	})
+	t.Run("a run on a slow engine moves while it has much to do", func(t *testing.T) {
+		book, engines := running(t, 10, 30*time.Millisecond)
+		engines[0].Pace = 130 * time.Millisecond
+		require.Len(t, book.Stuck(engines, now), 1)
+	})
+	t.Run("a run that has outlasted its hint still has much to do", func(t *testing.T) {
+		book, engines := running(t, 120, 30*time.Millisecond)
+		engines[0].Pace = 130 * time.Millisecond
+		require.Len(t, book.Stuck(engines, now), 1)
+	})
+	t.Run("nothing moves where there is no better place", func(t *testing.T) {
+		book, engines := running(t, 10, 30*time.Millisecond)
+		engines[0].Pace = 130 * time.Millisecond
+		engines[1].Running, engines[2].Running = 8, 8
+		require.Empty(t, book.Stuck(engines, now))
+	})
+	t.Run("a load explains silence", func(t *testing.T) {
+		book, engines := running(t, 50, time.Second)
+		engines[0].Loading = "m"
+		require.Empty(t, book.Stuck(engines, now))
+	})
+}
+
+// replay runs a step in virtual time: every engine makes an event of each of
+// its runs each 33 ms, and the plan is asked whenever a run ends.
+func replay(lengths, hints []int, engines int, plan func(*tasks.Book, []*tasks.Engine, time.Time) []tasks.Launch) time.Duration {
+	const event = 33 * time.Millisecond
+	book := tasks.NewBook()
+	job := book.Add(newSpec("j", len(lengths)/8, 8, hints...), nil, start)
+	var list []*tasks.Engine
+	for i := range engines {
+		e := newEngine(fmt.Sprintf("e%d", i), 8, 2)
+		e.Pace = event
+		list = append(list, e)
+	}
+	index := map[*tasks.Task]int{}
+	for i, task := range job.Tasks {
+		index[task] = i
+	}
+	ends := map[*tasks.Task]time.Time{}
+	on := map[*tasks.Task]*tasks.Engine{}
+	for now := start; ; now = now.Add(event) {
+		for task, end := range ends {
+			if !end.After(now) {
+				delete(ends, task)
+				on[task].Running--
+				finish(book, task, now)
+			}
+		}
+		if job.Unfinished() == 0 {
+			return now.Sub(start)
+		}
+		for _, launch := range plan(book, list, now) {
+			ends[launch.Task] = now.Add(time.Duration(lengths[index[launch.Task]]) * event)
+			on[launch.Task] = launch.Engine
+		}
+	}
+}
+
+// TestLongestFirst replays the load of a step: 96 tasks at once on 32 slots,
+// one in twelve five times as long as the others, hints off by a factor of up
+// to two. Ours must never be later than the naive order by more than a few
+// events, and earlier on the whole.
+func TestLongestFirst(t *testing.T) {
+	var ours, naive time.Duration
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, seed))
+		var lengths, hints []int
+		for range 96 {
+			length := 5 + rnd.IntN(40)
+			if rnd.IntN(12) == 0 {
+				length = min(179, length*5)
+			}
+			lengths = append(lengths, length)
+			hints = append(hints, max(1, int(float64(length)*(0.5+1.5*rnd.Float64()))))
+		}
+		a := replay(lengths, hints, 4, (*tasks.Book).Plan)
+		b := replay(lengths, hints, 4, (*tasks.Book).NaivePlan)
+		require.LessOrEqual(t, a, b+20*33*time.Millisecond, "seed %d", seed)
+		ours += a
+		naive += b
+	}
+	t.Logf("mean time of a step: %s, naive %s", ours/20, naive/20)
+	require.Less(t, ours, naive*9/10)
+}
--- /dev/null
+++ b/vault/vault_test.go
@@ -0,0 +1,120 @@
+package vault_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/stand"
+	"quetzalpier/vault"
+)
+
+func newVault(t *testing.T) (*vault.Vault, uint64) {
+	t.Helper()
+	v := &vault.Vault{KV: stand.NewMemory()}
+	fence, err := v.KV.Swap(t.Context(), vault.Owners+"p", []byte("n 1"), 0, "")
+	require.NoError(t, err)
+	return v, fence
+}
+
+func results(n int) []quetzalpier.Result {
+	var list []quetzalpier.Result
+	for i := range n {
+		list = append(list, quetzalpier.Result{ID: fmt.Sprint("t", i), Done: true, Text: "text", Versions: []quetzalpier.Version{3, 4}, Score: "s"})
+	}
+	return list
+}
+
+func TestVault(t *testing.T) {
+	job := &quetzalpier.Job{
+		ID: "j", Pool: "p", Model: "m", Put: time.UnixMilli(1), Due: time.UnixMilli(2), Expires: time.UnixMilli(3),
+		Tasks: []quetzalpier.Task{{ID: "t0", Path: "/t", Hint: 7, Reward: quetzalpier.Reward{ID: "r", Host: "h", Path: "/r"}}},
+	}
+	t.Run("a job is created once", func(t *testing.T) {
+		v, _ := newVault(t)
+		again, err := v.Put(t.Context(), job)
+		require.NoError(t, err)
+		require.False(t, again)
+		again, err = v.Put(t.Context(), job)
+		require.NoError(t, err)
+		require.True(t, again)
+		stored, err := v.Get(t.Context(), "j")
+		require.NoError(t, err)
+		require.Equal(t, job, stored)
+	})
+	t.Run("an end may be repeated", func(t *testing.T) {
+		v, _ := newVault(t)
+		require.NoError(t, v.End(t.Context(), "j"))
+		require.NoError(t, v.End(t.Context(), "j"))
+		ended, err := v.Ended(t.Context(), "j")
+		require.NoError(t, err)
+		require.True(t, ended)
+	})
+	t.Run("results keep their positions", func(t *testing.T) {
+		v, fence := newVault(t)
+		all := results(12)
+		require.NoError(t, v.List(t.Context(), "p", fence, []vault.Page{{Job: "j", Results: all[:3]}}))
+		require.NoError(t, v.List(t.Context(), "p", fence, []vault.Page{{Job: "j", From: 3, Results: all[3:]}}))
+		listed, err := v.Listed(t.Context(), "j")
+		require.NoError(t, err)
+		require.Equal(t, all, listed)
+	})
+	t.Run("an owner that was followed by another can't list", func(t *testing.T) {
+		v, fence := newVault(t)
+		_, err := v.KV.Swap(t.Context(), vault.Owners+"p", []byte("m 2"), fence, "")
+		require.NoError(t, err)
+		var swap *quetzalpier.SwapError
+		require.True(t, errors.As(v.List(t.Context(), "p", fence, []vault.Page{{Job: "j", Results: results(1)}}), &swap))
+		require.Equal(t, vault.Owners+"p", swap.Key)
+		require.True(t, errors.As(v.Save(t.Context(), "p", fence, []vault.Part{{Job: "j", Task: "t0"}}), &swap))
+	})
+	t.Run("a position is taken once", func(t *testing.T) {
+		v, fence := newVault(t)
+		require.NoError(t, v.List(t.Context(), "p", fence, []vault.Page{{Job: "j", Results: results(2)}}))
+		var swap *quetzalpier.SwapError
+		require.True(t, errors.As(v.List(t.Context(), "p", fence, []vault.Page{{Job: "j", Results: results(3)}}), &swap))
+	})
+	t.Run("a missing position is an error, not an end", func(t *testing.T) {
+		v, fence := newVault(t)
+		require.NoError(t, v.List(t.Context(), "p", fence, []vault.Page{{Job: "j", From: 2, Results: results(1)}}))
+		_, err := v.Listed(t.Context(), "j")
+		require.Error(t, err)
+	})
+	t.Run("parts are kept until they are forgotten", func(t *testing.T) {
+		v, fence := newVault(t)
+		part := vault.Part{Job: "j", Task: "t0", Events: []string{"a", "b\nc"}, Versions: []quetzalpier.Version{5}}
+		require.NoError(t, v.Save(t.Context(), "p", fence, []vault.Part{part}))
+		parts, err := v.Parts(t.Context(), "j")
+		require.NoError(t, err)
+		require.Equal(t, []vault.Part{part}, parts)
+		require.NoError(t, v.Forget(t.Context(), "j", []string{"t0"}))
+		parts, err = v.Parts(t.Context(), "j")
+		require.NoError(t, err)
+		require.Empty(t, parts)
+	})
+	t.Run("who ordered before is known", func(t *testing.T) {
+		v, _ := newVault(t)
+		for _, step := range []struct{ node, before string }{{"a", ""}, {"a", "a"}, {"b", "a"}, {"a", "b"}} {
+			before, err := v.Succeed(t.Context(), "p", step.node)
+			require.NoError(t, err)
+			require.Equal(t, step.before, before)
+		}
+	})
+	t.Run("an old job goes with all that belongs to it", func(t *testing.T) {
+		v, fence := newVault(t)
+		_, err := v.Put(t.Context(), job)
+		require.NoError(t, err)
+		require.NoError(t, v.End(t.Context(), "j"))
+		for i := range 40 {
+			require.NoError(t, v.List(t.Context(), "p", fence, []vault.Page{{Job: "j", From: i, Results: results(1)}}))
+		}
+		require.NoError(t, v.Drop(t.Context(), "j"))
+		left, err := v.KV.Range(t.Context(), "", false)
+		require.NoError(t, err)
+		require.Len(t, left.Entries, 1)
+	})
+}
