--- a/soak/rig.go
+++ b/soak/rig.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -63,8 +64,11 @@
 	rig     *Rig
 	command *exec.Cmd
 	ended   chan struct{}
-	// busy is set while a fault has the process in its hands.
-	busy atomic.Bool
+	// busy is set while a fault has the process in its hands, doomed when its
+	// end was asked for, and strayed when it ended without.
+	busy    atomic.Bool
+	doomed  atomic.Bool
+	strayed atomic.Bool
 }
 
 // Rig is one deployment.
@@ -77,6 +81,8 @@
 	Fronts  []*Node
 	Stores  []*Node
 	config  quetzalpier.Config
+	number  int32
+	nodes   int
 	waits   conc.WaitGroup
 }
 
@@ -86,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{Options: options, KV: kv}
+	r := &Rig{Options: options, KV: kv, number: rigs.Add(1)}
 	if err := r.open(); err != nil {
 		r.Close()
 		return nil, err
@@ -194,10 +200,7 @@
 	settings.Name, settings.Class, settings.Domain = name, class, domain(i)
 	settings.KV, settings.Memory, settings.Losses = link.Addr, 284, 1
 	settings.Grace, settings.Turn = setup.Duration(stopTime), setup.Duration(time.Second)
-	addrs, err := free(4)
-	if err != nil {
-		return err
-	}
+	addrs := r.addresses(4)
 	settings.Peer = addrs[0]
 	if class == "front" {
 		settings.Front, settings.Ready, settings.Lookup = addrs[1], addrs[2], addrs[3]
@@ -212,22 +215,23 @@
 	return n.Start()
 }
 
-// free returns loopback addresses that nobody listens on.
-func free(n int) ([]string, error) {
+// rigs counts the deployments of this process.
+var rigs atomic.Int32
+
+// firstPort is the first port of each node; addresses differ between nodes, so
+// that no outgoing connection can have taken it.
+const firstPort = 7100
+
+// addresses returns addresses for one node on a loopback IP of its own.
+func (r *Rig) addresses(n int) []string {
+	pid := os.Getpid()
+	r.nodes++
+	host := fmt.Sprintf("127.%d.%d.%d", 16+pid%224, (pid/224)%256, 1+(int(r.number)*16+r.nodes)%254)
 	var addrs []string
-	var listeners []net.Listener
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		listeners = append(listeners, listener)
-		addrs = append(addrs, listener.Addr().String())
+	for i := range n {
+		addrs = append(addrs, net.JoinHostPort(host, strconv.Itoa(firstPort+i)))
 	}
-	for _, listener := range listeners {
-		_ = listener.Close()
-	}
-	return addrs, nil
+	return addrs
 }
 
 // Start starts the node's process.
@@ -251,6 +255,7 @@
 		return err
 	}
 	n.ended = make(chan struct{})
+	n.doomed.Store(false)
 	command, ended := n.command, n.ended
 	n.rig.waits.Go(func() { n.reap(command, ended, log) })
 	return nil
@@ -259,6 +264,9 @@
 // reap waits for the process, so that its end is known.
 func (n *Node) reap(command *exec.Cmd, ended chan struct{}, log io.Closer) {
 	_ = command.Wait()
+	if !n.doomed.Load() {
+		n.strayed.Store(true)
+	}
 	_ = log.Close()
 	close(ended)
 }
@@ -268,12 +276,14 @@
 
 // Kill ends the process at once and waits for its end.
 func (n *Node) Kill() {
+	n.doomed.Store(true)
 	n.Signal(syscall.SIGKILL)
 	<-n.ended
 }
 
 // Stop ends the process as planned; it is killed when its grace is over.
 func (n *Node) Stop() (planned bool) {
+	n.doomed.Store(true)
 	n.Signal(syscall.SIGTERM)
 	select {
 	case <-n.ended:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -15,6 +15,7 @@
 	"quetzalpier"
 	"quetzalpier/sleep"
 	"quetzalpier/stand"
+	"quetzalpier/vault"
 )
 
 const (
@@ -40,20 +41,32 @@
 // deployment settle, and returns what was seen.
 func Run(ctx context.Context, r *Rig, plan Plan) *Ledger {
 	ledger := newLedger()
+	f := &faults{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 2)), log: plan.Log}
+	r.watch(ctx, ledger, plan.Seed, plan.For+settleTime, func() { f.run(ctx, plan.For) })
+	return ledger
+}
+
+// RunWith runs callers for the given time beside a script of faults.
+func RunWith(ctx context.Context, r *Rig, seed uint64, span time.Duration, disturb func()) *Ledger {
+	ledger := newLedger()
+	r.watch(ctx, ledger, seed, span, disturb)
+	return ledger
+}
+
+// watch runs callers beside the faults and checks what they see.
+func (r *Rig) watch(ctx context.Context, ledger *Ledger, seed uint64, span time.Duration, disturb func()) {
 	if !r.Ready(ctx, readyTime) {
 		ledger.breach("the deployment did not become ready within %s", readyTime)
-		return ledger
+		return
 	}
-	work, cancel := context.WithTimeout(ctx, plan.For+settleTime)
+	work, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	var callers conc.WaitGroup
-	callers.Go(func() { newTrainer(r, ledger, plan.Seed).run(work) })
-	callers.Go(func() { newTrainer(r, ledger, plan.Seed+1).views(work) })
-	f := &faults{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 2)), log: plan.Log}
-	f.run(ctx, plan.For)
+	callers.Go(func() { newTrainer(r, ledger, seed).run(work) })
+	callers.Go(func() { newTrainer(r, ledger, seed+1).views(work) })
+	disturb()
 	callers.Wait()
 	r.checkRuns(ledger)
-	return ledger
 }
 
 // Ready waits until all fronts say that they are ready.
@@ -89,6 +102,11 @@
 			l.breach("%s", fault)
 		}
 	}
+	for _, n := range append(append([]*Node(nil), r.Fronts...), r.Stores...) {
+		if n.strayed.Load() {
+			l.breach("%s ended by itself", n.Settings.Name)
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, seen := range l.jobs {
@@ -199,23 +217,33 @@
 		kv.Compact()
 		return
 	case "revoke":
-		f.revoke(ctx, kv)
+		f.rig.RevokeOwners(ctx)
 		return
 	}
 	f.later(ctx, last, func() { kv.SetFaults(stand.KVFaults{}) })
 }
 
-// revoke takes the owner's key away, as the end of its lease would.
-func (f *faults) revoke(ctx context.Context, kv *stand.KV) {
-	found, err := kv.Range(ctx, "sys/own/", false)
+// RevokeOwners takes the owners' keys away, as the end of their leases would.
+func (r *Rig) RevokeOwners(ctx context.Context) {
+	found, err := r.KV.Range(ctx, vault.Owners, false)
 	if err != nil {
 		return
 	}
 	for _, e := range found.Entries {
-		kv.Revoke(e.Key)
+		r.KV.Revoke(e.Key)
 	}
 }
 
+// Outage makes the key-value service fail for a time.
+func (r *Rig) Outage(last time.Duration) {
+	r.KV.SetFaults(stand.KVFaults{Out: true})
+	time.Sleep(last)
+	r.KV.SetFaults(stand.KVFaults{})
+}
+
+// LoseAnswers makes the key-value service lose the answers of its next writes.
+func (r *Rig) LoseAnswers(n int) { r.KV.SetFaults(stand.KVFaults{Lose: n}) }
+
 // worker disturbs an upstream.
 func (f *faults) worker(ctx context.Context, last time.Duration) {
 	w := f.rig.Engines[f.rnd.IntN(len(f.rig.Engines))]
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -10,8 +10,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quetzalpier"
 	"quetzalpier/platform"
 	"quetzalpier/sleep"
@@ -39,6 +42,9 @@
 	Late   int
 	Views  int
 	Failed int
+	// Cut counts requests that were sent whole on an open connection which then
+	// ended without an answer.
+	Cut int
 }
 
 type seenJob struct {
@@ -294,6 +300,7 @@
 		req.Header.Set(platform.HeaderDeadline, "1500")
 		resp, err := client.Do(req)
 		ok := false
+		cut := err != nil && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
 		if err == nil {
 			data, readErr := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
@@ -307,6 +314,9 @@
 		if !ok {
 			t.ledger.Failed++
 		}
+		if cut {
+			t.ledger.Cut++
+		}
 		t.ledger.mu.Unlock()
 	}
 }
