--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,10 @@
 	leaseLife   = 1800 * time.Millisecond
 	leaseEvery  = 500 * time.Millisecond
 	leaseMargin = 300 * time.Millisecond
+	// frontLife and frontEvery are those of VMs that own pools only when no
+	// other does: there are many of them, and each renewal is a call.
+	frontLife  = 4 * time.Second
+	frontEvery = 1200 * time.Millisecond
 	// watchWait is how long one watch waits; the platform allows 30 s. Whether
 	// the connections still work shows in the lease's renewals.
 	watchWait = 25 * time.Second
@@ -128,6 +132,9 @@
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, Life: leaseLife, Every: leaseEvery, Margin: leaseMargin,
 	}
 	n.links = link.New()
+	if n.Settings.Front != "" {
+		n.lease.Life, n.lease.Every = frontLife, frontEvery
+	}
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.vms = &vms{board: n.Board, settle: n.Settings.Settle.D(), log: n.Log}
 	n.openMirrors()
