--- a/admit/admit.go
+++ b/admit/admit.go
@@ -11,6 +11,9 @@
 const (
 	// maxWaiting bounds a queue's length.
 	maxWaiting = 8192
+	// fewAhead is how many tickets ahead are no reason to refuse one: the rate
+	// of grants tells what was asked for, and says little of a short burst.
+	fewAhead = 16
 	// rateHalfLife smooths the measured rate of grants.
 	rateHalfLife = 5 * time.Second
 	// minAfter and maxAfter bound the advice when to come back.
@@ -59,7 +62,7 @@
 		return q.after(q.waiting, now), false
 	}
 	ahead := q.ahead(t.Class)
-	if wait, known := q.wait(ahead, now); known && !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline) {
+	if wait, known := q.wait(ahead, now); known && ahead > fewAhead && !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline) {
 		return q.after(ahead, now), false
 	}
 	q.classes[t.Class].add(t)
--- a/config.go
+++ b/config.go
@@ -70,6 +70,22 @@
 	Weight float64 `json:"weight"`
 }
 
+// Choose returns the pool that a draw from 0 to 1 falls on, by the targets'
+// weights.
+func (r Route) Choose(draw float64) string {
+	total := 0.0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	at := draw * total
+	for _, target := range r.Targets {
+		if at -= target.Weight; at < 0 {
+			return target.Pool
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Pool
+}
+
 // Match returns the route with the longest prefix of the host that begins the
 // path; false if there is none.
 func (c *Config) Match(host, path string) (Route, bool) {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -27,7 +27,7 @@
 	stop := watchGone(c, cancel)
 	defer stop()
 	job := &send.Job{
-		Pool: e.rnd.pick(route.Targets), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
+		Pool: route.Choose(e.rnd.float()), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
 		Deadline: r.deadline, Idempotent: route.Repeat, Attempts: route.Attempts,
 	}
 	req := e.outgoing(c, r)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -76,7 +76,7 @@
 		e.refuse(c, r, quetzalpier.Missing("route", "only POST submits a job"))
 		return
 	}
-	job, err := platform.DecodeJob(r.id, c.Request.Body(), route, r.start)
+	job, err := platform.DecodeJob(r.id, c.Request.Body(), route, route.Choose(e.rnd.float()), r.start)
 	if err != nil {
 		e.refuse(c, r, quetzalpier.Malformed(err))
 		return
--- a/entry/request.go
+++ b/entry/request.go
@@ -90,18 +90,3 @@
 	defer r.mu.Unlock()
 	return r.rnd.Float64()
 }
-
-// pick draws a target by its weight.
-func (r rander) pick(targets []quetzalpier.Target) string {
-	total := 0.0
-	for _, target := range targets {
-		total += target.Weight
-	}
-	at := r.float() * total
-	for _, target := range targets {
-		if at -= target.Weight; at < 0 {
-			return target.Pool
-		}
-	}
-	return targets[len(targets)-1].Pool
-}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -308,9 +309,10 @@
 	}
 	ctx, cancel := context.WithDeadline(t.ctx, deadline)
 	defer cancel()
+	// No deadline for the queue: a call that waits is better than one that
+	// comes again.
 	job := &send.Job{
-		Pool: route.Targets[0].Pool, Class: quetzalpier.ClassRollout, Tenant: t.pool,
-		Deadline: deadline, Idempotent: true, Attempts: route.Attempts,
+		Pool: route.Choose(rand.Float64()), Class: quetzalpier.ClassRollout, Tenant: t.pool, Idempotent: true, Attempts: route.Attempts,
 	}
 	got := outcome{Attempts: route.Attempts}
 	got.Err = t.r.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
--- a/tasks/book.go
+++ b/tasks/book.go
@@ -84,9 +84,10 @@
 	Cut bool
 }
 
-// Group counts what is left of a group.
+// Group counts what is left of a group, and tells since when it is whole.
 type Group struct {
-	Left int
+	Left    int
+	WholeAt time.Time
 }
 
 // Job is the state of one open job.
@@ -116,9 +117,14 @@
 	until  time.Time
 }
 
-// carryTime is how long texts of ended jobs are kept: trainers bring groups
-// back in the next steps.
-const carryTime = 40 * time.Second
+const (
+	// carryTime is how long texts of ended jobs are kept: trainers bring groups
+	// back in the next steps.
+	carryTime = 20 * time.Second
+	// unreadTime is how long before a job's end a result may have come that its
+	// trainer has not read; its group comes back as well.
+	unreadTime = 3 * time.Second
+)
 
 // Book holds the open jobs of one pool.
 type Book struct {
@@ -155,7 +161,7 @@
 	b.Jobs[spec.ID] = job
 	for _, task := range job.Tasks {
 		if done[task.Spec.ID] {
-			task.end()
+			task.end(now)
 			continue
 		}
 		b.resume(task, now)
@@ -201,9 +207,11 @@
 	return running
 }
 
-// carry keeps the text of a task whose group was not whole.
+// carry keeps the text of a task whose group was not whole, or not so for long
+// enough to have been read.
 func (b *Book) carry(task *Task, now time.Time) {
-	if task.Group.Left == 0 || len(task.Text.Events) == 0 {
+	read := task.Group.Left == 0 && now.Sub(task.Group.WholeAt) > unreadTime
+	if read || len(task.Text.Events) == 0 {
 		return
 	}
 	kept := carried{text: task.Text, whole: task.Phase >= Scoring, until: now.Add(carryTime)}
@@ -253,17 +261,18 @@
 	if t.Phase == Finished || t.Job.Ended {
 		return
 	}
-	t.end()
+	t.end(now)
 	if len(t.Job.Pending) == 0 {
 		t.Job.PendingAt = now
 	}
 	t.Job.Pending = append(t.Job.Pending, result)
 }
 
-func (t *Task) end() {
+func (t *Task) end(now time.Time) {
 	t.Phase = Finished
 	t.Group.Left--
 	if t.Group.Left == 0 {
+		t.Group.WholeAt = now
 		t.Job.Whole++
 	}
 }
@@ -399,7 +408,7 @@
 			task.Cut = true
 			running = append(running, task)
 		}
-		task.end()
+		task.end(now)
 	}
 	job.Listed = listed
 	job.Pending = pending
--- a/tasks/book_test.go
+++ b/tasks/book_test.go
@@ -94,6 +94,23 @@
 		second.Tasks[0].ID = "a-0"
 		require.Equal(t, []string{"one"}, book.Add(second, nil, start).Tasks[0].Text.Events)
 	})
+	t.Run("a result that its trainer may not have read is listed again at once", func(t *testing.T) {
+		book := tasks.NewBook()
+		first := book.Add(newSpec("a", 2, 1), nil, start)
+		first.Tasks[0].Text.Add("old", 2)
+		book.Finish(first.Tasks[0], "old score", start)
+		first.Tasks[1].Spec.Reward.ID = "r"
+		first.Tasks[1].Text.Add("new", 2)
+		book.Finish(first.Tasks[1], "score", start.Add(4*time.Second))
+		book.End("a", start.Add(5*time.Second))
+		second := newSpec("b", 1, 2)
+		second.Tasks[0].ID, second.Tasks[1].ID = "a-0", "a-1"
+		second.Tasks[1].Reward.ID = "r"
+		job := book.Add(second, nil, start.Add(6*time.Second))
+		require.Equal(t, []string{"a-1"}, ids(job.Pending))
+		require.Equal(t, "score", job.Pending[0].Score)
+		require.Equal(t, tasks.Waiting, job.Tasks[0].Phase, "read long before the end")
+	})
 	t.Run("a text that is too old for the next job is made anew", func(t *testing.T) {
 		book := tasks.NewBook()
 		first := book.Add(newSpec("a", 1, 2), nil, start)
