--- a/entry/entry.go
+++ b/entry/entry.go
@@ -156,6 +156,11 @@
 		c.SetConnectionClose()
 	}
 	req := newRequest(c, start)
+	if ambiguous(&c.Request.Header) {
+		e.refuse(c, req, quetzalpier.Invalid("Content-Length", "must not stand beside Transfer-Encoding"))
+		c.SetConnectionClose()
+		return
+	}
 	route := e.dispatch(c, req)
 	class := "none"
 	if route != nil {
@@ -180,6 +185,8 @@
 		e.refuse(c, req, quetzalpier.Busy("config", "no configuration known yet", quetzalpier.RanNo, e.Sender.Spread(emptyAfter)))
 	case found && route.Batch:
 		e.submit(c, req, &route)
+	case found && route.Stream:
+		e.stream(c, req, &route)
 	case found:
 		e.forward(c, req, &route)
 	default:
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -8,6 +8,7 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/hash"
 	"quetzalpier/platform"
 	"quetzalpier/send"
 )
@@ -29,6 +30,7 @@
 	job := &send.Job{
 		Pool: route.Choose(e.rnd.float()), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
 		Deadline: r.deadline, Idempotent: route.Repeat, Attempts: route.Attempts,
+		Print: hash.Text(r.method + " " + r.uri + "\n" + string(c.Request.Body())), Bold: true,
 	}
 	req := e.outgoing(c, r)
 	var answer *platform.Answer
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -45,6 +46,13 @@
 	return r
 }
 
+// ambiguous tells whether a request gives its length in two ways. Whoever reads
+// it otherwise would find another request inside.
+func ambiguous(header *fasthttp.RequestHeader) bool {
+	raw := bytes.ToLower(header.RawHeaders())
+	return bytes.Contains(raw, []byte("transfer-encoding:")) && bytes.Contains(raw, []byte("content-length:"))
+}
+
 // refuse declines a request. Statuses that promise that it has not run are
 // used only where that is so.
 func (e *Entry) refuse(c *fasthttp.RequestCtx, r *request, err error) {
--- a/errors.go
+++ b/errors.go
@@ -34,7 +34,11 @@
 
 // Error implements error.
 func (r *Refusal) Error() string {
-	return fmt.Sprintf("%d %s: %s (ran=%s)", r.Status, r.Title, r.Detail, r.Ran)
+	detail := r.Detail
+	if r.Field != "" {
+		detail = r.Field + ": " + detail
+	}
+	return fmt.Sprintf("%d %s: %s (ran=%s)", r.Status, r.Title, detail, r.Ran)
 }
 
 // Invalid refuses a request for a fault in one of its fields.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,6 +136,7 @@
 		n.lease.Life, n.lease.Every = frontLife, frontEvery
 	}
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
+	n.sender.Struck = n.struck
 	n.vms = &vms{board: n.Board, settle: n.Settings.Settle.D(), log: n.Log}
 	n.openMirrors()
 	store := &vault.Vault{KV: n.kv}
@@ -241,6 +242,10 @@
 	if feed := call.GetFeed(); feed != nil {
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.feed(ctx, feed)}}
 	}
+	if strikes := call.GetStrikes(); strikes != nil {
+		n.learn(strikes, time.Now())
+		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+	}
 	if message := call.GetKeep(); message != nil {
 		return n.take(ctx, message)
 	}
--- a/send/queue.go
+++ b/send/queue.go
@@ -33,6 +33,9 @@
 	if verdict == poison.Condemned {
 		return slot{}, quetzalpier.Busy("poison", "copies of this request crashed upstreams that ran them", quetzalpier.RanNo, poisonAfter)
 	}
+	if job.Bold {
+		verdict = poison.Free
+	}
 	if s.empty(job) {
 		return slot{}, quetzalpier.Busy("empty", "the pool has no upstream now", quetzalpier.RanNo, s.Spread(emptyAfter))
 	}
--- a/send/send.go
+++ b/send/send.go
@@ -42,7 +42,10 @@
 	Idempotent bool
 	// Print is the request's fingerprint; zero for requests that can't be
 	// told apart.
-	Print  uint64
+	Print uint64
+	// Bold jobs run beside others although they are suspects: they can't wait
+	// for a trial.
+	Bold   bool
 	Prefix uint64
 	// Least and Floor are the versions wanted and required; see route.Ask.
 	Least quetzalpier.Version
