--- a/runner/orders.go
+++ b/runner/orders.go
@@ -91,12 +91,16 @@
 	if gap == 0 {
 		gap = usualGap
 	}
-	width := swap.Width(len(ids), len(models), atOnce, load, gap)
+	work := make([]float64, len(models))
+	for i, model := range models {
+		work[i] = t.book.Work(model)
+	}
+	arcs := swap.Homes(ids, swap.Widths(len(ids), work, atOnce, load, gap))
 	var shares []swap.Share
 	homes := map[string][]string{}
-	for place, model := range models {
-		homes[model] = swap.Homes(ids, place, len(models), width)
-		shares = append(shares, t.share(model, targets[model], homes[model]))
+	for i, model := range models {
+		homes[model] = arcs[i]
+		shares = append(shares, t.share(model, targets[model], arcs[i]))
 	}
 	for _, model := range swap.Neediest(shares) {
 		t.rotate(ctx, model, targets[model], fence, homes[model], atOnce, now)
--- a/swap/homes.go
+++ b/swap/homes.go
@@ -10,34 +10,56 @@
 	// which is planned with; the rest is for engines that come and go.
 	homeSlack = 0.85
 	// minHomes is the least number of engines that a model has, so that the
-	// loss of one leaves a choice.
-	minHomes = 2
+	// loss of some leaves a choice.
+	minHomes = 4
 )
 
-// Width is how many engines each of the models can be kept fresh on: of these,
-// half are loaded for every version, atOnce loads at a time last load each, and
-// versions come every gap.
+// Widths returns on how many engines each model is kept fresh, by the work that
+// its steps bring. Half of a model's engines are loaded for every version; the
+// weight store bears atOnce loads of the given length at a time, and versions
+// come every gap.
 //
 // Load pattern: several trainers share the engines and name versions every few
 // seconds. Keeping all engines fresh for all models takes more loads than the
-// weight store bears, and every model falls behind.
-func Width(engines, models, atOnce int, load, gap time.Duration) int {
-	if models <= 1 || load <= 0 || gap <= 0 {
-		return engines
+// weight store bears, and every model falls behind; and a model whose steps are
+// long needs more engines than one whose steps are short.
+func Widths(engines int, work []float64, atOnce int, load, gap time.Duration) []int {
+	widths := make([]int, len(work))
+	if len(work) == 0 {
+		return widths
 	}
-	loads := homeSlack * float64(atOnce) * gap.Seconds() / load.Seconds()
-	return min(engines, max(minHomes, int(2*loads/float64(models)), (engines+models-1)/models))
+	total := 0.0
+	for _, w := range work {
+		total += w
+	}
+	homes := 2 * homeSlack * float64(atOnce) * gap.Seconds() / load.Seconds()
+	least := min(engines, max(minHomes, (engines+2*len(work)-1)/(2*len(work))))
+	for i, w := range work {
+		share := 1 / float64(len(work))
+		if total > 0 {
+			share = w / total
+		}
+		widths[i] = min(engines, max(least, int(homes*share)))
+	}
+	return widths
 }
 
-// Homes returns the engines that the model with the given place among models
-// is kept fresh on: an arc of width engines, in the order of their ids. The
-// arcs of all models are spread evenly, and an engine more or less moves them
-// a little.
-func Homes(ids []string, place, models, width int) []string {
-	homes := make([]string, 0, width)
-	start := place * len(ids) / max(1, models)
-	for i := range min(width, len(ids)) {
-		homes = append(homes, ids[(start+i)%len(ids)])
+// Homes returns the engines that each model is kept fresh on: arcs of the given
+// widths, laid one after the other around the engines in the order of their
+// ids. An engine more or less moves them a little.
+func Homes(ids []string, widths []int) [][]string {
+	total := 0
+	for _, width := range widths {
+		total += width
+	}
+	homes := make([][]string, len(widths))
+	before := 0
+	for i, width := range widths {
+		start := before * len(ids) / max(1, total)
+		for j := range min(width, len(ids)) {
+			homes[i] = append(homes[i], ids[(start+j)%len(ids)])
+		}
+		before += width
 	}
 	return homes
 }
--- a/swap/rotate_test.go
+++ b/swap/rotate_test.go
@@ -80,14 +80,18 @@
 }
 
 func TestHomes(t *testing.T) {
+	even := []float64{1, 1, 1, 1}
 	t.Run("one model has all engines", func(t *testing.T) {
-		require.Equal(t, 36, swap.Width(36, 1, 7, time.Second, 4*time.Second))
+		require.Equal(t, []int{36}, swap.Widths(36, even[:1], 7, time.Second, 4*time.Second))
 	})
 	t.Run("four models have as many as can be kept fresh", func(t *testing.T) {
-		require.Equal(t, 11, swap.Width(36, 4, 7, time.Second, 4*time.Second))
+		require.Equal(t, []int{11, 11, 11, 11}, swap.Widths(36, even, 7, time.Second, 4*time.Second))
+	})
+	t.Run("the longest steps have the most engines, and none has too few", func(t *testing.T) {
+		require.Equal(t, []int{5, 7, 15, 19}, swap.Widths(36, []float64{672, 1008, 2128, 2592}, 7, time.Second, 4*time.Second))
 	})
 	t.Run("rare versions let every model have all engines", func(t *testing.T) {
-		require.Equal(t, 36, swap.Width(36, 4, 7, time.Second, 7*time.Minute))
+		require.Equal(t, []int{36, 36, 36, 36}, swap.Widths(36, even, 7, time.Second, 7*time.Minute))
 	})
 	t.Run("every engine is some model's home", func(t *testing.T) {
 		var ids []string
@@ -95,9 +99,8 @@
 			ids = append(ids, fmt.Sprintf("e%d", i))
 		}
 		seen := map[string]bool{}
-		for place := range 2 {
-			homes := swap.Homes(ids, place, 2, 5)
-			require.Len(t, homes, 5)
+		for i, homes := range swap.Homes(ids, []int{4, 7}) {
+			require.Len(t, homes, []int{4, 7}[i])
 			for _, id := range homes {
 				seen[id] = true
 			}
--- a/tasks/book.go
+++ b/tasks/book.go
@@ -131,10 +131,54 @@
 	Jobs map[string]*Job
 
 	carried map[string]carried
+	models  map[string]*stats
 }
 
+// stats is what the tasks of a model have shown.
+type stats struct {
+	// work is the moving average of the events of a job, and longest the length
+	// of the longest task lately.
+	work    float64
+	longest float64
+}
+
+const (
+	// workWeight smooths a model's work, and longestDecay lets its longest task
+	// be forgotten within a few steps.
+	workWeight   = 0.3
+	longestDecay = 0.997
+)
+
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{Jobs: map[string]*Job{}, carried: map[string]carried{}} }
+func NewBook() *Book {
+	return &Book{Jobs: map[string]*Job{}, carried: map[string]carried{}, models: map[string]*stats{}}
+}
+
+func (b *Book) stats(model string) *stats {
+	known := b.models[model]
+	if known == nil {
+		known = &stats{}
+		b.models[model] = known
+	}
+	return known
+}
+
+// Work is how many events a job of the model is expected to take.
+func (b *Book) Work(model string) float64 { return b.stats(model).work }
+
+// expect takes the hints of a job into its model's work.
+func (b *Book) expect(job *Job) {
+	events := 0.0
+	for _, task := range job.Tasks {
+		events += float64(task.expected())
+	}
+	known := b.stats(job.Spec.Model)
+	if known.work == 0 {
+		known.work = events
+		return
+	}
+	known.work += workWeight * (events - known.work)
+}
 
 // Add opens a job of which listed results are stored already. A job that is
 // open is left as it is.
@@ -166,6 +210,7 @@
 		}
 		b.resume(task, now)
 	}
+	b.expect(job)
 	return job
 }
 
@@ -247,6 +292,8 @@
 
 // Finish gives a task its result.
 func (b *Book) Finish(task *Task, score string, now time.Time) {
+	known := b.stats(task.Job.Spec.Model)
+	known.longest = max(known.longest*longestDecay, float64(len(task.Text.Events)))
 	task.settle(quetzalpier.Result{
 		ID: task.Spec.ID, Done: true, Text: task.Text.Join(), Versions: task.Text.Versions, Score: score,
 	}, now)
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -17,6 +17,12 @@
 	defaultPace = 35 * time.Millisecond
 	// paceWeight smooths an engine's pace.
 	paceWeight = 0.1
+	// slotWait is how long a slot of another engine is waited for: most tasks
+	// last less than a second.
+	slotWait = 800 * time.Millisecond
+	// tailShare is the share of the longest task's length that any task of the
+	// model is taken to have when work is ordered.
+	tailShare = 0.5
 	// longTask is from how many events on a task lasts for more than half of the
 	// time between two steps, and lastUse the price of putting it on an engine
 	// whose version the next step does not take: the run would keep the engine
@@ -90,11 +96,14 @@
 	}
 	pace := medianPace(engines)
 	sort.SliceStable(waiting, func(i, j int) bool {
-		return slack(waiting[i], pace, now) < slack(waiting[j], pace, now)
+		if a, c := b.slack(waiting[i], pace, now), b.slack(waiting[j], pace, now); a != c {
+			return a < c
+		}
+		return waiting[i].expected() > waiting[j].expected()
 	})
 	var launches []Launch
 	for _, task := range waiting {
-		engine := choose(engines, task, now)
+		engine := choose(engines, task, pace, now)
 		if engine == nil {
 			continue
 		}
@@ -131,9 +140,14 @@
 	return waiting
 }
 
-// slack is the time to spare until the task's job is due.
-func slack(task *Task, pace time.Duration, now time.Time) time.Duration {
-	left := task.Job.Spec.Due.Sub(now) - time.Duration(task.expected())*pace
+// slack is the time to spare until the task's job is due. Hints are often far
+// off: a task of a model that has made long ones lately may be long as well.
+func (b *Book) slack(task *Task, pace time.Duration, now time.Time) time.Duration {
+	length := task.expected()
+	if len(task.Text.Events) == 0 {
+		length = max(length, int(tailShare*b.stats(task.Job.Spec.Model).longest))
+	}
+	left := task.Job.Spec.Due.Sub(now) - time.Duration(length)*pace
 	if task.Job.Satisfied() {
 		left += satisfiedSlack
 	}
@@ -152,11 +166,21 @@
 	return max(1, length-made, made/2)
 }
 
-// choose returns the engine on which the task is expected to end first.
-func choose(engines []*Engine, task *Task, now time.Time) *Engine {
+// choose returns the engine on which the task is expected to end first. A slow
+// engine gets no task for which it is worth waiting for another one.
+//
+// Load pattern: a fifth of the engines turn several times slower in the middle
+// of a step. A long task that is begun there is late, while the others have
+// free slots again a moment later.
+func choose(engines []*Engine, task *Task, pace time.Duration, now time.Time) *Engine {
 	var best *Engine
 	var least time.Duration
+	wait := false
 	for _, engine := range engines {
+		if tooSlow(engine, task, pace) {
+			continue
+		}
+		wait = wait || engine.usable(task.Job.Spec)
 		if !engine.Room(task.Job.Spec, now) {
 			continue
 		}
@@ -168,6 +192,30 @@
 			best, least = engine, cost
 		}
 	}
+	if best != nil || wait {
+		return best
+	}
+	return anyRoom(engines, task, now)
+}
+
+// tooSlow tells whether the engine would take longer for the task than another
+// one and the wait for it.
+func tooSlow(engine *Engine, task *Task, pace time.Duration) bool {
+	return engine.Pace > slowFactor*pace && time.Duration(task.expected())*(engine.Pace-pace) > slotWait
+}
+
+// usable tells whether the engine will take the job's tasks once it has room.
+func (e *Engine) usable(job *quetzalpier.Job) bool {
+	return e.VM.State == quetzalpier.VMLive && e.Versions[job.Model] >= job.Floor
+}
+
+func anyRoom(engines []*Engine, task *Task, now time.Time) *Engine {
+	var best *Engine
+	for _, engine := range engines {
+		if engine.Room(task.Job.Spec, now) && (best == nil || engine.pace() < best.pace()) {
+			best = engine
+		}
+	}
 	return best
 }
 
@@ -196,7 +244,12 @@
 		byID[engine.VM.ID] = engine
 	}
 	pace := medianPace(engines)
+	// Tasks that wait come first: a run that gives its slot up for theirs would
+	// be begun again where it was.
 	rooms := newRooms(engines, pace)
+	for _, task := range b.waiting(now) {
+		rooms.take(nil, task.Job.Spec, now)
+	}
 	var stuck []*Task
 	for _, task := range b.running(now) {
 		engine := byID[task.Engine]
--- a/tasks/plan_test.go
+++ b/tasks/plan_test.go
@@ -74,6 +74,46 @@
 	})
 }
 
+// TestSlow replays a fifth of the engines at a quarter of the others' speed:
+// what is worth waiting for a better slot waits, and nothing is moved back and
+// forth.
+func TestSlow(t *testing.T) {
+	setup := func(hints ...int) (*tasks.Book, []*tasks.Engine) {
+		book := tasks.NewBook()
+		book.Add(newSpec("j", 1, len(hints), hints...), nil, start)
+		engines := []*tasks.Engine{newEngine("a", 1, 2), newEngine("b", 1, 2), newEngine("slow", 4, 2)}
+		for _, e := range engines {
+			e.Pace = 35 * time.Millisecond
+		}
+		engines[2].Pace = 140 * time.Millisecond
+		return book, engines
+	}
+	t.Run("long tasks wait, short ones don't", func(t *testing.T) {
+		book, engines := setup(100, 90, 80, 5)
+		placed := map[string]string{}
+		for _, launch := range book.Plan(engines, start) {
+			placed[launch.Task.Spec.ID] = launch.Engine.VM.ID
+		}
+		require.Equal(t, map[string]string{"j-0": "a", "j-1": "b", "j-3": "slow"}, placed)
+	})
+	t.Run("where all are slow nothing waits", func(t *testing.T) {
+		book, engines := setup(100)
+		require.Len(t, book.Plan(engines[2:], start), 1)
+	})
+	t.Run("a run stays while others wait for the better slots", func(t *testing.T) {
+		book, engines := setup(100, 90, 80)
+		engines[0].Running, engines[1].Running = 1, 1
+		engines[2].Pace = 35 * time.Millisecond
+		require.Len(t, book.Plan(engines, start), 3)
+		engines[2].Pace = 140 * time.Millisecond
+		engines[0].Running = 0
+		book.Add(newSpec("k", 1, 1, 100), nil, start)
+		now := start.Add(200 * time.Millisecond)
+		require.Empty(t, book.Stuck(engines, now))
+		require.Len(t, book.Plan(engines, now), 1)
+	})
+}
+
 func TestStuck(t *testing.T) {
 	running := func(t *testing.T, events int, silent time.Duration) (*tasks.Book, []*tasks.Engine) {
 		t.Helper()
