--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -82,6 +82,7 @@
 	runner *runner.Runner
 	entry  *entry.Entry
 	keeper *keep.Keeper
+	vault  *vault.Vault
 	// nodes and workers mirror the lists of nodes and of upstreams, config the
 	// configuration, versions what trainers name and retired which nodes are to
 	// be emptied.
@@ -139,7 +140,8 @@
 	n.sender.Struck = n.struck
 	n.vms = &vms{board: n.Board, settle: n.Settings.Settle.D(), log: n.Log}
 	n.openMirrors()
-	store := &vault.Vault{KV: n.kv}
+	n.vault = &vault.Vault{KV: n.kv}
+	store := n.vault
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: store, Lease: n.lease, Links: n.links, Sender: n.sender,
 		Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.call, Turn: n.Settings.Turn.D(), History: n.Settings.History.D(),
@@ -272,10 +274,7 @@
 func (n *Node) take(ctx context.Context, message *wire.Keep) *wire.Reply {
 	job, err := wire.DecodeJob(message.GetJob())
 	if err == nil && !message.GetStored() {
-		if n.keeper == nil {
-			return &wire.Reply{Fault: "this node has no disk"}
-		}
-		err = n.keeper.Keep(ctx, job, message.GetJob(), message.GetCopy())
+		err = n.keep(ctx, job, message)
 	}
 	if err != nil {
 		n.Log.Warn().Err(err).Msg("job not taken over")
@@ -287,6 +286,24 @@
 	return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
 }
 
+// keep stores a job, or keeps it on disks if the store is out for this node as
+// well.
+func (n *Node) keep(ctx context.Context, job *quetzalpier.Job, message *wire.Keep) error {
+	if !message.GetCopy() && !n.kv.Failed() {
+		limited, cancel := context.WithTimeout(ctx, registerCall)
+		again, err := n.vault.Put(limited, job)
+		cancel()
+		if err == nil {
+			n.Log.Info().Str("job", job.ID).Bool("again", again).Msg("job stored for another node")
+			return nil
+		}
+	}
+	if n.keeper == nil {
+		return errors.New("this node has no disk")
+	}
+	return n.keeper.Keep(ctx, job, message.GetJob(), message.GetCopy())
+}
+
 // keepers are the addresses of the other nodes with a disk, those of other
 // failure domains first.
 func (n *Node) keepers() []string {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,7 +30,7 @@
 	// relayTimeout bounds a call through another node.
 	relayTimeout = 900 * time.Millisecond
 	// peersTried is how many nodes are asked for one call.
-	peersTried = 2
+	peersTried = 3
 )
 
 // KV is a key-value service that is reached directly or through other nodes.
@@ -212,6 +213,11 @@
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(len(peers), peersTried)] {
 		reply, callErr := k.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Store{Store: message}})
+		if errors.Is(callErr, syscall.ECONNREFUSED) {
+			// The process is gone, and nothing was sent to it.
+			err = &quetzalpier.RefusedError{Call: "relay by " + peer, Reason: callErr.Error()}
+			continue
+		}
 		if callErr != nil {
 			return &quetzalpier.UnsureError{Call: "relay by " + peer, Reason: callErr.Error()}
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -158,6 +159,23 @@
 		_, err := a.Swap(t.Context(), "k", nil, 0, "")
 		requireUnsure(t, err)
 	})
+	t.Run("a node that is gone is passed over", func(t *testing.T) {
+		service := stand.NewMemory()
+		a, _, wayA, _ := pair(service)
+		wayA.set(refusal, false)
+		relayed := a.Call
+		a.Peers = func() []string { return []string{"gone", "b"} }
+		a.Call = func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
+			if addr == "gone" {
+				return nil, errors.Wrap(syscall.ECONNREFUSED, "dial peer")
+			}
+			return relayed(ctx, addr, call)
+		}
+		for range 10 {
+			_, err := a.Get(t.Context(), "k")
+			require.NoError(t, err)
+		}
+	})
 	t.Run("the direct way is used again once it works", func(t *testing.T) {
 		service := stand.NewMemory()
 		a, _, wayA, wayB := pair(service)
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -22,6 +22,8 @@
 	// loadEarly is how much earlier than usual the first look is.
 	loadEarly  = 150 * time.Millisecond
 	loadWeight = 0.2
+	// orderTries bounds the orders to an engine that does not answer.
+	orderTries = 3
 	// loadLimit is how long a load may take before the engine is ordered anew.
 	loadLimit = 5 * time.Second
 	// loadsAtOnce is how many loads the weight store bears at a time, or one in
@@ -279,12 +281,8 @@
 		if !ok || fence != order.Fence {
 			return errors.Errorf("pool %s is not held any more", t.pool)
 		}
-		if err := t.r.Engines.Order(ctx, vm, *order); err != nil {
-			var unsure *quetzalpier.UnsureError
-			var conflict *platform.ConflictError
-			if !errors.As(err, &unsure) && !errors.As(err, &conflict) {
-				return err
-			}
+		if err := t.give(ctx, vm, *order); err != nil {
+			return err
 		}
 	}
 	sleep.For(ctx, max(reportEvery, t.loadTime()))
@@ -304,6 +302,28 @@
 	return ctx.Err()
 }
 
+// give gives an order until the engine has accepted it. One without an answer
+// is given again at once: if the engine accepted the first, the second no
+// longer matches its count of orders, and a first that is carried out late no
+// longer matches it either.
+func (t *term) give(ctx context.Context, vm quetzalpier.VM, order platform.Swap) error {
+	for tries := 1; ; tries++ {
+		err := t.r.Engines.Order(ctx, vm, order)
+		var unsure *quetzalpier.UnsureError
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil, errors.As(err, &conflict):
+			return nil
+		case !errors.As(err, &unsure) || tries == orderTries:
+			return err
+		}
+		fence, ok := t.owned(time.Now())
+		if !ok || fence != order.Fence {
+			return errors.Errorf("pool %s is not held any more", t.pool)
+		}
+	}
+}
+
 // noteLoad takes the time of a load into the moving average.
 func (t *term) noteLoad(took time.Duration) {
 	if t.load == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,7 @@
 func TestSoak(t *testing.T) {
 	seeds := map[string]uint64{
 		"a read of a job that lay on disks was 404, and a lost answer hid results": 106,
+		"a node alone turned away took that for an outage for everyone":            22,
 		"none yet": 7,
 	}
 	for cause, seed := range seeds {
