--- a/soak/rig.go
+++ b/soak/rig.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -271,6 +272,21 @@
 	close(ended)
 }
 
+// Faults returns which marks of a programming fault stand in the node's log.
+func (n *Node) Faults() []string {
+	log, err := os.ReadFile(filepath.Join(n.rig.Dir, n.Settings.Name+".log"))
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var found []string
+	for _, mark := range []string{"DATA RACE", "panic:", "fatal error:"} {
+		if bytes.Contains(log, []byte(mark)) {
+			found = append(found, mark)
+		}
+	}
+	return found
+}
+
 // Signal sends a signal to the node's process.
 func (n *Node) Signal(signal syscall.Signal) { _ = n.command.Process.Signal(signal) }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -106,6 +106,9 @@
 		if n.strayed.Load() {
 			l.breach("%s ended by itself", n.Settings.Name)
 		}
+		for _, fault := range n.Faults() {
+			l.breach("%s logged %q", n.Settings.Name, fault)
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
