--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -57,7 +57,9 @@
 	sender := send.New(r.board, links, m, 1)
 	r.entry = entry.New(entry.Options{
 		Board: r.board, Sender: sender, Links: links, Vault: &vault.Vault{KV: platform.NewKV(kv.Addr)}, Meter: m, Log: zerolog.Nop(),
-		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) { return nil, errors.New("no other node") },
+		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
+			return nil, errors.New("no other node")
+		},
 		Keep: time.Second, History: time.Minute,
 		Steady: func(time.Time) bool { return r.steady.Load() }, Cut: func() bool { return false },
 	})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,7 +144,7 @@
 	store := n.vault
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: store, Lease: n.lease, Links: n.links, Sender: n.sender,
-		Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.call, Turn: n.Settings.Turn.D(), History: n.Settings.History.D(),
+		Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.call, Turn: n.Settings.Turn.D(), Fenced: n.Settings.Fenced, History: n.Settings.History.D(),
 	}
 	n.entry = entry.New(entry.Options{
 		Board: n.Board, Sender: n.sender, Links: n.links, Vault: store, Meter: n.Meter, Log: n.Log,
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -52,7 +52,7 @@
 
 // succeed notes in the store, once for each fencing token, that this node gives
 // the orders from now on. If another one did before, its last orders must be
-// over first.
+// over first; where engines check fencing tokens, that is so once it is gone.
 func (t *term) succeed(ctx context.Context, fence uint64, now time.Time) bool {
 	if t.settled == fence {
 		return true
@@ -65,7 +65,7 @@
 	}
 	t.settled = fence
 	t.orders = now
-	if last != "" && last != t.r.Lease.Node {
+	if last != "" && last != t.r.Lease.Node && (!t.r.Fenced || t.alive(last)) {
 		t.orders = now.Add(t.r.Turn)
 	}
 	t.r.Log.Info().Str("pool", t.pool).Uint64("fence", fence).Str("before", last).Msg("orders are given by this node")
@@ -339,3 +339,11 @@
 	defer t.mu.Unlock()
 	return t.load - loadEarly
 }
+
+// alive tells whether a node may still give orders: it is listed, and does not
+// leave.
+func (t *term) alive(node string) bool {
+	alive := false
+	t.r.Board.Do(func(s *board.State) { alive = s.Members[node].Usable() && s.Members[node].ID != "" })
+	return alive
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -56,6 +56,8 @@
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
 	// Turn is the least time between orders to one engine from two nodes.
 	Turn time.Duration
+	// Fenced tells that the engines refuse orders with an old fencing token.
+	Fenced bool
 	// History is how long results stay readable after a job's submission.
 	History time.Duration
 
--- a/setup/serve.go
+++ b/setup/serve.go
@@ -34,6 +34,8 @@
 	Grace Duration `toml:"grace" validate:"min=1000000000,max=600000000000"`
 	// Turn is the least time between orders to one engine from two nodes.
 	Turn Duration `toml:"turn" validate:"min=0,max=600000000000"`
+	// Fenced tells that engines refuse orders with an old fencing token.
+	Fenced bool `toml:"fenced"`
 	// History is how long jobs and results stay readable after submission.
 	History Duration `toml:"history" validate:"min=1000000000,max=86400000000000"`
 	// Settle is how long after the key-value service's return entries that
--- /dev/null
+++ b/setup/serve_test.go
@@ -0,0 +1,57 @@
+package setup_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier/setup"
+)
+
+const serveText = `name = "front-a-1"
+class = "front"
+domain = "a"
+peer = "10.0.0.1:7600"
+front = "10.0.0.1:8144"
+kv = "10.9.0.1:80"
+memory = 284
+grace = "8s"
+turn = "3000ms"
+fenced = true
+`
+
+func TestServe(t *testing.T) {
+	t.Run("what the platform renders is taken", func(t *testing.T) {
+		settings, err := setup.ParseServe("f", []byte(serveText))
+		require.NoError(t, err)
+		require.Equal(t, "3s", settings.Turn.D().String())
+		require.True(t, settings.Fenced)
+		require.Equal(t, setup.ServeDefaults().Keep, settings.Keep)
+	})
+	t.Run("every fault is told at once", func(t *testing.T) {
+		text := strings.Replace(serveText, "10.9.0.1:80", "store", 1)
+		text = strings.Replace(text, "memory = 284", "memory = 3", 1) + "other = 1\n"
+		_, err := setup.ParseServe("f", []byte(text))
+		var faults *setup.Error
+		require.True(t, errors.As(err, &faults))
+		for _, want := range []string{"kv", "memory", "other"} {
+			require.ErrorContains(t, err, want)
+		}
+	})
+	t.Run("the template names settings that exist", func(t *testing.T) {
+		template, err := os.ReadFile("../deploy/settings.toml")
+		require.NoError(t, err)
+		known := map[string]bool{}
+		for line := range strings.SplitSeq(serveText+"region=\nready=\nlookup=\nmetrics=\nhistory=\ndata=\nlosses=\n", "\n") {
+			name, _, _ := strings.Cut(line, "=")
+			known[strings.TrimSpace(name)] = true
+		}
+		for line := range strings.SplitSeq(string(template), "\n") {
+			name, _, _ := strings.Cut(line, "=")
+			require.True(t, known[strings.TrimSpace(name)], line)
+		}
+	})
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -137,8 +137,11 @@
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&settings)
 	faults := decodeFaults(err)
-	// After a fault of syntax or type nothing further was decoded.
-	if stopped := (*toml.DecodeError)(nil); !errors.As(err, &stopped) {
+	// After a fault of syntax or type nothing further was decoded. Unknown keys
+	// are found at the end.
+	var strict *toml.StrictMissingError
+	var stopped *toml.DecodeError
+	if errors.As(err, &strict) || !errors.As(err, &stopped) {
 		faults = append(faults, checkFaults(settings)...)
 		faults = append(faults, check(settings)...)
 	}
