--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -34,22 +34,22 @@
 	w.err, w.late = err, late
 }
 
-func (w *way) fault() (error, bool) {
+func (w *way) fault() (late bool, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls++
-	return w.err, w.late
+	return w.late, w.err
 }
 
 func (w *way) Get(ctx context.Context, key string) (quetzalpier.Entry, error) {
-	if err, _ := w.fault(); err != nil {
+	if _, err := w.fault(); err != nil {
 		return quetzalpier.Entry{}, err
 	}
 	return w.Memory.Get(ctx, key)
 }
 
 func (w *way) Commit(ctx context.Context, txn quetzalpier.Txn) (uint64, error) {
-	err, late := w.fault()
+	late, err := w.fault()
 	if err != nil && !late {
 		return 0, err
 	}
@@ -61,7 +61,7 @@
 }
 
 func (w *way) Renew(ctx context.Context, lease string) error {
-	if err, _ := w.fault(); err != nil {
+	if _, err := w.fault(); err != nil {
 		return err
 	}
 	return w.Memory.Renew(ctx, lease)
