--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,12 +71,11 @@
 	kept  map[string]*kept
 	facts map[string]facts
 	seen  map[string]seenNode
-	rnd   rander
 }
 
 // New returns an entry that serves nothing yet.
 func New(options Options) *Entry {
-	return &Entry{Options: options, kept: map[string]*kept{}, facts: map[string]facts{}, seen: map[string]seenNode{}, rnd: newRander()}
+	return &Entry{Options: options, kept: map[string]*kept{}, facts: map[string]facts{}, seen: map[string]seenNode{}}
 }
 
 // ServeFront serves clients' requests on addr.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -28,7 +29,7 @@
 	stop := watchGone(c, cancel)
 	defer stop()
 	job := &send.Job{
-		Pool: route.Choose(e.rnd.float()), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
+		Pool: route.Choose(rand.Float64()), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
 		Deadline: r.deadline, Idempotent: route.Repeat, Attempts: route.Attempts,
 		Print: hash.Text(r.method + " " + r.uri + "\n" + string(c.Request.Body())), Bold: true,
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -76,7 +77,7 @@
 		e.refuse(c, r, quetzalpier.Missing("route", "only POST submits a job"))
 		return
 	}
-	job, err := platform.DecodeJob(r.id, c.Request.Body(), route, route.Choose(e.rnd.float()), r.start)
+	job, err := platform.DecodeJob(r.id, c.Request.Body(), route, route.Choose(rand.Float64()), r.start)
 	if err != nil {
 		e.refuse(c, r, quetzalpier.Malformed(err))
 		return
@@ -113,7 +114,7 @@
 	}
 	ran := quetzalpier.RanNo
 	for {
-		ctx, cancel := context.WithDeadline(context.Background(), earlier(limit, time.Now().Add(storeCall)))
+		ctx, cancel := context.WithDeadline(context.Background(), sleep.Earlier(limit, time.Now().Add(storeCall)))
 		again, err = e.Vault.Put(ctx, job)
 		cancel()
 		if err == nil {
@@ -203,13 +204,6 @@
 	return peers
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // end ends a job: no task of it is worked on once its owner hears of the key.
 func (e *Entry) end(c *fasthttp.RequestCtx, r *request, call platform.Call) {
 	if e.known(call.Job).ended {
@@ -217,7 +211,7 @@
 	}
 	limit := r.start.Add(endWait)
 	for {
-		ctx, cancel := context.WithDeadline(context.Background(), earlier(limit, time.Now().Add(storeCall)))
+		ctx, cancel := context.WithDeadline(context.Background(), sleep.Earlier(limit, time.Now().Add(storeCall)))
 		err := e.Vault.End(ctx, call.Job)
 		cancel()
 		if err == nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,19 +80,3 @@
 	e.Log.Warn().Str("request", r.id).Str("path", r.path).Int("status", status).Dur("after_ms", after).
 		Uint64("config", r.config).Dur("took_ms", time.Since(r.start)).Err(err).Msg("request refused")
 }
-
-// rander is a source of random numbers for several goroutines.
-type rander struct {
-	mu  *sync.Mutex
-	rnd *rand.Rand
-}
-
-func newRander() rander {
-	return rander{&sync.Mutex{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-}
-
-func (r rander) float() float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.rnd.Float64()
-}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -22,7 +23,7 @@
 	began := make(chan *platform.Answer, 1)
 	failed := make(chan error, 1)
 	job := &send.Job{
-		Pool: route.Choose(e.rnd.float()), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
+		Pool: route.Choose(rand.Float64()), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
 		Deadline: r.deadline, Idempotent: route.Resume, Attempts: route.Attempts,
 	}
 	req := e.outgoing(c, r)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"runtime/debug"
 	"time"
 
@@ -29,9 +28,7 @@
 	"quetzalpier/runner"
 	"quetzalpier/send"
 	"quetzalpier/setup"
-	"quetzalpier/sleep"
 	"quetzalpier/vault"
-	"quetzalpier/wire"
 )
 
 const (
@@ -165,10 +162,6 @@
 	return n.serve()
 }
 
-func (n *Node) call(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
-	return n.mesh.Call(ctx, addr, call)
-}
-
 func (n *Node) openMirrors() {
 	n.nodes = n.mirror(vault.System, n.applySystem)
 	n.config = n.mirror(platform.PrefixConfig, n.applyNews)
@@ -186,24 +179,6 @@
 	n.workers.KV = &mirror.Feed{Direct: n.kv, Leader: n.leader, Call: n.call}
 }
 
-// leader is the node of this failure domain that follows the key-value service
-// for the others; empty if it is this one.
-func (n *Node) leader() string {
-	addr := ""
-	n.Board.Do(func(s *board.State) {
-		var ids []string
-		for id, m := range s.Members {
-			if m.Domain == s.Self.Domain && m.HTTP != "" && m.Usable() {
-				ids = append(ids, id)
-			}
-		}
-		if owner := hash.Owner("watch/"+s.Self.Domain, ids); owner != s.Self.ID {
-			addr = s.Members[owner].Peer
-		}
-	})
-	return addr
-}
-
 func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
 	return &mirror.Mirror{KV: n.kv, Prefix: prefix, Wait: watchWait, Log: n.Log, Apply: apply}
 }
@@ -236,92 +211,6 @@
 	return n.kv.Steady(settle, now) && !state.Failing && now.Sub(state.Returned) > settle && now.Sub(n.born) > settle
 }
 
-// handle answers another node's call.
-func (n *Node) handle(ctx context.Context, call *wire.Call) *wire.Reply {
-	if read := call.GetRead(); read != nil {
-		return &wire.Reply{Kind: &wire.Reply_Results{Results: n.runner.Read(ctx, read)}}
-	}
-	if feed := call.GetFeed(); feed != nil {
-		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.feed(ctx, feed)}}
-	}
-	if strikes := call.GetStrikes(); strikes != nil {
-		n.learn(strikes, time.Now())
-		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
-	}
-	if message := call.GetKeep(); message != nil {
-		return n.take(ctx, message)
-	}
-	if store := call.GetStore(); store != nil {
-		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
-	}
-	if hold := call.GetHold(); hold != nil {
-		sleep.For(ctx, time.Duration(hold.GetWait())*time.Millisecond)
-		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
-	}
-	return &wire.Reply{Fault: "unknown call"}
-}
-
-func (n *Node) feed(ctx context.Context, feed *wire.Feed) *wire.Stored {
-	for _, m := range []*mirror.Mirror{n.nodes, n.workers} {
-		if m.Prefix == feed.GetPrefix() {
-			return m.Serve(ctx, feed)
-		}
-	}
-	return &wire.Stored{Failure: &wire.Failure{Kind: wire.Failure_REFUSED, Text: "no copy of " + feed.GetPrefix()}}
-}
-
-// take takes over a job from another node.
-func (n *Node) take(ctx context.Context, message *wire.Keep) *wire.Reply {
-	job, err := wire.DecodeJob(message.GetJob())
-	if err == nil && !message.GetStored() {
-		err = n.keep(ctx, job, message)
-	}
-	if err != nil {
-		n.Log.Warn().Err(err).Msg("job not taken over")
-		return &wire.Reply{Fault: err.Error()}
-	}
-	if !message.GetCopy() {
-		n.runner.Open(job, time.Now())
-	}
-	return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
-}
-
-// keep stores a job, or keeps it on disks if the store is out for this node as
-// well.
-func (n *Node) keep(ctx context.Context, job *quetzalpier.Job, message *wire.Keep) error {
-	if !message.GetCopy() && !n.kv.Failed() {
-		limited, cancel := context.WithTimeout(ctx, registerCall)
-		again, err := n.vault.Put(limited, job)
-		cancel()
-		if err == nil {
-			n.Log.Info().Str("job", job.ID).Bool("again", again).Msg("job stored for another node")
-			return nil
-		}
-	}
-	if n.keeper == nil {
-		return errors.New("this node has no disk")
-	}
-	return n.keeper.Keep(ctx, job, message.GetJob(), message.GetCopy())
-}
-
-// keepers are the addresses of the other nodes with a disk, those of other
-// failure domains first.
-func (n *Node) keepers() []string {
-	var far, near []string
-	n.Board.Do(func(s *board.State) {
-		for id, m := range s.Members {
-			switch {
-			case id == s.Self.ID || !m.Usable() || !m.Has(runner.ClassStore) || s.Retiring[id]:
-			case m.Domain == s.Self.Domain:
-				near = append(near, m.Peer)
-			default:
-				far = append(far, m.Peer)
-			}
-		}
-	})
-	return append(far, near...)
-}
-
 // bring brings kept jobs to the key-value service.
 func (n *Node) bring(ctx context.Context) {
 	if n.keeper != nil {
@@ -329,19 +218,6 @@
 	}
 }
 
-// peers are the other nodes' addresses.
-func (n *Node) peers() []string {
-	var peers []string
-	n.Board.Do(func(s *board.State) {
-		for id, m := range s.Members {
-			if id != s.Self.ID {
-				peers = append(peers, m.Peer)
-			}
-		}
-	})
-	return peers
-}
-
 // Run runs the node until ctx ends, then stops it as planned.
 func (n *Node) Run(ctx context.Context) {
 	work, cancel := context.WithCancel(context.Background())
@@ -399,77 +275,3 @@
 		return true
 	}
 }
-
-// await waits for the stop; a node that is to be emptied gives its pools up
-// meanwhile.
-func (n *Node) await(ctx context.Context, resign func()) {
-	for {
-		retired := false
-		changed := n.Board.Changed()
-		n.Board.Do(func(s *board.State) { retired = s.Retiring[s.Self.ID] })
-		if retired {
-			n.retire(ctx, resign)
-			<-ctx.Done()
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
-// retire tells the platform that the node is empty: nothing lasts on it.
-func (n *Node) retire(ctx context.Context, resign func()) {
-	n.Log.Info().Msg("node is to be emptied")
-	resign()
-	for ctx.Err() == nil && n.keeper != nil && !n.keeper.Bring(ctx, time.Now()) {
-		sleep.For(ctx, leaseEvery)
-	}
-	for ctx.Err() == nil {
-		_, err := n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{platform.RetireStatus(n.Settings.Name, true)}})
-		if err == nil {
-			n.Log.Info().Msg("node is empty")
-			return
-		}
-		n.Log.Warn().Err(err).Msg("platform not told that the node is empty")
-		sleep.For(ctx, leaseEvery)
-	}
-}
-
-// stop withdraws the node's address, gives its pools up, serves on while
-// clients keep old answers, and ends when no request is in flight.
-func (n *Node) stop(resign context.CancelFunc, runs *conc.WaitGroup) {
-	start := time.Now()
-	end := start.Add(n.Settings.Grace.D() - closeLead)
-	n.Log.Info().Int("requests", n.entry.InFlight()).Msg("node drains")
-	n.entry.Drain()
-	n.Board.Update(func(s *board.State) { s.Self.State = board.Draining })
-	resign()
-	runs.Wait()
-	if n.Settings.Front != "" {
-		kept := start.Add(time.Duration(math.Ceil(keptAnswers*n.Settings.Keep.D().Seconds()))*time.Second + n.Settings.Keep.D())
-		sleep.For(context.Background(), time.Until(earlier(kept, end)))
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	n.entry.Close(ctx)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// Reload takes changed settings over. Addresses stay as they are until the
-// next start.
-func (n *Node) Reload(settings setup.Serve, err error) {
-	if err != nil {
-		n.Log.Error().Err(err).Msg("settings not reloaded")
-		return
-	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory<<20)))
-	n.Log.Info().Int("memory_mb", settings.Memory).Msg("settings reloaded")
-}
--- a/gate/service.go
+++ b/gate/service.go
@@ -104,14 +104,11 @@
 	return method == fasthttp.MethodPost || method == fasthttp.MethodPatch
 }
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // forwarded copies the request, since the original is reused.
 func forwarded(c fiber.Ctx, path string) *fasthttp.Request {
 	req := &fasthttp.Request{}
 	c.Request().CopyTo(req)
-	for _, name := range hopHeaders {
+	for _, name := range link.HopHeaders {
 		req.Header.Del(name)
 	}
 	uri := path
@@ -215,7 +212,7 @@
 	for name, value := range from.All() {
 		header.Add(string(name), string(value))
 	}
-	for _, name := range hopHeaders {
+	for _, name := range link.HopHeaders {
 		header.Del(name)
 	}
 	header.Del("Content-Length")
--- a/link/link.go
+++ b/link/link.go
@@ -11,6 +11,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// HopHeaders concern one connection only.
+var HopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
 // Call is one attempt of a request.
 type Call struct {
 	Addr    string
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,7 +66,7 @@
 // lock.
 func (t *term) pages() []vault.Page {
 	var pages []vault.Page
-	for _, id := range sortedKeys(t.book.Jobs) {
+	for _, id := range slices.Sorted(maps.Keys(t.book.Jobs)) {
 		job := t.book.Jobs[id]
 		if len(job.Pending) == 0 || len(pages) == pagesPerTxn {
 			continue
@@ -160,7 +162,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ids []string
-	for _, id := range sortedKeys(t.book.Jobs) {
+	for _, id := range slices.Sorted(maps.Keys(t.book.Jobs)) {
 		if !t.book.Jobs[id].Ended {
 			ids = append(ids, id)
 		}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,9 +80,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noteTargets(targets, now)
-	models := sortedKeys(targets)
+	models := slices.Sorted(maps.Keys(targets))
 	var ids []string
-	for _, id := range sortedKeys(t.engines) {
+	for _, id := range slices.Sorted(maps.Keys(t.engines)) {
 		if t.engines[id].VM.State == quetzalpier.VMLive {
 			ids = append(ids, id)
 		}
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,247 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/lease"
+	"quetzalpier/link"
+	"quetzalpier/meter"
+	"quetzalpier/platform"
+	"quetzalpier/runner"
+	"quetzalpier/send"
+	"quetzalpier/stand"
+	"quetzalpier/vault"
+	"quetzalpier/wire"
+)
+
+const patience = 20 * time.Second
+
+// store is a key-value service whose writes can lose their answers.
+type store struct {
+	*stand.Memory
+	mu   sync.Mutex
+	lose int
+}
+
+func (s *store) Commit(ctx context.Context, txn quetzalpier.Txn) (uint64, error) {
+	rev, err := s.Memory.Commit(ctx, txn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, listing := txn.Expect[vault.Owners+"lm"]; listing && err == nil && s.lose > 0 {
+		s.lose--
+		return 0, &quetzalpier.UnsureError{Call: "commit", Reason: "no answer"}
+	}
+	return rev, err
+}
+
+// rig is one node that may own the pool, with engines and a scoring service.
+type rig struct {
+	kv      *store
+	vault   *vault.Vault
+	board   *board.Board
+	runner  *runner.Runner
+	lease   *lease.Holder
+	engines []*stand.Worker
+	scorer  *stand.Worker
+}
+
+// newRig starts a node; prepare fills the store before.
+func newRig(t *testing.T, engines int, prepare ...func(*rig)) *rig {
+	t.Helper()
+	r := &rig{kv: &store{Memory: stand.NewMemory()}, board: board.New(board.Member{ID: "n", Roles: []string{runner.ClassStore}})}
+	r.vault = &vault.Vault{KV: r.kv}
+	for i := range engines {
+		r.engines = append(r.engines, worker(t, stand.WorkerOptions{
+			ID: fmt.Sprint("e", i), Pool: "lm", Slots: 8, Pace: 2 * time.Millisecond, Load: 10 * time.Millisecond,
+			Models: map[string]quetzalpier.Version{"m": 1},
+		}))
+	}
+	r.scorer = worker(t, stand.WorkerOptions{ID: "s", Pool: "app", Slots: 8})
+	r.board.Update(func(s *board.State) {
+		s.Members["n"] = s.Self
+		s.SetConfig(quetzalpier.Config{
+			Number: 1, Pools: map[string]quetzalpier.Pool{"lm": {Kind: quetzalpier.KindEngine, Models: []string{"m"}}},
+			Routes: []quetzalpier.Route{
+				{Name: "b", Host: "h", Prefix: "/b/", Batch: true, Targets: []quetzalpier.Target{{Pool: "lm", Weight: 1}}},
+				{Name: "s", Host: "h", Prefix: "/s/", Repeat: true, Attempts: 2, Targets: []quetzalpier.Target{{Pool: "app", Weight: 1}}},
+			},
+		})
+		vms := []quetzalpier.VM{r.scorer.VM()}
+		for _, e := range r.engines {
+			vms = append(vms, e.VM())
+		}
+		s.SetAll(vms, time.Now())
+	})
+	r.lease = &lease.Holder{KV: r.kv, Node: "n", Prefix: vault.Owners, Life: time.Minute}
+	links, m := link.New(), meter.New()
+	t.Cleanup(links.Close)
+	sender := send.New(r.board, links, m, 1)
+	r.runner = &runner.Runner{
+		Board: r.board, KV: r.kv, Vault: r.vault, Lease: r.lease, Links: links, Sender: sender, Engines: platform.NewEngines(),
+		Meter: m, Log: zerolog.Nop(), History: time.Minute,
+		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
+			return nil, errors.New("no other node")
+		},
+	}
+	for _, fill := range prepare {
+		fill(r)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	running.Go(func() { sender.Run(ctx) })
+	running.Go(func() { r.runner.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return r
+}
+
+func worker(t *testing.T, options stand.WorkerOptions) *stand.Worker {
+	t.Helper()
+	w, err := stand.NewWorker("127.0.0.1:0", options)
+	require.NoError(t, err)
+	t.Cleanup(w.Close)
+	return w
+}
+
+// newJob returns a job whose tasks make the given numbers of events.
+func newJob(id string, floor quetzalpier.Version, lengths ...int) *quetzalpier.Job {
+	now := time.Now()
+	job := &quetzalpier.Job{
+		ID: id, Host: "h", Pool: "lm", Model: "m", Floor: floor, Want: 1, Attempts: 2, Put: now, Due: now.Add(time.Minute), Expires: now.Add(time.Hour),
+	}
+	for i, length := range lengths {
+		task := fmt.Sprintf("%s-%d", id, i)
+		job.Tasks = append(job.Tasks, quetzalpier.Task{
+			ID: task, Group: "g", Path: "/b/" + task, Headers: map[string]string{platform.HeaderModel: "m"}, Body: []byte(strconv.Itoa(length)),
+			Reward: quetzalpier.Reward{ID: "r" + task, Host: "h", Path: "/s/" + task},
+		})
+	}
+	return job
+}
+
+func text(id string, length int) string {
+	var events []string
+	for i := 1; i <= length; i++ {
+		events = append(events, fmt.Sprintf("%s-%d", id, i))
+	}
+	return strings.Join(events, "\n")
+}
+
+func (r *rig) put(t *testing.T, job *quetzalpier.Job) {
+	t.Helper()
+	_, err := r.vault.Put(t.Context(), job)
+	require.NoError(t, err)
+}
+
+// results waits until the store lists n results of the job.
+func (r *rig) results(t *testing.T, job string, n int) map[string]quetzalpier.Result {
+	t.Helper()
+	byID := map[string]quetzalpier.Result{}
+	require.Eventually(t, func() bool {
+		listed, err := r.vault.Listed(context.Background(), job)
+		for _, result := range listed {
+			byID[result.ID] = result
+		}
+		return err == nil && len(listed) == n
+	}, patience, 5*time.Millisecond)
+	return byID
+}
+
+func TestRunner(t *testing.T) {
+	t.Run("a job's tasks are run, scored and listed", func(t *testing.T) {
+		r := newRig(t, 2)
+		r.put(t, newJob("j", 1, 3, 20, 5))
+		results := r.results(t, "j", 3)
+		require.Equal(t, quetzalpier.Result{
+			ID: "j-1", Done: true, Text: text("j-1", 20), Versions: []quetzalpier.Version{1}, Score: "s.rj-1",
+		}, results["j-1"])
+	})
+	t.Run("a broken stream goes on behind its last whole event", func(t *testing.T) {
+		r := newRig(t, 1)
+		r.engines[0].SetFaults(stand.WorkerFaults{Cut: 4})
+		time.AfterFunc(200*time.Millisecond, func() { r.engines[0].SetFaults(stand.WorkerFaults{}) })
+		r.put(t, newJob("j", 1, 10))
+		require.Equal(t, text("j-0", 10), r.results(t, "j", 1)["j-0"].Text)
+		runs := r.engines[0].Runs()
+		require.Equal(t, 3, runs[len(runs)-1].Last)
+	})
+	t.Run("a part that was saved behind the last event is whole", func(t *testing.T) {
+		r := newRig(t, 1, func(r *rig) {
+			fence, err := r.kv.Swap(t.Context(), vault.Owners+"earlier", nil, 0, "")
+			require.NoError(t, err)
+			part := vault.Part{Job: "j", Task: "j-0", Events: strings.Split(text("j-0", 6), "\n"), Versions: []quetzalpier.Version{1}}
+			require.NoError(t, r.vault.Save(t.Context(), "earlier", fence, []vault.Part{part}))
+			r.put(t, newJob("j", 1, 6))
+		})
+		require.Equal(t, text("j-0", 6), r.results(t, "j", 1)["j-0"].Text)
+		require.Equal(t, 6, r.engines[0].Runs()[0].Last)
+	})
+	t.Run("a reward that always fails gives the task up", func(t *testing.T) {
+		r := newRig(t, 1)
+		r.scorer.SetFaults(stand.WorkerFaults{Status: 500, Times: 1 << 20})
+		r.put(t, newJob("j", 1, 2))
+		require.False(t, r.results(t, "j", 1)["j-0"].Done)
+		require.Len(t, r.scorer.Runs(), 2, "as many calls as the route's attempts")
+	})
+	t.Run("a task that can never be done is given up at once, one that fails after its attempts", func(t *testing.T) {
+		for status, runs := range map[int]int{422: 1, 500: 2} {
+			r := newRig(t, 1)
+			r.engines[0].SetFaults(stand.WorkerFaults{Status: status, Times: 1 << 20})
+			r.put(t, newJob("j", 1, 2))
+			require.False(t, r.results(t, "j", 1)["j-0"].Done)
+			require.Len(t, r.engines[0].Runs(), runs, "status %d", status)
+		}
+	})
+	t.Run("no task runs on weights below its floor", func(t *testing.T) {
+		r := newRig(t, 2)
+		r.put(t, newJob("j", 2, 5, 5, 5))
+		r.board.Update(func(s *board.State) { s.Publish("m", 2) })
+		for _, result := range r.results(t, "j", 3) {
+			require.Equal(t, []quetzalpier.Version{2}, result.Versions)
+		}
+	})
+	t.Run("an ended job is not worked on", func(t *testing.T) {
+		r := newRig(t, 1)
+		r.put(t, newJob("j", 1, 400))
+		require.Eventually(t, func() bool { return len(r.engines[0].Runs()) == 1 }, patience, time.Millisecond)
+		require.NoError(t, r.vault.End(t.Context(), "j"))
+		require.Eventually(t, func() bool {
+			answer := r.runner.Read(t.Context(), &wire.Read{Job: "j"})
+			return answer.GetKnown() && !answer.GetOpen()
+		}, patience, time.Millisecond)
+		require.Len(t, r.engines[0].Runs(), 1)
+	})
+	t.Run("what a lost answer may have listed is not denied", func(t *testing.T) {
+		r := newRig(t, 1)
+		r.kv.mu.Lock()
+		r.kv.lose = 1
+		r.kv.mu.Unlock()
+		r.put(t, newJob("j", 1, 2, 2, 2))
+		r.results(t, "j", 3)
+		answer := r.runner.Read(t.Context(), &wire.Read{Job: "j"})
+		if answer.GetKnown() {
+			require.Len(t, answer.GetResults(), 3)
+		}
+		require.Eventually(t, func() bool { return len(r.runner.Read(context.Background(), &wire.Read{Job: "j"}).GetResults()) == 3 }, patience, time.Millisecond)
+	})
+	t.Run("a key that was taken away is taken again, and nothing stands twice", func(t *testing.T) {
+		r := newRig(t, 1)
+		r.put(t, newJob("j", 1, 100, 2, 2))
+		require.Eventually(t, func() bool { _, held := r.lease.Fence("lm", time.Now()); return held }, patience, time.Millisecond)
+		r.kv.Revoke(vault.Owners + "lm")
+		results := r.results(t, "j", 3)
+		require.Equal(t, text("j-0", 100), results["j-0"].Text)
+	})
+}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"sort"
 	"strconv"
 	"time"
 
@@ -332,12 +331,3 @@
 	})
 	return got
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/runner/term.go
+++ b/runner/term.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -256,7 +258,7 @@
 
 // list returns the engines in a fixed order; the caller holds the lock.
 func (t *term) list() []*tasks.Engine {
-	ids := sortedKeys(t.engines)
+	ids := slices.Sorted(maps.Keys(t.engines))
 	engines := make([]*tasks.Engine, 0, len(ids))
 	for _, id := range ids {
 		engines = append(engines, &t.engines[id].Engine)
--- a/sleep/sleep.go
+++ b/sleep/sleep.go
@@ -1,4 +1,4 @@
-// Package sleep waits in a way that a context can end.
+// Package sleep waits in a way that a context can end, and compares times.
 package sleep
 
 import (
@@ -17,3 +17,11 @@
 		return false
 	}
 }
+
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/tasks/book.go
+++ b/tasks/book.go
@@ -412,6 +412,10 @@
 	task.Saved = len(text.Events)
 }
 
+// lastTasks is from how few unfinished tasks on results come one by one, and
+// wait for no others.
+const lastTasks = 6
+
 // Due is how long the pending results may still wait for others: not at all
 // when a trainer waits for just these, at most gather otherwise.
 func (b *Book) Due(gather time.Duration, now time.Time) time.Duration {
@@ -420,7 +424,7 @@
 		if len(job.Pending) == 0 {
 			continue
 		}
-		if job.Satisfied() || job.Unfinished() == 0 {
+		if job.Satisfied() || job.Unfinished() <= lastTasks {
 			return 0
 		}
 		due = min(due, gather-now.Sub(job.PendingAt))
