--- a/runner/runner.go
+++ b/runner/runner.go
@@ -82,7 +82,9 @@
 // Run takes pools without an owner over and holds them, until ctx ends. Then
 // it gives them up.
 func (r *Runner) Run(ctx context.Context) {
+	r.mu.Lock()
 	r.terms = map[string]*term{}
+	r.mu.Unlock()
 	r.ownerless = map[string]time.Time{}
 	guards := map[string]bool{}
 	for ctx.Err() == nil {
