--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -148,10 +148,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), keepCall)
 		_, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: &wire.Keep{Job: data}}})
 		cancel()
-		e.Log.Info().Str("job", job.ID).Str("peer", peer).AnErr("cause", err).Msg("job kept on disks")
 		if err == nil {
+			e.Log.Info().Str("job", job.ID).Str("peer", peer).Msg("job kept on disks")
 			return true
 		}
+		e.Log.Warn().Str("job", job.ID).Str("peer", peer).Err(err).Msg("job not kept by this node")
 	}
 	return false
 }
@@ -250,9 +251,8 @@
 // results returns a job's results from position after on: those that this node
 // has read before, or what the owner has, or what is stored.
 func (e *Entry) results(job string, after int, wait time.Duration, now time.Time) (int, []quetzalpier.Result, error) {
-	total, have, _ := e.from(job, after)
-	if len(have) > 0 {
-		return total, have, nil
+	if total, known := e.from(job, after); len(known) > 0 {
+		return total, known, nil
 	}
 	// An answer holds as many results as fit: the position that is asked for
 	// may lie behind them.
@@ -263,7 +263,8 @@
 		}
 		e.remember(job, int(answer.GetTotal()), from, wire.UnpackResults(answer.GetResults()), now)
 		if from = e.have(job); from > after || len(answer.GetResults()) == 0 {
-			return e.from(job, after)
+			total, results := e.from(job, after)
+			return total, results, nil
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeCall)
@@ -280,7 +281,8 @@
 		return 0, nil, quetzalpier.Busy("store", "the results could not be read: "+err.Error(), quetzalpier.RanNo, e.Sender.Spread(storePause))
 	}
 	e.remember(job, len(spec.Tasks), 0, listed, now)
-	return e.from(job, after)
+	total, results := e.from(job, after)
+	return total, results, nil
 }
 
 // ask asks the owners of pools; nil if none of them holds the job.
@@ -300,6 +302,7 @@
 	return nil
 }
 
+// have is how many results of a job this node knows.
 func (e *Entry) have(job string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -309,17 +312,16 @@
 	return 0
 }
 
-func (e *Entry) from(job string, after int) (int, []quetzalpier.Result, error) {
+// from returns how many tasks a job has, and the results from a position on, as
+// far as this node knows them.
+func (e *Entry) from(job string, after int) (int, []quetzalpier.Result) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known := e.kept[job]
 	if known == nil {
-		return 0, nil, nil
+		return 0, nil
 	}
-	if after >= len(known.results) {
-		return known.total, nil, nil
-	}
-	return known.total, known.results[after:], nil
+	return known.total, known.results[min(after, len(known.results)):]
 }
 
 // remember keeps results from a position on.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -124,7 +124,8 @@
 	return pools
 }
 
-// look follows who owns the pool.
+// look follows who owns the pool: another node, which ends a term of this one;
+// this node, by its lease; or nobody, and then the candidates take it in turn.
 func (r *Runner) look(ctx context.Context, pool string, now time.Time) {
 	var owner board.Owner
 	var self string
