--- a/runner/term.go
+++ b/runner/term.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"quetzalpier"
 	"quetzalpier/board"
@@ -27,7 +28,9 @@
 	// historyMore is added to the time that results must stay readable, since
 	// the time of day differs between VMs.
 	historyMore = 30 * time.Second
-	loadPause   = 100 * time.Millisecond
+	// openAtOnce is how many jobs are read at a time after a takeover.
+	openAtOnce = 8
+	loadPause  = 100 * time.Millisecond
 	// expireMargin is added to the life of tasks, since the time of day differs
 	// between VMs.
 	expireMargin = 3 * time.Second
@@ -72,10 +75,9 @@
 	orders  time.Time
 	// load is the moving average time of a load, and gap that between two
 	// versions of one model, as named tells.
-	gap    time.Duration
-	named  map[string]named
-	load   time.Duration
-	loaded bool
+	gap   time.Duration
+	named map[string]named
+	load  time.Duration
 }
 
 func newTerm(ctx context.Context, r *Runner, pool string, fence uint64) *term {
@@ -146,13 +148,16 @@
 			jobs = append(jobs, news.Job)
 		}
 	}
+	// The ends are known by now. After a takeover the results of many jobs are
+	// read, and the tasks of each begin as soon as its own are.
+	opening := pool.New().WithMaxGoroutines(openAtOnce)
 	for _, job := range jobs {
-		t.open(job, whole, now)
+		opening.Go(func() {
+			t.open(job, whole, now)
+			signal(t.wake)
+		})
 	}
-	t.mu.Lock()
-	t.loaded = true
-	t.mu.Unlock()
-	signal(t.wake)
+	opening.Wait()
 }
 
 // open takes a job over. The results of one that an earlier owner may have
@@ -229,9 +234,6 @@
 func (t *term) plan(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.loaded {
-		return
-	}
 	t.refresh()
 	t.cut(t.book.Expire(now))
 	engines := t.list()
