--- a/board/board.go
+++ b/board/board.go
@@ -131,7 +131,6 @@
 // Owner is a pool's owner. Fence rises with each owner.
 type Owner struct {
 	Node  string
-	Peer  string
 	Fence uint64
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -173,13 +173,18 @@
 func (e *Entry) dispatch(c *fasthttp.RequestCtx, req *request) *quetzalpier.Route {
 	var route quetzalpier.Route
 	var number uint64
-	found := false
+	most, found := 0, false
 	e.Board.Do(func(s *board.State) {
-		number = s.Config.Number
+		number, most = s.Config.Number, s.Config.Input.Body
 		route, found = s.Config.Match(req.host, req.path)
 	})
 	req.config = number
 	switch {
+	case most > 0 && len(c.Request.Body()) > most:
+		e.refuse(c, req, &quetzalpier.Refusal{
+			Type: "size", Title: "body too large", Status: http.StatusRequestEntityTooLarge,
+			Detail: "at most " + strconv.Itoa(most) + " bytes", Ran: quetzalpier.RanNo,
+		})
 	case number == 0:
 		e.refuse(c, req, quetzalpier.Busy("config", "no configuration known yet", quetzalpier.RanNo, e.Sender.Spread(emptyAfter)))
 	case found && route.Batch:
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -205,6 +205,12 @@
 			}
 		}
 	})
+	t.Run("a body over the configured size is refused", func(t *testing.T) {
+		r := newRig(t)
+		r.configure()
+		r.board.Update(func(s *board.State) { s.Config.Input.Body = 3 })
+		requireStatus(t, r, "/safe/x", http.StatusRequestEntityTooLarge)
+	})
 	t.Run("refused by all is a promise", func(t *testing.T) {
 		r := newRig(t)
 		r.configure()
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -177,7 +177,6 @@
 	defer signal(t.wake)
 	delete(t.cancels, r.task)
 	r.engine.Running--
-	r.engine.Tokens -= r.task.Spec.Tokens
 	t.logRun(r, err, cut, now)
 	if r.task.Phase != tasks.Running {
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"quetzalpier"
+	"quetzalpier/platform"
 	"quetzalpier/sleep"
 	"quetzalpier/stand"
 	"quetzalpier/vault"
@@ -75,7 +76,7 @@
 	for end := time.Now().Add(limit); time.Now().Before(end); sleep.For(ctx, pollPause) {
 		ready := 0
 		for _, n := range r.Fronts {
-			resp, err := client.Get("http://" + n.Settings.Ready + "/ready")
+			resp, err := client.Get("http://" + n.Settings.Ready + platform.PathReady)
 			if err != nil {
 				continue
 			}
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -37,9 +37,8 @@
 // Engine is what the planner knows of one engine.
 type Engine struct {
 	VM quetzalpier.VM
-	// Running counts the runs on the engine, and Tokens the memory they take.
+	// Running counts the runs on the engine.
 	Running int
-	Tokens  int
 	// Pace is the moving average time of an event; zero while unknown.
 	Pace time.Duration
 	// Loading names the model whose weights are being changed; empty for none.
@@ -114,7 +113,6 @@
 
 func start(task *Task, engine *Engine, now time.Time) Launch {
 	engine.Running++
-	engine.Tokens += task.Spec.Tokens
 	task.Phase = Running
 	task.Cut = false
 	task.Engine = engine.VM.ID
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -68,12 +68,6 @@
 	return err
 }
 
-// Ended tells whether a job was ended.
-func (v *Vault) Ended(ctx context.Context, id string) (bool, error) {
-	entry, err := v.KV.Get(ctx, prefixEnd+id)
-	return entry.Rev != 0, err
-}
-
 // News is what a key under Jobs says.
 type News struct {
 	Job *quetzalpier.Job
