runner, tasks: Let a job that ended in doubt hold no other up

Ruled out: the weights and the takeover. Change: an ended job has nothing pending, and a job in doubt is left out until it is compared.

--- a/runner/commit.go
+++ b/runner/commit.go
@@ -20,6 +20,8 @@
 	// pageBytes bounds the texts in one page; a value holds a megabyte.
 	pageBytes   = 700 << 10
 	pagesPerTxn = 8
+	// noPagePause is the pause when nothing may be stored now.
+	noPagePause = 20 * time.Millisecond
 	commitPause = 100 * time.Millisecond
 )
 
@@ -50,7 +52,7 @@
 	}
 	t.mu.Unlock()
 	if len(pages) == 0 {
-		return max(due, time.Millisecond)
+		return max(due, noPagePause)
 	}
 	err := t.r.Vault.List(ctx, t.pool, fence, pages)
 	if err != nil {
@@ -68,7 +70,8 @@
 	var pages []vault.Page
 	for _, id := range slices.Sorted(maps.Keys(t.book.Jobs)) {
 		job := t.book.Jobs[id]
-		if len(job.Pending) == 0 || len(pages) == pagesPerTxn {
+		// A job in doubt would make the whole transaction fail.
+		if len(job.Pending) == 0 || t.doubted[id] || len(pages) == pagesPerTxn {
 			continue
 		}
 		pages = append(pages, vault.Page{Job: id, From: len(job.Listed), Results: head(job.Pending, pageBytes)})
@@ -98,7 +101,7 @@
 		}
 		delete(t.doubted, page.Job)
 		waited := now.Sub(job.PendingAt)
-		job.List(len(page.Results), now)
+		job.List(page.Results, now)
 		t.r.Log.Info().Str("job", page.Job).Int("from", page.From).Int("results", len(page.Results)).
 			Int("whole", job.Whole).Dur("waited_ms", waited).Msg("results listed")
 	}
@@ -117,11 +120,13 @@
 func (t *term) listFailed(err error, fence uint64, pages []vault.Page) {
 	t.r.Log.Warn().Str("pool", t.pool).Uint64("fence", fence).Int("jobs", len(pages)).Err(err).Msg("results not listed")
 	var refused *quetzalpier.RefusedError
-	if !errors.As(err, &refused) {
-		t.doubt(pages)
-	}
 	var swap *quetzalpier.SwapError
-	if !errors.As(err, &swap) {
+	switch {
+	case errors.As(err, &refused):
+		return
+	case !errors.As(err, &swap):
+		t.doubt(pages)
+		signal(t.dirty)
 		return
 	}
 	if swap.Key == vault.Owners+t.pool {
@@ -130,6 +135,7 @@
 	}
 	// An earlier transaction without an answer took effect, or another owner
 	// came between.
+	t.doubt(pages)
 	signal(t.dirty)
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -245,6 +245,27 @@
 		}
 		require.Eventually(t, func() bool { return len(r.runner.Read(context.Background(), &wire.Read{Job: "j"}).GetResults()) == 3 }, patience, time.Millisecond)
 	})
+	t.Run("a job that ended in doubt holds no other up", func(t *testing.T) {
+		r := newRig(t, 1)
+		r.kv.mu.Lock()
+		r.kv.lose = 1 << 20
+		r.kv.mu.Unlock()
+		r.put(t, newJob("a", 1, 2, 2, 2, 2, 2, 2, 2, 2, 2, 400))
+		require.Eventually(t, func() bool {
+			listed, err := r.vault.Listed(context.Background(), "a")
+			return err == nil && len(listed) > 0
+		}, patience, time.Millisecond)
+		require.NoError(t, r.vault.End(t.Context(), "a"))
+		r.put(t, newJob("b", 1, 2, 2))
+		require.Eventually(t, func() bool {
+			answer := r.runner.Read(context.Background(), &wire.Read{Job: "a"})
+			return !answer.GetOpen()
+		}, patience, time.Millisecond)
+		r.kv.mu.Lock()
+		r.kv.lose = 0
+		r.kv.mu.Unlock()
+		r.results(t, "b", 2)
+	})
 	t.Run("a key that was taken away is taken again, and nothing stands twice", func(t *testing.T) {
 		r := newRig(t, 1)
 		r.put(t, newJob("j", 1, 100, 2, 2))
--- a/tasks/book.go
+++ b/tasks/book.go
@@ -231,7 +231,8 @@
 	}
 }
 
-// End closes a job. It returns the tasks whose runs are to be cut.
+// End closes a job; what is not listed yet needs not be. It returns the tasks
+// whose runs are to be cut.
 func (b *Book) End(id string, now time.Time) []*Task {
 	job := b.Jobs[id]
 	if job == nil || job.Ended {
@@ -239,6 +240,7 @@
 	}
 	job.Ended = true
 	job.EndedAt = now
+	defer func() { job.Pending = nil }()
 	var running []*Task
 	for _, task := range job.Tasks {
 		if task.Phase == Running {
@@ -324,10 +326,11 @@
 	}
 }
 
-// List notes that the first n pending results are stored.
-func (j *Job) List(n int, now time.Time) {
-	j.Listed = append(j.Listed, j.Pending[:n]...)
-	j.Pending = append([]quetzalpier.Result(nil), j.Pending[n:]...)
+// List notes that the first pending results are stored. A job that ended
+// meanwhile has none pending any more.
+func (j *Job) List(results []quetzalpier.Result, now time.Time) {
+	j.Listed = append(j.Listed, results...)
+	j.Pending = append([]quetzalpier.Result(nil), j.Pending[min(len(results), len(j.Pending)):]...)
 	j.PendingAt = now
 	j.announce()
 }
--- a/tasks/book_test.go
+++ b/tasks/book_test.go
@@ -50,7 +50,7 @@
 		finish(book, job.Tasks[3], start)
 		finish(book, job.Tasks[0], start)
 		require.Empty(t, job.Listed)
-		job.List(1, start)
+		job.List(job.Pending[:1], start)
 		require.Equal(t, []string{"j-3"}, ids(job.Listed))
 		require.Equal(t, []string{"j-0"}, ids(job.Pending))
 	})
@@ -77,6 +77,16 @@
 		require.Empty(t, job.Pending)
 		require.Empty(t, book.End("j", start))
 	})
+	t.Run("an ended job has nothing pending, also while a page of it is stored", func(t *testing.T) {
+		book := tasks.NewBook()
+		job := book.Add(newSpec("j", 1, 2), nil, start)
+		finish(book, job.Tasks[0], start)
+		page := job.Pending
+		book.End("j", start)
+		require.Empty(t, job.Pending)
+		job.List(page, start)
+		require.Equal(t, []string{"j-0"}, ids(job.Listed))
+	})
 	t.Run("a task that outlives its job's time is given up", func(t *testing.T) {
 		book := tasks.NewBook()
 		job := book.Add(newSpec("j", 1, 1), nil, start)
@@ -188,7 +198,7 @@
 				n := rapid.IntRange(1, len(job.Pending)).Draw(t, "results")
 				stored = append(stored, job.Pending[:n]...)
 				if rapid.Bool().Draw(t, "answered") {
-					job.List(n, start)
+					job.List(job.Pending[:n], start)
 				}
 			case 3:
 				book.Reconcile("j", append([]quetzalpier.Result(nil), stored...), start)
