runner: Look again whether a job is open or ended before opening it

A job is heard of twice, from the front that took it and by the watch. Between the first look and the opening the results are read; a job that was opened or ended meanwhile was opened again, and its rewards fetched twice. Also: one place decides what a failed listing means.

--- a/runner/commit.go
+++ b/runner/commit.go
@@ -123,20 +123,14 @@
 	var swap *quetzalpier.SwapError
 	switch {
 	case errors.As(err, &refused):
-		return
-	case !errors.As(err, &swap):
+	case errors.As(err, &swap) && swap.Key == vault.Owners+t.pool:
+		t.r.Lease.Forget(t.pool)
+	default:
+		// This transaction or an earlier one without an answer may have taken
+		// effect, or another owner came between.
 		t.doubt(pages)
 		signal(t.dirty)
-		return
-	}
-	if swap.Key == vault.Owners+t.pool {
-		t.r.Lease.Forget(t.pool)
-		return
 	}
-	// An earlier transaction without an answer took effect, or another owner
-	// came between.
-	t.doubt(pages)
-	signal(t.dirty)
 }
 
 // reconcile brings the book in line with what is stored, each time that the
--- a/runner/term.go
+++ b/runner/term.go
@@ -164,12 +164,9 @@
 // worked on are read first.
 func (t *term) open(job *quetzalpier.Job, old bool, now time.Time) {
 	t.mu.Lock()
-	skip := t.ended[job.ID] || t.book.Jobs[job.ID] != nil
-	if t.ended[job.ID] {
-		t.old[job.ID] = job.Put
-	}
+	known := t.known(job)
 	t.mu.Unlock()
-	if skip {
+	if known {
 		return
 	}
 	var listed []quetzalpier.Result
@@ -185,6 +182,10 @@
 	job.Expires = job.Expires.Add(expireMargin)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	// It may have been opened or ended meanwhile: a job is heard of twice.
+	if t.known(job) {
+		return
+	}
 	opened := t.book.Add(job, listed, now)
 	t.restore(opened, parts)
 	for _, task := range opened.Tasks {
@@ -196,6 +197,16 @@
 		Int("tasks", len(job.Tasks)).Int("listed", len(listed)).Int("resumed", len(parts)).Dur("age_ms", now.Sub(job.Put)).Msg("job opened")
 }
 
+// known tells whether a job is open here or has ended; the caller holds the
+// lock.
+func (t *term) known(job *quetzalpier.Job) bool {
+	if t.ended[job.ID] {
+		t.old[job.ID] = job.Put
+		return true
+	}
+	return t.book.Jobs[job.ID] != nil
+}
+
 // stored reads what earlier owners listed and saved of a job.
 func (t *term) stored(job string) ([]quetzalpier.Result, []vault.Part, error) {
 	listed, err := t.r.Vault.Listed(t.ctx, job)
