lease: Renew seldom while no name is held

Ruled out: longer watches (all others together are fewer), one lease for several nodes (a node's death would need someone who notices it). Change: a lease at rest lasts 8 s and is renewed every 3.6 s; one under which a pool is held stays at 1.8 s and 0.5 s. A node moves its entry to the lease that holds the pool, so an owner's entry goes with its pool as before. A dead front is named to clients for up to 8 s, before 4 s; clients leave an address out that failed them.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,15 +32,15 @@
 )
 
 const (
-	// leaseLife bounds how long a dead node is believed to be alive; renewals
-	// come often enough to outlast a slow store.
+	// leaseLife bounds how long a dead owner of a pool is believed to be alive;
+	// renewals come often enough to outlast a slow store.
 	leaseLife   = 1800 * time.Millisecond
 	leaseEvery  = 500 * time.Millisecond
 	leaseMargin = 300 * time.Millisecond
-	// frontLife and frontEvery are those of VMs that own pools only when no
-	// other does: there are many of them, and each renewal is a call.
-	frontLife  = 4 * time.Second
-	frontEvery = 1200 * time.Millisecond
+	// restLife and restEvery are those of nodes that own no pool: there are many
+	// of them, and each renewal is a call. One renewal may be lost.
+	restLife  = 8 * time.Second
+	restEvery = 3600 * time.Millisecond
 	// watchWait is how long one watch waits; the platform allows 30 s. Whether
 	// the connections still work shows in the lease's renewals.
 	watchWait = 25 * time.Second
@@ -128,11 +128,9 @@
 	n.kv = &relay.KV{Direct: direct, Peers: n.peers, Call: n.call, Reset: direct.Reset, Log: n.Log}
 	n.lease = &lease.Holder{
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, Life: leaseLife, Every: leaseEvery, Margin: leaseMargin,
+		RestLife: restLife, RestEvery: restEvery,
 	}
 	n.links = link.New()
-	if n.Settings.Front != "" {
-		n.lease.Life, n.lease.Every = frontLife, frontEvery
-	}
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.Struck = n.struck
 	n.vms = &vms{board: n.Board, settle: n.Settings.Settle.D(), log: n.Log}
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -62,7 +62,7 @@
 	if err := n.lease.Keep(ctx, now); err != nil && !errors.As(err, &lost) {
 		return "", err
 	}
-	return n.lease.Grant(ctx, now)
+	return n.lease.Rest(ctx, now)
 }
 
 func (n *Node) writeEntry(ctx context.Context, self board.Member, held string) error {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -35,16 +35,39 @@
 	Life   time.Duration
 	Every  time.Duration
 	Margin time.Duration
+	// RestLife and RestEvery stand in for Life and Every while no name is held:
+	// nobody waits for the end of such a lease, and each renewal is a call that
+	// the platform counts. Zero fields have the values of Life and Every.
+	RestLife  time.Duration
+	RestEvery time.Duration
 
 	mu      sync.Mutex
 	lease   string
 	until   time.Time
 	renewed time.Time
 	fences  map[string]uint64
+	// resting tells that the lease has RestLife, and wanted is when a lease for
+	// names was last asked for.
+	resting bool
+	wanted  time.Time
+}
+
+func (h *Holder) life(resting bool) time.Duration {
+	life := orDefault(h.Life, TTL)
+	if resting {
+		return orDefault(h.RestLife, life)
+	}
+	return life
+}
+
+func (h *Holder) every(resting bool) time.Duration {
+	every := orDefault(h.Every, renewEvery)
+	if resting {
+		return orDefault(h.RestEvery, every)
+	}
+	return every
 }
 
-func (h *Holder) life() time.Duration   { return orDefault(h.Life, TTL) }
-func (h *Holder) every() time.Duration  { return orDefault(h.Every, renewEvery) }
 func (h *Holder) margin() time.Duration { return orDefault(h.Margin, margin) }
 
 func orDefault(d, otherwise time.Duration) time.Duration {
@@ -67,8 +90,32 @@
 	return h.lease, h.lease != "" && h.alive(now)
 }
 
-// Grant makes sure of a lease and returns it.
-func (h *Holder) Grant(ctx context.Context, now time.Time) (string, error) { return h.grant(ctx, now) }
+// Grant makes sure of a lease for names and returns it.
+func (h *Holder) Grant(ctx context.Context, now time.Time) (string, error) {
+	h.mu.Lock()
+	h.wanted = now
+	lease, fits := h.lease, h.alive(now) && !h.resting
+	h.mu.Unlock()
+	if fits {
+		return lease, nil
+	}
+	return h.grant(ctx, now, false)
+}
+
+// Rest makes sure of a lease, whether or not names are held, and returns it. A
+// lease for names turns into one at rest when none has been held or asked for
+// during the life of a lease.
+func (h *Holder) Rest(ctx context.Context, now time.Time) (string, error) {
+	h.mu.Lock()
+	lease := h.lease
+	needless := !h.resting && len(h.fences) == 0 && now.Sub(h.wanted) > h.life(false)
+	fits := h.alive(now) && !needless
+	h.mu.Unlock()
+	if fits {
+		return lease, nil
+	}
+	return h.grant(ctx, now, needless)
+}
 
 // Forget gives a name up that another node was seen to hold, or that is gone.
 func (h *Holder) Forget(name string) {
@@ -96,7 +143,7 @@
 func (h *Holder) Keep(ctx context.Context, now time.Time) error {
 	h.mu.Lock()
 	lease := h.lease
-	due := lease != "" && now.Sub(h.renewed) >= h.every()
+	due := lease != "" && now.Sub(h.renewed) >= h.every(h.resting)
 	h.mu.Unlock()
 	if !due {
 		return nil
@@ -109,7 +156,7 @@
 	switch {
 	case err == nil:
 		h.renewed = now
-		h.until = now.Add(h.life() - h.margin())
+		h.until = now.Add(h.life(h.resting) - h.margin())
 	case errors.As(err, &lost):
 		h.drop()
 	}
@@ -121,7 +168,7 @@
 	if _, ok := h.Fence(name, now); ok {
 		return true, nil
 	}
-	lease, err := h.grant(ctx, now)
+	lease, err := h.Grant(ctx, now)
 	if err != nil {
 		return false, err
 	}
@@ -193,15 +240,10 @@
 	return names
 }
 
-func (h *Holder) grant(ctx context.Context, now time.Time) (string, error) {
-	h.mu.Lock()
-	lease := h.lease
-	alive := h.alive(now)
-	h.mu.Unlock()
-	if lease != "" && alive {
-		return lease, nil
-	}
-	lease, err := h.KV.Grant(ctx, h.life())
+// grant asks for a new lease in the place of the one before, which lapses with
+// its names.
+func (h *Holder) grant(ctx context.Context, now time.Time, resting bool) (string, error) {
+	lease, err := h.KV.Grant(ctx, h.life(resting))
 	if err != nil {
 		return "", err
 	}
@@ -209,8 +251,9 @@
 	defer h.mu.Unlock()
 	h.drop()
 	h.lease = lease
+	h.resting = resting
 	h.renewed = now
-	h.until = now.Add(h.life() - h.margin())
+	h.until = now.Add(h.life(h.resting) - h.margin())
 	return lease, nil
 }
 
@@ -230,6 +273,7 @@
 	h.lease = ""
 	h.until = time.Time{}
 	h.fences = nil
+	h.resting = false
 }
 
 func (h *Holder) key(name string) string {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -97,4 +97,37 @@
 		require.NoError(t, a.Keep(t.Context(), time.Now()))
 		require.Equal(t, before+1, memory.Counts().Writes)
 	})
+	run("a lease without names is renewed seldom, one with names often", func(t *testing.T, memory *stand.Memory, a, b *lease.Holder) {
+		a.RestLife, a.RestEvery, a.Every, a.Life, a.Margin = 20*time.Second, 10*time.Second, 500*time.Millisecond, 2*time.Second, time.Second
+		calls := func(during time.Duration) uint64 {
+			before := memory.Counts().Writes
+			for start := time.Now(); time.Since(start) < during; time.Sleep(100 * time.Millisecond) {
+				require.NoError(t, a.Keep(t.Context(), time.Now()))
+				_, err := a.Rest(t.Context(), time.Now())
+				require.NoError(t, err)
+			}
+			return memory.Counts().Writes - before
+		}
+		require.LessOrEqual(t, calls(20*time.Second), uint64(3))
+		require.True(t, take(t, a, "p"))
+		require.GreaterOrEqual(t, calls(10*time.Second), uint64(19))
+		require.Positive(t, fence(a, "p"))
+		time.Sleep(2 * time.Second)
+		require.True(t, take(t, b, "p"), "the lease of a name ends soon")
+		require.Error(t, a.Keep(t.Context(), time.Now()))
+		calls(5 * time.Second)
+		require.LessOrEqual(t, calls(20*time.Second), uint64(3), "at rest again")
+	})
+	run("a taken name is not lost when the lease comes from rest", func(t *testing.T, _ *stand.Memory, a, _ *lease.Holder) {
+		a.RestLife, a.RestEvery, a.Every, a.Life, a.Margin = 20*time.Second, 10*time.Second, 500*time.Millisecond, 2*time.Second, time.Second
+		rest, err := a.Rest(t.Context(), time.Now())
+		require.NoError(t, err)
+		require.True(t, take(t, a, "p"))
+		held, ok := a.Lease(time.Now())
+		require.True(t, ok)
+		require.NotEqual(t, rest, held)
+		again, err := a.Rest(t.Context(), time.Now())
+		require.NoError(t, err)
+		require.Equal(t, held, again)
+	})
 }
