runner: Gather results that come together for a waiting read

Ruled out: holding reads until the step is whole; what is ready is delivered. Change: a read that had to wait stays up to 150 ms longer, and answers at once when the trainer can have all it needs.

--- a/runner/read.go
+++ b/runner/read.go
@@ -12,30 +12,51 @@
 const (
 	// replyBytes bounds the texts in one answer.
 	replyBytes = 900 << 10
+	// readGather bounds how long the answer to a read that waited is put off
+	// after the first result. Tasks that began together and have the greatest
+	// length end within this time of each other.
+	readGather = 150 * time.Millisecond
 )
 
 // Read answers a read of a job that this node holds. An answer that is not
 // Known says nothing of whether the job exists.
 func (r *Runner) Read(ctx context.Context, read *wire.Read) *wire.Results {
-	wait := time.NewTimer(time.Duration(read.GetWait()) * time.Millisecond)
-	defer wait.Stop()
-	for {
-		answer, news := r.peek(read, time.Now())
-		if news == nil || len(answer.GetResults()) > 0 || read.GetTask() != "" {
-			return answer
-		}
+	wait := time.Duration(read.GetWait()) * time.Millisecond
+	return gather(ctx, wait, func(now time.Time) (*wire.Results, chan struct{}) { return r.peek(read, now) })
+}
+
+// gather returns what peek does, as soon as it has results or wait is over. If
+// it had to wait for the first result, it stays a little longer for more.
+//
+// Load pattern: the last tasks of a step end within some milliseconds of each
+// other. A trainer whose read is answered with the first of them reads the
+// others half a second or more later.
+func gather(ctx context.Context, wait time.Duration, peek func(time.Time) (*wire.Results, chan struct{})) *wire.Results {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	answer, news := peek(time.Now())
+	if len(answer.GetResults()) > 0 {
+		return answer
+	}
+	for news != nil {
 		select {
 		case <-news:
-		case <-wait.C:
+		case <-timer.C:
 			return answer
 		case <-ctx.Done():
 			return answer
 		}
+		first := len(answer.GetResults()) == 0
+		answer, news = peek(time.Now())
+		if first && len(answer.GetResults()) > 0 {
+			timer.Reset(readGather)
+		}
 	}
+	return answer
 }
 
 // peek answers with what is there; news is closed when there may be more, and
-// nil when there is no use in waiting.
+// nil when there is no use in waiting: the trainer can have all that it needs.
 func (r *Runner) peek(read *wire.Read, now time.Time) (*wire.Results, chan struct{}) {
 	for _, t := range r.held() {
 		// Without the lease, another owner may have listed more.
@@ -78,7 +99,8 @@
 	if from := int(read.GetAfter()); from < len(job.Listed) {
 		answer.Results = wire.PackResults(head(job.Listed[from:], replyBytes))
 	}
-	if job.Ended || len(job.Listed) == len(job.Tasks) {
+	complete := len(job.Listed) == len(job.Tasks) || job.Satisfied() && len(answer.GetResults()) > 0
+	if job.Ended || complete {
 		return answer, nil
 	}
 	return answer, job.News
