entry, fleet: Name and keep draining fronts when no other is left

Ruled out: ending the drain sooner; clients hold old answers for 3 s. Change: without a usable front, look-ups name those that drain, and a third of them serves on until one is back, two seconds short of the end by force.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -449,6 +449,11 @@
 		_, text := ask(t, r)
 		require.JSONEq(t, `{"addrs":["b:1"],"ttlS":1}`, text)
 	})
+	t.Run("fronts that drain are named when no other is left", func(t *testing.T) {
+		set(r, map[string]board.MemberState{"b": board.Draining, "c": board.Draining})
+		_, text := ask(t, r)
+		require.JSONEq(t, `{"addrs":["b:1","c:1"],"ttlS":1}`, text)
+	})
 	t.Run("a node is ready with a configuration, until it drains", func(t *testing.T) {
 		status := func() int {
 			resp, err := http.Get("http://" + r.ready + platform.PathReady)
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -45,18 +45,24 @@
 	c.SetBody(body)
 }
 
+// addrs are the addresses that clients are sent to: those of the fronts in use,
+// or if there are none those of the ones that drain, which serve on for a while.
+//
+// Load pattern: all fronts are restarted within a second.
 func (e *Entry) addrs(now time.Time) []string {
 	steady := e.Steady(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	var draining []string
 	e.Board.Do(func(s *board.State) {
 		for id, m := range s.Members {
 			switch {
 			case m.HTTP == "":
-			case !m.Usable():
-				delete(e.seen, id)
-			default:
+			case m.Usable():
 				e.seen[id] = seenNode{m.HTTP, now}
+			default:
+				delete(e.seen, id)
+				draining = append(draining, m.HTTP)
 			}
 		}
 		for id, node := range e.seen {
@@ -69,6 +75,9 @@
 	for _, node := range e.seen {
 		addrs = append(addrs, node.addr)
 	}
+	if len(addrs) == 0 {
+		addrs = draining
+	}
 	sort.Strings(addrs)
 	return addrs[:min(len(addrs), maxAddrs)]
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -60,6 +60,10 @@
 	// closeLead is the time before the end by force in which the last requests
 	// are cut.
 	closeLead = 700 * time.Millisecond
+	// stayEvery is the time between two looks at whether other fronts are back.
+	stayEvery = 100 * time.Millisecond
+	// stayLead is the time that requests in flight are left with after that.
+	stayLead = 2 * time.Second
 	// keptAnswers is how many times as long as asked some clients keep an
 	// answer to where to connect.
 	keptAnswers = 3
--- a/fleet/stop.go
+++ b/fleet/stop.go
@@ -65,12 +65,46 @@
 	if n.Settings.Front != "" {
 		kept := start.Add(time.Duration(math.Ceil(keptAnswers*n.Settings.Keep.D().Seconds()))*time.Second + n.Settings.Keep.D())
 		sleep.For(context.Background(), time.Until(sleep.Earlier(kept, end)))
+		n.stay(end.Add(-stayLead))
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.entry.Close(ctx)
 }
 
+// stay serves on while no other front would.
+func (n *Node) stay(end time.Time) {
+	needed := true
+	for needed && time.Now().Before(end) {
+		n.Board.Do(func(s *board.State) { needed = stays(s) })
+		if needed {
+			sleep.For(context.Background(), stayEvery)
+		}
+	}
+}
+
+// stays tells whether a front that drains is to serve for as long as it may:
+// none is in use, and it is in the first third of those that drain. The others
+// stop first and are back when these do.
+//
+// Load pattern: all fronts are restarted within a second.
+func stays(s *board.State) bool {
+	before, draining := 0, 1
+	for id, m := range s.Members {
+		switch {
+		case m.HTTP == "" || id == s.Self.ID:
+		case m.Usable():
+			return false
+		default:
+			draining++
+			if id < s.Self.ID {
+				before++
+			}
+		}
+	}
+	return before < (draining+2)/3
+}
+
 // Reload takes changed settings over. Addresses stay as they are until the
 // next start.
 func (n *Node) Reload(settings setup.Serve, err error) {
