runner, fleet: Stand in for an owner that is lost in an outage of the store

Ruled out: taking over without the store; listing and orders need the fencing token. Change: the node that keeps a job on its disk, ranked as for a takeover, runs its tasks if the owner does not answer. It lists nothing and gives no orders; it takes the pool when the owner's key is gone, and gives way to any other owner. Store VMs learn the upstreams from a front of their failure domain, so that they know them in an outage.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -157,7 +157,8 @@
 	return false
 }
 
-// keepers are the nodes that may keep a job of the pool, its owner first.
+// keepers are the nodes that may keep a job of the pool: its owner, then those
+// that would take the pool over.
 func (e *Entry) keepers(pool string) []string {
 	var peers []string
 	e.Board.Do(func(s *board.State) {
@@ -168,7 +169,7 @@
 				ids = append(ids, id)
 			}
 		}
-		ids = hash.Owners("keep/"+pool, ids, keepersTried)
+		ids = hash.Owners(pool, ids, keepersTried)
 		if m, ok := s.Members[owner]; ok && m.Has(runner.ClassStore) {
 			ids = append([]string{owner}, ids...)
 		}
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -59,7 +59,11 @@
 		n.Log.Warn().Err(err).Msg("job not taken over")
 		return &wire.Reply{Fault: err.Error()}
 	}
-	if !message.GetCopy() {
+	switch {
+	case message.GetCopy():
+	case !message.GetStored() && n.kv.Failed():
+		n.runner.StandIn(job)
+	default:
 		n.runner.Open(job, time.Now())
 	}
 	return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
@@ -135,3 +139,12 @@
 	})
 	return addr
 }
+
+// feeder is the node to follow the upstreams from: the leader, unless this node
+// owns a pool and can't wait for another one.
+func (n *Node) feeder() string {
+	if len(n.lease.Names()) > 0 {
+		return ""
+	}
+	return n.leader()
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,7 +144,7 @@
 	store := n.vault
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: store, Lease: n.lease, Links: n.links, Sender: n.sender,
-		Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.call, Turn: n.Settings.Turn.D(), Fenced: n.Settings.Fenced, History: n.Settings.History.D(),
+		Out: n.kv.Failed, Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.call, Turn: n.Settings.Turn.D(), Fenced: n.Settings.Fenced, History: n.Settings.History.D(),
 	}
 	n.entry = entry.New(entry.Options{
 		Board: n.Board, Sender: n.sender, Links: n.links, Vault: store, Meter: n.Meter, Log: n.Log,
@@ -174,12 +174,12 @@
 		n.vms.apply(changed, whole, n.workers.State(), now)
 	})
 	n.workers.Gap = workersGap
+	n.workers.KV = &mirror.Feed{Direct: n.kv, Leader: n.feeder, Call: n.call}
 	if n.Settings.Front == "" {
 		return
 	}
 	n.nodes.Gap = nodesGap
 	n.nodes.KV = &mirror.Feed{Direct: n.kv, Leader: n.leader, Call: n.call}
-	n.workers.KV = &mirror.Feed{Direct: n.kv, Leader: n.leader, Call: n.call}
 }
 
 func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
@@ -228,7 +228,7 @@
 	owning, resign := context.WithCancel(work)
 	defer resign()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.config.Run, n.watchWorkers, n.watchVersions, n.watchRetired, n.bring, n.kv.Run, n.sender.Run, n.register, n.vms.run,
+		n.nodes.Run, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.bring, n.kv.Run, n.sender.Run, n.register, n.vms.run,
 	} {
 		n.running.Go(func() { run(work) })
 	}
@@ -247,13 +247,6 @@
 	_ = n.logs.Close()
 }
 
-// watchWorkers follows the upstreams once the node sends work to any.
-func (n *Node) watchWorkers(ctx context.Context) {
-	if n.Settings.Front != "" || n.holds(ctx) {
-		n.workers.Run(ctx)
-	}
-}
-
 // watchVersions follows the versions that trainers name once the node orders
 // engines.
 func (n *Node) watchVersions(ctx context.Context) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -61,7 +61,11 @@
 	// History is how long results stay readable after a job's submission.
 	History time.Duration
 
+	// Out tells whether the key-value service is out for this node.
+	Out func() bool
+
 	mu        sync.Mutex
+	running   context.Context
 	terms     map[string]*term
 	ownerless map[string]time.Time
 	workers   conc.WaitGroup
@@ -83,6 +87,7 @@
 // it gives them up.
 func (r *Runner) Run(ctx context.Context) {
 	r.mu.Lock()
+	r.running = ctx
 	r.terms = map[string]*term{}
 	r.mu.Unlock()
 	r.ownerless = map[string]time.Time{}
@@ -138,14 +143,16 @@
 	t := r.term(pool)
 	if owner.Node != "" && owner.Node != self {
 		delete(r.ownerless, pool)
-		r.drop(pool, owner)
+		if t != nil && !t.standsFor(owner, r.Out(), now) {
+			r.drop(pool, t, owner)
+		}
 		return
 	}
 	fence, held := r.Lease.Fence(pool, now)
 	if held && (owner.Node == "" || owner.Fence <= fence) {
 		delete(r.ownerless, pool)
 		if t == nil {
-			r.start(ctx, pool, fence)
+			r.start(newTerm(ctx, r, pool, fence))
 		} else {
 			t.raise(fence)
 		}
@@ -215,25 +222,24 @@
 	return r.terms[pool]
 }
 
-func (r *Runner) start(ctx context.Context, pool string, fence uint64) {
-	t := newTerm(ctx, r, pool, fence)
+// start begins a term, unless there is one of its pool.
+func (r *Runner) start(t *term) {
 	r.Holding()
 	r.once.Do(func() { close(r.holding) })
 	r.mu.Lock()
-	r.terms[pool] = t
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	if r.terms[t.pool] != nil {
+		return
+	}
+	r.terms[t.pool] = t
 	r.workers.Go(t.run)
 }
 
 // drop ends the term of a pool that another node owns.
-func (r *Runner) drop(pool string, owner board.Owner) {
+func (r *Runner) drop(pool string, t *term, owner board.Owner) {
 	r.mu.Lock()
-	t := r.terms[pool]
 	delete(r.terms, pool)
 	r.mu.Unlock()
-	if t == nil {
-		return
-	}
 	r.Lease.Forget(pool)
 	r.Log.Warn().Str("pool", pool).Str("owner", owner.Node).Uint64("fence", owner.Fence).Msg("pool lost to another node")
 	t.cancel()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,6 +57,8 @@
 	lease   *lease.Holder
 	engines []*stand.Worker
 	scorer  *stand.Worker
+	// out tells the node that the store is out.
+	out atomic.Bool
 }
 
 // newRig starts a node; prepare fills the store before.
@@ -91,7 +94,7 @@
 	sender := send.New(r.board, links, m, 1)
 	r.runner = &runner.Runner{
 		Board: r.board, KV: r.kv, Vault: r.vault, Lease: r.lease, Links: links, Sender: sender, Engines: platform.NewEngines(),
-		Meter: m, Log: zerolog.Nop(), History: time.Minute,
+		Meter: m, Log: zerolog.Nop(), History: time.Minute, Out: r.out.Load,
 		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
 			return nil, errors.New("no other node")
 		},
--- a/runner/term.go
+++ b/runner/term.go
@@ -57,11 +57,15 @@
 	dirty    chan struct{}
 	jobs     conc.WaitGroup
 
-	mu      sync.Mutex
-	fence   uint64
-	book    *tasks.Book
-	engines map[string]*engine
-	cancels map[*tasks.Task]context.CancelFunc
+	mu sync.Mutex
+	// standing is the owner that this node stands in for while the store is
+	// out, and back when the store was back; nil once the node holds the pool.
+	standing *board.Owner
+	back     time.Time
+	fence    uint64
+	book     *tasks.Book
+	engines  map[string]*engine
+	cancels  map[*tasks.Task]context.CancelFunc
 	// ended are jobs whose end is known; one may be heard before its job.
 	ended map[string]bool
 	// doubted are jobs of which the store may hold more results than the book.
@@ -95,6 +99,7 @@
 	t.mu.Lock()
 	news := fence > t.fence
 	t.fence = max(t.fence, fence)
+	t.standing = nil
 	t.mu.Unlock()
 	if news {
 		signal(t.dirty)
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -42,6 +42,8 @@
 	runs    []WorkerRun
 	faults  WorkerFaults
 	given   []givenOrder
+	// streaming counts the streams under way.
+	streaming int
 }
 
 // givenOrder is an order as it arrived.
@@ -138,6 +140,19 @@
 	return append([]WorkerRun(nil), w.runs...)
 }
 
+// Streaming counts the streams that are under way.
+func (w *Worker) Streaming() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.streaming
+}
+
+func (w *Worker) count(streams int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.streaming += streams
+}
+
 // Version is the model's present version, and Orders the orders accepted.
 func (w *Worker) Version(model string) (version quetzalpier.Version, orders uint64) {
 	w.mu.Lock()
@@ -246,6 +261,8 @@
 
 // stream writes events last+1 to length.
 func (w *Worker) stream(out *bufio.Writer, id, model string, last, length int, faults WorkerFaults) {
+	w.count(1)
+	defer w.count(-1)
 	before, _ := w.Version(model)
 	for event := last + 1; event <= length; event++ {
 		time.Sleep(w.Pace)
