--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -203,6 +203,9 @@
 		vm, err := platform.DecodeVM(e)
 		if err != nil {
 			v.log.Warn().Str("key", e.Key).Uint64("rev", e.Rev).Err(err).Msg("upstream's entry unreadable")
+			// It names no upstream to use, whatever the one before did.
+			v.lapse(id, mirror.State{}, now)
+			listed[id] = true
 			continue
 		}
 		listed[id] = true
