--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -15,6 +15,7 @@
 	Scenarios []string `long:"scenario" description:"scenario; may be given again, all by default"`
 	Seeds     int      `long:"seeds" default:"10" description:"paired seeds"`
 	Policies  []string `long:"policy" default:"naive" default:"ours" description:"naive, ours, or ours with one naive decision: no-route, no-admit, no-step, no-swap, no-retry"`
+	Pools     bool     `long:"pools" description:"play steps on one pool instead: longest first, placement, moves and resumption against their naive versions"`
 	JSON      bool     `long:"json" description:"print JSON"`
 	Plot      string   `long:"plot" description:"file for a PNG picture of the idle times"`
 }
@@ -35,6 +36,13 @@
 
 // Execute plays the scenarios and prints a table.
 func (c *trialCommand) Execute([]string) error {
+	if c.Pools {
+		rows := trial.PoolTable(c.Seeds, runtime.NumCPU())
+		if c.JSON {
+			return printRows(rows)
+		}
+		return trial.PrintPools(out, rows)
+	}
 	chosen := map[string]trial.Policy{}
 	for _, name := range c.Policies {
 		p, ok := policies[name]
@@ -61,6 +69,10 @@
 	if !c.JSON {
 		return trial.Print(out, rows)
 	}
+	return printRows(rows)
+}
+
+func printRows(rows any) error {
 	body, err := json.Marshal(rows)
 	if err != nil {
 		return errors.Wrap(err, "encode rows")
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -89,20 +89,37 @@
 // times as long as the rest, so that the step lasts as long as the longest
 // begun late.
 func (b *Book) Plan(engines []*Engine, now time.Time) []Launch {
+	return b.PlanBy(Ways{Order: true, Place: true}, engines, now)
+}
+
+// Ways tells which of the planner's decisions are made; the others are made
+// naively.
+type Ways struct {
+	// Order starts the tasks with the least slack first, instead of in the order
+	// of submission.
+	Order bool
+	// Place looks for the engine that ends a task first, instead of the first
+	// one with room.
+	Place bool
+}
+
+// PlanBy is Plan with some decisions made naively, to measure what each adds.
+func (b *Book) PlanBy(ways Ways, engines []*Engine, now time.Time) []Launch {
 	waiting := b.waiting(now)
 	if len(waiting) == 0 {
 		return nil
 	}
 	pace := medianPace(engines)
-	sort.SliceStable(waiting, func(i, j int) bool {
-		if a, c := b.slack(waiting[i], pace, now), b.slack(waiting[j], pace, now); a != c {
-			return a < c
-		}
-		return waiting[i].expected() > waiting[j].expected()
-	})
+	if ways.Order {
+		b.order(waiting, pace, now)
+	}
+	place := choose
+	if !ways.Place {
+		place = naiveChoose
+	}
 	var launches []Launch
 	for _, task := range waiting {
-		engine := choose(engines, task, pace, now)
+		engine := place(engines, task, pace, now)
 		if engine == nil {
 			continue
 		}
@@ -111,6 +128,15 @@
 	return launches
 }
 
+func (b *Book) order(waiting []*Task, pace time.Duration, now time.Time) {
+	sort.SliceStable(waiting, func(i, j int) bool {
+		if a, c := b.slack(waiting[i], pace, now), b.slack(waiting[j], pace, now); a != c {
+			return a < c
+		}
+		return waiting[i].expected() > waiting[j].expected()
+	})
+}
+
 func start(task *Task, engine *Engine, now time.Time) Launch {
 	engine.Running++
 	task.Phase = Running
