mirror, relay: Follow a leader on after it read all again, probe less

And each node probed a store that is out every 0.4 s. Change: a follower that is too far behind reads all from its leader again, unless that lies behind what it knows; probes start at 0.3 s and double up to 1.2 s, the owner of a pool probes every 0.2 s.

--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quetzalpier"
 	"quetzalpier/wire"
 )
@@ -33,18 +35,33 @@
 	mu     sync.Mutex
 	leader string
 	until  time.Time
+	// seen is the newest revision read so far.
+	seen uint64
 }
 
 // Range implements Source.
 func (f *Feed) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
 	leader := f.pick(time.Now())
 	if leader != "" {
-		if changes, ok := f.ask(ctx, leader, &wire.Feed{Prefix: prefix}); ok {
+		changes, err := f.ask(ctx, leader, &wire.Feed{Prefix: prefix})
+		if err == nil && f.newer(changes.Rev) {
 			return changes, nil
 		}
 		f.fail(time.Now())
 	}
-	return f.Direct.Range(ctx, prefix, stale)
+	changes, err := f.Direct.Range(ctx, prefix, stale)
+	f.newer(changes.Rev)
+	return changes, err
+}
+
+// newer tells whether a revision is not older than what was read before: a
+// leader that lies behind must not take a follower back.
+func (f *Feed) newer(rev uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newer := rev >= f.seen
+	f.seen = max(f.seen, rev)
+	return newer
 }
 
 // Follow implements Source. Revisions are the service's own, whoever tells
@@ -55,8 +72,13 @@
 		return f.Direct.Follow(ctx, prefix, rev, min(wait, directTime))
 	}
 	wait = min(wait, feedWait)
-	changes, ok := f.ask(ctx, leader, &wire.Feed{Prefix: prefix, Rev: rev, Wait: uint64(wait.Milliseconds())})
-	if !ok {
+	f.newer(rev)
+	changes, err := f.ask(ctx, leader, &wire.Feed{Prefix: prefix, Rev: rev, Wait: uint64(wait.Milliseconds())})
+	var gone *quetzalpier.GoneError
+	if errors.As(err, &gone) {
+		return quetzalpier.Changes{}, err
+	}
+	if err != nil {
 		f.fail(time.Now())
 		return f.Direct.Follow(ctx, prefix, rev, min(wait, directTime))
 	}
@@ -65,15 +87,18 @@
 	return changes, nil
 }
 
-func (f *Feed) ask(ctx context.Context, leader string, feed *wire.Feed) (quetzalpier.Changes, bool) {
+func (f *Feed) ask(ctx context.Context, leader string, feed *wire.Feed) (quetzalpier.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(feed.GetWait())*time.Millisecond+feedMore)
 	defer cancel()
 	reply, err := f.Call(ctx, leader, &wire.Call{Kind: &wire.Call_Feed{Feed: feed}})
-	if err != nil || reply.GetStored().GetFailure() != nil {
-		return quetzalpier.Changes{}, false
+	if err != nil {
+		return quetzalpier.Changes{}, err
 	}
 	stored := reply.GetStored()
-	return quetzalpier.Changes{Entries: wire.UnpackEntries(stored.GetEntries()), Rev: stored.GetRev()}, true
+	if err := wire.UnpackFailure("feed", stored.GetFailure()); err != nil {
+		return quetzalpier.Changes{}, err
+	}
+	return quetzalpier.Changes{Entries: wire.UnpackEntries(stored.GetEntries()), Rev: stored.GetRev()}, nil
 }
 
 // pick returns the leader unless it failed lately.
@@ -99,16 +124,16 @@
 // Serve answers another node's feed.
 func (m *Mirror) Serve(ctx context.Context, feed *wire.Feed) *wire.Stored {
 	var changes quetzalpier.Changes
-	ok := false
+	var err error
 	if feed.GetRev() == 0 {
-		changes, ok = m.Range()
+		changes, err = m.Range()
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, time.Duration(feed.GetWait())*time.Millisecond)
 		defer cancel()
-		changes, ok = m.Follow(ctx, feed.GetRev())
+		changes, err = m.Follow(ctx, feed.GetRev())
 	}
-	if !ok {
-		return &wire.Stored{Failure: wire.PackFailure(&quetzalpier.RefusedError{Call: "feed", Reason: "this node hears nothing either"})}
+	if err != nil {
+		return &wire.Stored{Failure: wire.PackFailure(err)}
 	}
 	return &wire.Stored{Rev: changes.Rev, Entries: wire.PackEntries(changes.Entries)}
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -188,25 +188,34 @@
 	m.oldest = m.rev
 }
 
-// Range returns the whole content; false while the mirror itself hears
+// Range returns the whole content. It is refused while the mirror itself hears
 // nothing.
-func (m *Mirror) Range() (quetzalpier.Changes, bool) {
+func (m *Mirror) Range() (quetzalpier.Changes, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failing || m.content == nil {
-		return quetzalpier.Changes{}, false
+		return quetzalpier.Changes{}, m.deaf()
 	}
-	return m.since(0), true
+	return m.since(0), nil
+}
+
+func (m *Mirror) deaf() error {
+	return &quetzalpier.RefusedError{Call: "feed of " + m.Prefix, Reason: "this node hears nothing either"}
 }
 
 // Follow waits for changes after revision rev, at most until ctx ends. It is
-// false while the mirror hears nothing or no longer knows what came after rev.
-func (m *Mirror) Follow(ctx context.Context, rev uint64) (quetzalpier.Changes, bool) {
+// refused while the mirror hears nothing, and fails with a GoneError if the
+// mirror no longer knows what came after rev.
+func (m *Mirror) Follow(ctx context.Context, rev uint64) (quetzalpier.Changes, error) {
 	for {
 		m.mu.Lock()
-		if m.failing || m.content == nil || rev < m.oldest {
+		if m.failing || m.content == nil {
+			m.mu.Unlock()
+			return quetzalpier.Changes{}, m.deaf()
+		}
+		if rev < m.oldest {
 			m.mu.Unlock()
-			return quetzalpier.Changes{}, false
+			return quetzalpier.Changes{}, &quetzalpier.GoneError{Prefix: m.Prefix, Rev: rev}
 		}
 		changes := m.since(rev)
 		if m.changed == nil {
@@ -215,12 +224,12 @@
 		changed := m.changed
 		m.mu.Unlock()
 		if len(changes.Entries) > 0 {
-			return changes, true
+			return changes, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return changes, true
+			return changes, nil
 		}
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -220,4 +220,41 @@
 		put(t, kv, "p/a", "2#1")
 		requireCopied(t, followed, "p/a", "2#1")
 	})
+	t.Run("a leader that read all again is followed on", func(t *testing.T) {
+		kv, unused := &gappy{Memory: stand.NewMemory()}, stand.NewMemory()
+		put(t, kv, "p/a", "1")
+		leader, c := follow(t, kv)
+		requireCopied(t, c, "p/a", "1")
+		_, followed := follow(t, feed(leader, unused, none))
+		requireCopied(t, followed, "p/a", "1")
+		kv.set(&quetzalpier.GoneError{Prefix: "p/"})
+		put(t, kv, "p/b", "2")
+		requireCopied(t, c, "p/b", "2")
+		kv.set(nil)
+		requireCopied(t, followed, "p/b", "2")
+		put(t, kv, "p/c", "3")
+		requireCopied(t, followed, "p/c", "3")
+		require.Zero(t, unused.Counts().Reads+unused.Counts().Watches, "no call to the service")
+	})
+	t.Run("a leader that lies behind does not take a follower back", func(t *testing.T) {
+		kv := stand.NewMemory()
+		put(t, kv, "p/a", "old")
+		leader, c := follow(t, kv)
+		requireCopied(t, c, "p/a", "old")
+		f := feed(leader, kv, none)
+		behind, err := leader.Range()
+		require.NoError(t, err)
+		put(t, kv, "p/a", "new")
+		requireCopied(t, c, "p/a", "new")
+		now, err := f.Range(t.Context(), "p/", false)
+		require.NoError(t, err)
+		require.Equal(t, "new", string(now.Entries[0].Value))
+		f.Call = func(context.Context, string, *wire.Call) (*wire.Reply, error) {
+			stored := &wire.Stored{Rev: behind.Rev, Entries: wire.PackEntries(behind.Entries)}
+			return &wire.Reply{Kind: &wire.Reply_Stored{Stored: stored}}, nil
+		}
+		again, err := f.Range(t.Context(), "p/", false)
+		require.NoError(t, err)
+		require.Equal(t, "new", string(again.Entries[0].Value))
+	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,8 +26,12 @@
 	// renewTimeout bounds the direct renewal of a lease, which must reach the
 	// service another way before the lease ends.
 	renewTimeout = 500 * time.Millisecond
-	// probeEvery is the time between two looks at the direct way while it fails.
-	probeEvery = 400 * time.Millisecond
+	// probeEvery is the time between two looks at the direct way while it fails;
+	// it doubles up to probeLimit, since each look is a call that the platform
+	// counts. Eager nodes look every probeEager.
+	probeEvery = 300 * time.Millisecond
+	probeLimit = 1200 * time.Millisecond
+	probeEager = 200 * time.Millisecond
 	// relayedWatch bounds a watch through another node, so that this node
 	// returns to its own soon.
 	relayedWatch = time.Second
@@ -48,6 +52,8 @@
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
 	// Reset drops the direct connections, as when one of them did not answer.
 	Reset func()
+	// Eager tells that others wait for this node's writes; nil for never.
+	Eager func() bool
 	Log   zerolog.Logger
 
 	mu       sync.Mutex
@@ -208,14 +214,20 @@
 
 // Run looks whether the direct way works again while it fails, until ctx ends.
 func (k *KV) Run(ctx context.Context) {
-	for sleep.For(ctx, probeEvery) {
+	pause := probeEvery
+	for sleep.For(ctx, pause) {
 		if !k.Failed() {
+			pause = probeEvery
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, directTimeout)
 		_, err := k.Direct.Get(limited, probeKey)
 		cancel()
 		k.note(err)
+		pause = min(2*pause, probeLimit)
+		if k.Eager != nil && k.Eager() {
+			pause = probeEager
+		}
 	}
 }
 
