fleet: Let store VMs follow the nodes by feed, and owners themselves

Change: the list of nodes comes from the failure domain's leader, as for fronts; a watch of its own follows only the pools' owners, which a takeover waits for.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,10 +85,11 @@
 	entry  *entry.Entry
 	keeper *keep.Keeper
 	vault  *vault.Vault
-	// nodes and workers mirror the lists of nodes and of upstreams, config the
-	// configuration, versions what trainers name and retired which nodes are to
-	// be emptied.
+	// nodes and workers mirror the lists of nodes and of upstreams, owners those
+	// of the pools on nodes that may become one, config the configuration,
+	// versions what trainers name and retired which nodes are to be emptied.
 	nodes    *mirror.Mirror
+	owners   *mirror.Mirror
 	workers  *mirror.Mirror
 	config   *mirror.Mirror
 	versions *mirror.Mirror
@@ -176,11 +177,13 @@
 	})
 	n.workers.Gap, n.workers.Same = workersGap, sameVM
 	n.workers.KV = &mirror.Feed{Direct: n.kv, Leader: n.feeder, Call: n.call}
-	if n.Settings.Front == "" {
-		return
-	}
 	n.nodes.Gap = nodesGap
 	n.nodes.KV = &mirror.Feed{Direct: n.kv, Leader: n.leader, Call: n.call}
+	if n.Settings.Front == "" {
+		// A takeover must not wait for another node's news.
+		n.nodes.Apply = n.applyMembers
+		n.owners = n.mirror(vault.Owners, n.applyOwners)
+	}
 }
 
 func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
@@ -229,7 +232,7 @@
 	owning, resign := context.WithCancel(work)
 	defer resign()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.bring, n.kv.Run, n.sender.Run, n.register, n.vms.run,
+		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.bring, n.kv.Run, n.sender.Run, n.register, n.vms.run,
 	} {
 		n.running.Go(func() { run(work) })
 	}
@@ -248,6 +251,14 @@
 	_ = n.logs.Close()
 }
 
+// watchOwners follows the pools' owners apart from the nodes, where a node may
+// become one.
+func (n *Node) watchOwners(ctx context.Context) {
+	if n.owners != nil {
+		n.owners.Run(ctx)
+	}
+}
+
 // watchVersions follows the versions that trainers name once the node orders
 // engines.
 func (n *Node) watchVersions(ctx context.Context) {
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -95,15 +95,29 @@
 
 // applySystem takes nodes and owners over.
 func (n *Node) applySystem(changed []quetzalpier.Entry, whole bool, now time.Time) {
+	n.applyMembers(changed, whole, now)
+	n.applyOwners(changed, whole, now)
+}
+
+func (n *Node) applyMembers(changed []quetzalpier.Entry, whole bool, now time.Time) {
 	n.Board.Update(func(s *board.State) {
 		if whole {
 			clear(s.Members)
-			clear(s.Owners)
 		}
 		for _, e := range changed {
 			if id, ok := strings.CutPrefix(e.Key, vault.Nodes); ok {
 				n.setMember(s, id, e, now)
 			}
+		}
+	})
+}
+
+func (n *Node) applyOwners(changed []quetzalpier.Entry, whole bool, _ time.Time) {
+	n.Board.Update(func(s *board.State) {
+		if whole {
+			clear(s.Owners)
+		}
+		for _, e := range changed {
 			if pool, ok := strings.CutPrefix(e.Key, vault.Owners); ok {
 				n.setOwner(s, pool, e)
 			}
