mirror: Watch shortly and read again after history was lost

A watch that begins while history is dropped can miss changes, and then it waited 25 s. Ruled out: an old read (it held what was acknowledged before it). Change: for 5 s after lost history each watch waits 1 s at most, one without news does not move the revision on, and a whole read ends the time. A leader's whole read tells its followers what went instead of turning them away; repeated losses pause.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,6 +21,11 @@
 	// limit is short against the two seconds in which news must be in force.
 	backoffBase  = 100 * time.Millisecond
 	backoffLimit = 500 * time.Millisecond
+	// doubtTime is how long watches are short after history was lost, and
+	// doubtWait how long each waits: one that began while the service drops
+	// history can miss a change, and news must be in force in two seconds.
+	doubtTime = 5 * time.Second
+	doubtWait = time.Second
 )
 
 // Source is where a mirror reads from: the key-value service, or another
@@ -76,17 +81,30 @@
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	var rev uint64
+	var doubt time.Time
 	known := false
-	failures := 0
+	failures, lost := 0, 0
 	for ctx.Err() == nil {
 		start := time.Now()
-		changes, err := m.next(ctx, known, rev)
+		doubtful := start.Before(doubt)
+		if known && !doubtful && !doubt.IsZero() {
+			// What was missed for good shows in a last whole read.
+			known, doubt = false, time.Time{}
+		}
+		changes, err := m.next(ctx, known, rev, doubtful)
 		now := time.Now()
 		m.note(err, now)
 		var gone *quetzalpier.GoneError
 		switch {
 		case err == nil:
 			failures = 0
+			if known && doubtful && len(changes.Entries) == 0 {
+				// What this watch may have missed is asked for again.
+				changes.Rev = rev
+			}
+			if known {
+				lost = 0
+			}
 			news := m.keep(changes, !known)
 			if !known || len(news) > 0 {
 				m.Apply(news, !known, now)
@@ -94,7 +112,10 @@
 			known, rev = true, changes.Rev
 			sleep.For(ctx, m.Gap-now.Sub(start))
 		case errors.As(err, &gone):
-			known = false
+			known, doubt = false, now.Add(doubtTime)
+			if lost++; lost > 1 {
+				sleep.For(ctx, backoff(lost-1))
+			}
 		default:
 			failures++
 			sleep.For(ctx, backoff(failures))
@@ -102,11 +123,15 @@
 	}
 }
 
-func (m *Mirror) next(ctx context.Context, known bool, rev uint64) (quetzalpier.Changes, error) {
-	if !known {
+func (m *Mirror) next(ctx context.Context, known bool, rev uint64, doubtful bool) (quetzalpier.Changes, error) {
+	switch {
+	case !known:
 		return m.KV.Range(ctx, m.Prefix, false)
+	case doubtful:
+		return m.KV.Follow(ctx, m.Prefix, rev, min(m.Wait, doubtWait))
+	default:
+		return m.KV.Follow(ctx, m.Prefix, rev, m.Wait)
 	}
-	return m.KV.Follow(ctx, m.Prefix, rev, m.Wait)
 }
 
 func (m *Mirror) note(err error, now time.Time) {
@@ -135,11 +160,11 @@
 }
 
 // keep takes changes over for those that follow this mirror, and returns those
-// that mean something new.
+// that mean something new, or all of a whole read.
 func (m *Mirror) keep(changes quetzalpier.Changes, whole bool) []quetzalpier.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if whole {
+	if m.content == nil {
 		m.content = make(map[string]quetzalpier.Entry, len(changes.Entries))
 		m.oldest = changes.Rev
 	}
@@ -153,6 +178,10 @@
 		}
 		m.content[entry.Key] = entry
 	}
+	if whole {
+		m.prune(changes)
+		news = changes.Entries
+	}
 	m.rev = changes.Rev
 	m.forget()
 	if m.changed != nil && (whole || len(news) > 0) {
@@ -162,6 +191,20 @@
 	return news
 }
 
+// prune notes keys that a whole read lacks as deleted, so that followers go on
+// from what they know; the caller holds the lock.
+func (m *Mirror) prune(changes quetzalpier.Changes) {
+	found := make(map[string]bool, len(changes.Entries))
+	for _, entry := range changes.Entries {
+		found[entry.Key] = true
+	}
+	for key, entry := range m.content {
+		if !found[key] && !entry.Deleted {
+			m.content[key] = quetzalpier.Entry{Key: key, Rev: changes.Rev, Deleted: true}
+		}
+	}
+}
+
 func (m *Mirror) same(old, latest quetzalpier.Entry) bool {
 	return m.Same != nil && !old.Deleted && !latest.Deleted && m.Same(old, latest)
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -101,6 +101,22 @@
 		defer c.mu.Unlock()
 		require.Equal(t, 2, c.wholes)
 	})
+	t.Run("what a watch misses while history is dropped is heard soon", func(t *testing.T) {
+		kv := &gappy{Memory: stand.NewMemory()}
+		put(t, kv, "p/a", "1")
+		_, c := follow(t, kv, func(m *mirror.Mirror) { m.Wait = time.Hour })
+		requireCopied(t, c, "p/a", "1")
+		kv.set(&quetzalpier.GoneError{Prefix: "p/"})
+		put(t, kv, "p/a", "2")
+		requireCopied(t, c, "p/a", "2")
+		kv.mu.Lock()
+		kv.mute = 1
+		kv.err = nil
+		kv.mu.Unlock()
+		require.Eventually(t, func() bool { kv.mu.Lock(); defer kv.mu.Unlock(); return kv.mute == 0 }, patience, time.Millisecond)
+		put(t, kv, "p/a", "3")
+		requireCopied(t, c, "p/a", "3")
+	})
 	t.Run("it tells how long it has heard nothing", func(t *testing.T) {
 		kv := &gappy{Memory: stand.NewMemory()}
 		m, _ := follow(t, kv)
@@ -117,6 +133,9 @@
 	*stand.Memory
 	mu  sync.Mutex
 	err error
+	// mute is how many watches begin that will hear nothing, and answer with
+	// the latest revision all the same.
+	mute int
 }
 
 func (g *gappy) set(err error) {
@@ -135,6 +154,18 @@
 	if err := g.fault(); err != nil {
 		return quetzalpier.Changes{}, err
 	}
+	g.mu.Lock()
+	mute := g.mute > 0
+	g.mute = max(0, g.mute-1)
+	g.mu.Unlock()
+	if mute {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		latest, err := g.Range(ctx, prefix, false)
+		return quetzalpier.Changes{Rev: latest.Rev}, err
+	}
 	return g.Memory.Follow(ctx, prefix, rev, wait)
 }
 
@@ -229,8 +260,12 @@
 		requireCopied(t, followed, "p/a", "1")
 		kv.set(&quetzalpier.GoneError{Prefix: "p/"})
 		put(t, kv, "p/b", "2")
+		_, err := kv.Commit(t.Context(), quetzalpier.Txn{Deletes: []string{"p/a"}})
+		require.NoError(t, err)
 		requireCopied(t, c, "p/b", "2")
+		requireCopied(t, c, "p/a", "")
 		kv.set(nil)
+		requireCopied(t, followed, "p/a", "")
 		requireCopied(t, followed, "p/b", "2")
 		put(t, kv, "p/c", "3")
 		requireCopied(t, followed, "p/c", "3")
