--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,8 +23,8 @@
 	// directTimeout bounds a direct call while nothing is known to be wrong; a
 	// slow store answers in 0.3 s.
 	directTimeout = 700 * time.Millisecond
-	// renewTimeout bounds the direct renewal of a lease, which must reach the
-	// service another way before the lease ends.
+	// renewTimeout bounds the direct renewal of a lease and the taking of a name,
+	// which must be tried another way or read back before the lease ends.
 	renewTimeout = 500 * time.Millisecond
 	// probeEvery is the time between two looks at the direct way while it fails;
 	// it doubles up to probeLimit, since each look is a call that the platform
@@ -122,17 +122,26 @@
 }
 
 // Commit implements quetzalpier.KV.
-func (k *KV) Commit(ctx context.Context, txn quetzalpier.Txn) (rev uint64, err error) {
-	err = k.do(ctx, 2*directTimeout, false, func(ctx context.Context) error {
+func (k *KV) Commit(ctx context.Context, txn quetzalpier.Txn) (uint64, error) {
+	return k.commit(ctx, 2*directTimeout, txn)
+}
+
+func (k *KV) commit(ctx context.Context, timeout time.Duration, txn quetzalpier.Txn) (rev uint64, err error) {
+	err = k.do(ctx, timeout, false, func(ctx context.Context) error {
 		rev, err = k.Direct.Commit(ctx, txn)
 		return err
 	}, &wire.Store{Commit: wire.PackTxn(txn)}, func(s *wire.Stored) { rev = s.GetRev() })
 	return rev, err
 }
 
-// Swap implements quetzalpier.KV.
+// Swap implements quetzalpier.KV. A key under a lease is a name: whether it was
+// taken must be known before the lease ends.
 func (k *KV) Swap(ctx context.Context, key string, value []byte, rev uint64, lease string) (uint64, error) {
-	return k.Commit(ctx, quetzalpier.Txn{
+	timeout := 2 * directTimeout
+	if lease != "" {
+		timeout = renewTimeout
+	}
+	return k.commit(ctx, timeout, quetzalpier.Txn{
 		Expect: map[string]uint64{key: rev},
 		Writes: []quetzalpier.Write{{Key: key, Value: value, Lease: lease}},
 	})
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -270,4 +270,24 @@
 			require.LessOrEqual(t, asked, 1)
 		})
 	})
+	t.Run("whether a name was taken is asked for soon", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a, _, _, _ := pair(stand.NewMemory())
+			a.Direct = stuck{stand.NewMemory()}
+			a.Peers = func() []string { return nil }
+			start := time.Now()
+			_, err := a.Swap(t.Context(), "name", nil, 0, "lease")
+			requireUnsure(t, err)
+			require.Equal(t, 500*time.Millisecond, time.Since(start))
+			require.True(t, a.Failed())
+		})
+	})
+}
+
+// stuck is a service that takes writes and never answers.
+type stuck struct{ *stand.Memory }
+
+func (stuck) Commit(ctx context.Context, _ quetzalpier.Txn) (uint64, error) {
+	<-ctx.Done()
+	return 0, silence
 }
