--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -78,60 +78,86 @@
 	return State{m.heard, m.failing, m.returned}
 }
 
+// cursor is where a mirror stands in what it follows.
+type cursor struct {
+	rev   uint64
+	known bool
+	// doubt is until when watches may miss changes; zero for never.
+	doubt time.Time
+	// failures and lost count calls that failed and losses of history in a row.
+	failures, lost int
+}
+
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
-	var rev uint64
-	var doubt time.Time
-	known := false
-	failures, lost := 0, 0
+	at := cursor{}
 	for ctx.Err() == nil {
 		start := time.Now()
-		doubtful := start.Before(doubt)
-		if known && !doubtful && !doubt.IsZero() {
-			// What was missed for good shows in a last whole read.
-			known, doubt = false, time.Time{}
-		}
-		changes, err := m.next(ctx, known, rev, doubtful)
+		at.settle(start)
+		changes, err := m.next(ctx, at, start)
 		now := time.Now()
 		m.note(err, now)
-		var gone *quetzalpier.GoneError
-		switch {
-		case err == nil:
-			failures = 0
-			if known && doubtful && len(changes.Entries) == 0 {
-				// What this watch may have missed is asked for again.
-				changes.Rev = rev
-			}
-			if known {
-				lost = 0
-			}
-			news := m.keep(changes, !known)
-			if !known || len(news) > 0 {
-				m.Apply(news, !known, now)
-			}
-			known, rev = true, changes.Rev
-			sleep.For(ctx, m.Gap-now.Sub(start))
-		case errors.As(err, &gone):
-			known, doubt = false, now.Add(doubtTime)
-			if lost++; lost > 1 {
-				sleep.For(ctx, backoff(lost-1))
-			}
-		default:
-			failures++
-			sleep.For(ctx, backoff(failures))
+		pause := m.Gap - now.Sub(start)
+		if err == nil {
+			m.take(&at, changes, now)
+		} else {
+			pause = at.fail(err, now)
 		}
+		sleep.For(ctx, pause)
 	}
 }
 
-func (m *Mirror) next(ctx context.Context, known bool, rev uint64, doubtful bool) (quetzalpier.Changes, error) {
+// settle ends the time of doubt with a whole read, which shows what was missed.
+func (c *cursor) settle(now time.Time) {
+	if c.known && !c.doubt.IsZero() && !now.Before(c.doubt) {
+		c.known, c.doubt = false, time.Time{}
+	}
+}
+
+// next reads all, or watches for changes.
+func (m *Mirror) next(ctx context.Context, at cursor, now time.Time) (quetzalpier.Changes, error) {
 	switch {
-	case !known:
+	case !at.known:
 		return m.KV.Range(ctx, m.Prefix, false)
-	case doubtful:
-		return m.KV.Follow(ctx, m.Prefix, rev, min(m.Wait, doubtWait))
+	case now.Before(at.doubt):
+		return m.KV.Follow(ctx, m.Prefix, at.rev, min(m.Wait, doubtWait))
 	default:
-		return m.KV.Follow(ctx, m.Prefix, rev, m.Wait)
+		return m.KV.Follow(ctx, m.Prefix, at.rev, m.Wait)
+	}
+}
+
+// take takes over what was read or heard.
+func (m *Mirror) take(at *cursor, changes quetzalpier.Changes, now time.Time) {
+	whole := !at.known
+	at.failures = 0
+	if !whole {
+		at.lost = 0
+		if !at.doubt.IsZero() && len(changes.Entries) == 0 {
+			// What this watch may have missed is asked for again.
+			changes.Rev = at.rev
+		}
+	}
+	news := m.keep(changes, whole)
+	if whole || len(news) > 0 {
+		m.Apply(news, whole, now)
+	}
+	at.known, at.rev = true, changes.Rev
+}
+
+// fail notes that a call failed and returns the pause before the next one.
+// Where history was lost all is read at once, unless that happens again.
+func (c *cursor) fail(err error, now time.Time) time.Duration {
+	var gone *quetzalpier.GoneError
+	if !errors.As(err, &gone) {
+		c.failures++
+		return backoff(c.failures)
+	}
+	c.known, c.doubt = false, now.Add(doubtTime)
+	c.lost++
+	if c.lost == 1 {
+		return 0
 	}
+	return backoff(c.lost - 1)
 }
 
 func (m *Mirror) note(err error, now time.Time) {
