--- a/trial/pool.go
+++ b/trial/pool.go
@@ -66,20 +66,23 @@
 }
 
 const (
+	// poolTick is the step of virtual time, a third of the shortest event.
 	poolTick = 10 * time.Millisecond
 	// poolLook is the time between two looks at stuck runs, as in the runner.
 	poolLook = 50 * time.Millisecond
-	// savedBehind is how much of a run is not saved when its owner is lost.
+	// savedBehind is how much of a run is not saved when its owner is lost: the
+	// runner saves every 0.6 s.
 	savedBehind = 600 * time.Millisecond
 	// lengthSpread is the standard deviation of a length's logarithm, and
-	// hintSpread that of a hint's.
+	// hintSpread that of a hint's, as in the logs of played days.
 	lengthSpread = 1.0
 	hintSpread   = 0.6
 	// stepLimit is when a trainer gives a step up.
 	stepLimit = 12 * time.Second
 )
 
-// Pools returns the patterns at the sizes of the users' sites.
+// Pools returns the patterns at the sizes of the users' sites. Takeover is the
+// life of an owner's lease and some reading.
 func Pools() []Pool {
 	small := Pool{
 		Engines: 9, Slots: 8, Event: 30 * time.Millisecond, Crowd: 0.02, Every: 4 * time.Second, Due: 8 * time.Second, Steps: 9, Takeover: 1400 * time.Millisecond,
