stand, entry, fleet: Give tests addresses that no connection can take

The test asks for a free port, closes it and listens on it later; an outgoing connection of another test took it meanwhile. Ruled out: the code under test; nothing had begun. Change: stand.FreeAddr gives a loopback IP of its own, as the soak does.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -75,10 +75,9 @@
 
 func free(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := stand.FreeAddr()
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return addr
 }
 
 func (r *rig) configure() {
--- a/fleet/strikes_test.go
+++ b/fleet/strikes_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -11,6 +10,7 @@
 	"quetzalpier/board"
 	"quetzalpier/meter"
 	"quetzalpier/peer"
+	"quetzalpier/stand"
 )
 
 // node opens a node that knows the others at the addresses.
@@ -31,10 +31,9 @@
 
 func free(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := stand.FreeAddr()
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return addr
 }
 
 func TestStrikes(t *testing.T) {
