fleet, mirror, stand, soak, trial: Say the same thing once

Found by reading the whole change again; behaviour is as before. - soak and stand.FreeAddr worked out the same loopback IP: stand.Host. - Two closures in fleet asked whether the node holds a pool: Node.owns. - Feed.newer was called for its side effect: advance, which says so. - trial kept a set of crashed engines that nothing read, worked the present time out again from the start, and sorted what a map had mixed.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -143,8 +143,11 @@
 // feeder is the node to follow the upstreams from: the leader, unless this node
 // owns a pool and can't wait for another one.
 func (n *Node) feeder() string {
-	if len(n.lease.Names()) > 0 {
+	if n.owns() {
 		return ""
 	}
 	return n.leader()
 }
+
+// owns tells whether the node holds a pool, so that others wait for it.
+func (n *Node) owns() bool { return len(n.lease.Names()) > 0 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,7 +136,7 @@
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, Life: leaseLife, Every: leaseEvery, Margin: leaseMargin,
 		RestLife: restLife, RestEvery: restEvery,
 	}
-	n.kv.Eager = func() bool { return len(n.lease.Names()) > 0 }
+	n.kv.Eager = n.owns
 	n.links = link.New()
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.Struck = n.struck
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -44,24 +44,26 @@
 	leader := f.pick(time.Now())
 	if leader != "" {
 		changes, err := f.ask(ctx, leader, &wire.Feed{Prefix: prefix})
-		if err == nil && f.newer(changes.Rev) {
+		if err == nil && f.advance(changes.Rev) {
 			return changes, nil
 		}
 		f.fail(time.Now())
 	}
 	changes, err := f.Direct.Range(ctx, prefix, stale)
-	f.newer(changes.Rev)
+	f.advance(changes.Rev)
 	return changes, err
 }
 
-// newer tells whether a revision is not older than what was read before: a
-// leader that lies behind must not take a follower back.
-func (f *Feed) newer(rev uint64) bool {
+// advance notes a revision. It is false for one that is older than what was
+// read before: a leader that lies behind must not take a follower back.
+func (f *Feed) advance(rev uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	newer := rev >= f.seen
-	f.seen = max(f.seen, rev)
-	return newer
+	if rev < f.seen {
+		return false
+	}
+	f.seen = rev
+	return true
 }
 
 // Follow implements Source. Revisions are the service's own, whoever tells
@@ -72,7 +74,7 @@
 		return f.Direct.Follow(ctx, prefix, rev, min(wait, directTime))
 	}
 	wait = min(wait, feedWait)
-	f.newer(rev)
+	f.advance(rev)
 	changes, err := f.ask(ctx, leader, &wire.Feed{Prefix: prefix, Rev: rev, Wait: uint64(wait.Milliseconds())})
 	var gone *quetzalpier.GoneError
 	if errors.As(err, &gone) {
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -225,9 +225,8 @@
 
 // addresses returns addresses for one node on a loopback IP of its own.
 func (r *Rig) addresses(n int) []string {
-	pid := os.Getpid()
 	r.nodes++
-	host := fmt.Sprintf("127.%d.%d.%d", 16+pid%224, (pid/224)%256, 1+(int(r.number)*16+r.nodes)%254)
+	host := stand.Host(int(r.number)*16 + r.nodes)
 	var addrs []string
 	for i := range n {
 		addrs = append(addrs, net.JoinHostPort(host, strconv.Itoa(firstPort+i)))
--- a/trial/pool.go
+++ b/trial/pool.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -92,17 +91,17 @@
 		Engines: 36, Slots: 6, Event: 40 * time.Millisecond, Crowd: 0.02, Every: 4 * time.Second, Due: 7500 * time.Millisecond, Steps: 9, Takeover: 1400 * time.Millisecond,
 		Trainers: []PoolTrainer{{12, 8, 9, 66}, {7, 16, 18, 133}, {8, 16, 19, 135}, {14, 8, 9, 66}},
 	}
-	var pools []Pool
-	for name, base := range map[string]Pool{"small": small, "grown": grown} {
-		calm, slow, crash, owner := base, base, base, base
-		calm.Name = name + "/calm"
-		slow.Name, slow.Slow, slow.SlowBy, slow.SlowAt, slow.SlowFor = name+"/slow", 0.2, 3.5, 9*time.Second, 8*time.Second
-		crash.Name, crash.Crash, crash.CrashAt, crash.CrashFor = name+"/crash", 0.2, 14*time.Second, 4*time.Second
-		owner.Name, owner.OwnerLost = name+"/owner", 15*time.Second
-		pools = append(pools, calm, slow, crash, owner)
-	}
-	slices.SortFunc(pools, func(a, b Pool) int { return strings.Compare(a.Name, b.Name) })
-	return pools
+	return append(patterns("grown", grown), patterns("small", small)...)
+}
+
+// patterns returns what may happen to a pool of one size.
+func patterns(name string, base Pool) []Pool {
+	calm, crash, owner, slow := base, base, base, base
+	calm.Name = name + "/calm"
+	crash.Name, crash.Crash, crash.CrashAt, crash.CrashFor = name+"/crash", 0.2, 14*time.Second, 4*time.Second
+	owner.Name, owner.OwnerLost = name+"/owner", 15*time.Second
+	slow.Name, slow.Slow, slow.SlowBy, slow.SlowAt, slow.SlowFor = name+"/slow", 0.2, 3.5, 9*time.Second, 8*time.Second
+	return []Pool{calm, crash, owner, slow}
 }
 
 // PoolResult is what one run gave: the time of each step, and how many were
@@ -132,7 +131,6 @@
 	rnd     *rand.Rand
 	book    *tasks.Book
 	engines []*tasks.Engine
-	down    map[string]bool
 	// runs are in the order of their begin.
 	runs    []*poolRun
 	lengths map[*tasks.Task]float64
@@ -151,7 +149,7 @@
 func RunPool(p Pool, ways PoolWays, seed uint64) PoolResult {
 	start := time.Unix(0, 0)
 	m := &poolSim{
-		Pool: p, ways: ways, rnd: rand.New(rand.NewPCG(seed, 1)), book: tasks.NewBook(), down: map[string]bool{},
+		Pool: p, ways: ways, rnd: rand.New(rand.NewPCG(seed, 1)), book: tasks.NewBook(),
 		lengths: map[*tasks.Task]float64{}, open: map[int][]poolStep{},
 		next: make([]time.Time, len(p.Trainers)), number: make([]int, len(p.Trainers)),
 	}
@@ -166,7 +164,7 @@
 	}
 	end := start.Add(time.Duration(p.Steps) * p.Every)
 	for now := start; now.Before(end); now = now.Add(poolTick) {
-		m.faults(now.Sub(start))
+		m.faults(now, now.Sub(start))
 		m.submit(now)
 		m.plan(now, now.Sub(start)%poolLook == 0)
 		m.work(now, now.Sub(start))
@@ -175,23 +173,21 @@
 	return m.result
 }
 
-func (m *poolSim) faults(since time.Duration) {
+func (m *poolSim) faults(now time.Time, since time.Duration) {
 	if m.Crash > 0 && since == m.CrashAt {
 		for _, e := range m.engines[:share(m.Crash, m.Engines)] {
-			m.down[e.VM.ID] = true
 			e.VM.State = quetzalpier.VMLeaving
-			m.drop(func(r *poolRun) bool { return r.task.Engine == e.VM.ID }, 0, time.Unix(0, 0).Add(since))
+			m.drop(func(r *poolRun) bool { return r.task.Engine == e.VM.ID }, 0, now)
 		}
 	}
 	if m.Crash > 0 && since == m.CrashAt+m.CrashFor {
 		for _, e := range m.engines {
-			delete(m.down, e.VM.ID)
 			e.VM.State = quetzalpier.VMLive
 		}
 	}
 	if m.OwnerLost > 0 && since == m.OwnerLost {
-		m.paused = time.Unix(0, 0).Add(since + m.Takeover)
-		m.drop(func(*poolRun) bool { return true }, savedBehind, time.Unix(0, 0).Add(since))
+		m.paused = now.Add(m.Takeover)
+		m.drop(func(*poolRun) bool { return true }, savedBehind, now)
 	}
 }
 
