quetzalpier, platform, wire, tasks, runner: Finish tasks without a reward

Cause: a job's tasks need no reward, but an absent one was decoded into an empty reward. The runner looked for a route of host "" and path "" without end, and no result of such a job was ever listed.

Change: a task without a reward has none in the type. It is decoded once, in platform, and kept in the stored form by the presence of the field, so that jobs stored by the build before stay readable. A job may mix tasks with and without a reward. A complete text without a reward is the result; an earlier text goes on under the reward of the later job. A reward without ID, host or path is refused when the job is submitted, with the field's name. A reward whose route does not exist may get one later: the call is repeated with growing, spread pauses until the task expires.

The soak's trainers and the simulated pools submit steps with rewards, without, and mixed.

Red before, green after: platform TestJobWithoutRewards and the invalid rewards of TestJob, tasks TestScheduler (a complete text ...), runner TestRunner (a task without a reward ..., a reward call without a route ...), vault TestVault (a job is created once).

--- a/job.go
+++ b/job.go
@@ -43,8 +43,10 @@
 	// tokens.
 	MaxTokens int `json:"tokens"`
 	// LengthHint is the expected number of generated tokens; zero if unknown.
-	LengthHint int    `json:"hint"`
-	Reward     Reward `json:"reward"`
+	LengthHint int `json:"hint"`
+	// Reward is the request that scores the generated text; nil if the text is not
+	// scored.
+	Reward *Reward `json:"reward,omitempty"`
 }
 
 // Reward is the request that scores a task's generated text.
@@ -62,7 +64,8 @@
 	Done     bool      `json:"done"`
 	Text     string    `json:"text"`
 	Versions []Version `json:"versions"`
-	Score    string    `json:"score"`
+	// Score is the stamp of the reward; empty for a task without a reward.
+	Score string `json:"score,omitempty"`
 }
 
 // Validate validates the job and returns the first error found.
@@ -89,6 +92,25 @@
 	return nil
 }
 
+// ValidateRewards validates the tasks' rewards and returns the first error found.
+// A reward's route may be configured later. Only new jobs are validated: a job
+// that was accepted must stay readable.
+func (j *Job) ValidateRewards() error {
+	for i, task := range j.Tasks {
+		reward, field := task.Reward, fmt.Sprintf("tasks[%d].reward.", i)
+		switch {
+		case reward == nil:
+		case reward.ID == "":
+			return &FieldError{field + "id", "must not be empty"}
+		case reward.Host == "":
+			return &FieldError{field + "host", "must not be empty"}
+		case reward.Path == "" || reward.Path[0] != '/':
+			return &FieldError{field + "path", "must start with a slash"}
+		}
+	}
+	return nil
+}
+
 // FindTask returns the task with the given ID.
 func (j *Job) FindTask(id string) (*Task, bool) {
 	for i := range j.Tasks {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -157,14 +157,14 @@
 	var compacted *quetzalpier.CompactedError
 	if !errors.As(err, &compacted) {
 		c.failures++
-		return backoff(c.failures)
+		return sleep.Backoff(c.failures, backoffBase, backoffLimit, rand.Float64())
 	}
 	c.synced, c.unreliableUntil = false, now.Add(unreliablePeriod)
 	c.historyLosses++
 	if c.historyLosses == 1 {
 		return 0
 	}
-	return backoff(c.historyLosses - 1)
+	return sleep.Backoff(c.historyLosses-1, backoffBase, backoffLimit, rand.Float64())
 }
 
 // recordResult updates the state with the result of a call, and logs when the
@@ -187,13 +187,6 @@
 	m.failing = failed
 }
 
-// backoff returns a pause that grows with consecutive failures, with jitter so
-// that nodes don't retry at the same time.
-func backoff(failures int) time.Duration {
-	pause := min(backoffLimit, backoffBase<<min(failures-1, 4))
-	return pause/2 + rand.N(pause/2)
-}
-
 // merge stores changes for the followers of this mirror. It returns those that
 // are not equivalent to what was stored, or all entries of a full read.
 func (m *Mirror) merge(changes quetzalpier.Changes, full bool) []quetzalpier.Entry {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -202,8 +202,8 @@
 	opened := p.scheduler.Add(job, stored, now)
 	p.restoreParts(opened, parts)
 	for _, task := range opened.Tasks {
-		if task.Phase == tasks.Scoring {
-			p.scoreTask(task)
+		if task.Phase >= tasks.Scoring {
+			p.continueTask(task)
 		}
 	}
 	p.runner.Log.Info().Str("job", job.ID).Str("model", job.Model).Int("step", job.Step).Uint64("floor", uint64(job.MinVersion)).
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -37,8 +37,12 @@
 	crashLimit = 3
 	// rewardDeadline limits one reward call.
 	rewardDeadline = 3 * time.Second
-	// retryDelay is the delay before a failed reward call is repeated, and
-	// before a task runs again whose run failed with status 500.
+	// rewardRetryBase and rewardRetryMax bound the pause before a failed reward
+	// call is repeated.
+	rewardRetryBase = 100 * time.Millisecond
+	rewardRetryMax  = 2 * time.Second
+	// retryDelay is the delay before a task runs again whose run failed with
+	// status 500.
 	retryDelay = 100 * time.Millisecond
 )
 
@@ -199,8 +203,8 @@
 	case err == nil:
 		r.engine.Failures = 0
 		r.engine.NotUntil = time.Time{}
-		r.task.Phase = tasks.Scoring
-		p.scoreTask(r.task)
+		p.scheduler.Complete(r.task, now)
+		p.continueTask(r.task)
 	default:
 		p.handleRunError(r, err, now)
 	}
@@ -255,15 +259,19 @@
 		Dur("took_ms", now.Sub(r.startedAt)).Msg("run ended")
 }
 
-// scoreTask fetches the reward of a complete text, with retries. The caller
-// holds the lock.
-func (p *poolRunner) scoreTask(task *tasks.Task) {
+// continueTask takes the next step with a task whose text is complete: it fetches
+// the reward, with retries, or has the result stored. The caller holds the lock.
+func (p *poolRunner) continueTask(task *tasks.Task) {
+	if task.Phase != tasks.Scoring {
+		signal(p.resultReady)
+		return
+	}
 	p.goroutines.Go(func() {
-		for p.ctx.Err() == nil {
+		for failures := 1; p.ctx.Err() == nil; failures++ {
 			if p.applyReward(task, p.callReward(task.Spec.Reward), time.Now()) {
 				return
 			}
-			sleep.For(p.ctx, retryDelay)
+			sleep.For(p.ctx, sleep.Backoff(failures, rewardRetryBase, rewardRetryMax, rand.Float64()))
 		}
 	})
 }
@@ -303,7 +311,7 @@
 }
 
 // callReward makes a reward call on the route of its host and path.
-func (p *poolRunner) callReward(reward quetzalpier.Reward) rewardOutcome {
+func (p *poolRunner) callReward(reward *quetzalpier.Reward) rewardOutcome {
 	now := time.Now()
 	var route quetzalpier.Route
 	found := false
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -114,12 +114,21 @@
 		job.Tasks = append(job.Tasks, quetzalpier.Task{
 			ID: id, Group: fmt.Sprintf("g%d", i%groupsPerJob), Path: batchPath + id, MaxTokens: 100,
 			Headers: map[string]string{platform.HeaderModel: modelName}, Body: []byte(strconv.Itoa(length)),
-			Reward: quetzalpier.Reward{ID: "r" + id, Host: Host, Path: scorePath + id, Body: []byte("score")},
+			Reward: reward(step, i, id),
 		})
 	}
 	return job
 }
 
+// reward returns the reward of the task at an index of a step. The steps take turns:
+// every task has a reward, none has, every second one has.
+func reward(step, index int, id string) *quetzalpier.Reward {
+	if step%3 == 1 || (step%3 == 2 && index%2 == 1) {
+		return nil
+	}
+	return &quetzalpier.Reward{ID: "r" + id, Host: Host, Path: scorePath + id, Body: []byte("score")}
+}
+
 func (t *trainer) randomFront() string {
 	return t.rig.Fronts[t.rnd.IntN(len(t.rig.Fronts))].Settings.Front
 }
@@ -271,7 +280,7 @@
 	if want := expectedText(task); result.Text != want {
 		l.recordViolation("task %s has %d bytes of text, not %d", result.ID, len(result.Text), len(want))
 	}
-	if !strings.HasSuffix(result.Score, "."+task.Reward.ID) {
+	if !hasExpectedScore(task, result) {
 		l.recordViolation("task %s has the score %q", result.ID, result.Score)
 	}
 	if len(result.Versions) == 0 {
@@ -284,6 +293,13 @@
 	}
 }
 
+func hasExpectedScore(task *quetzalpier.Task, result quetzalpier.Result) bool {
+	if task.Reward == nil {
+		return result.Score == ""
+	}
+	return strings.HasSuffix(result.Score, "."+task.Reward.ID)
+}
+
 func expectedText(task *quetzalpier.Task) string {
 	length, _ := strconv.Atoi(string(task.Body))
 	events := make([]string, 0, length)
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -234,12 +234,22 @@
 	if !earlier.complete {
 		return
 	}
-	task.Phase = Scoring
-	if earlier.score != "" && earlier.reward == task.Spec.Reward.ID {
+	s.Complete(task, now)
+	if task.Phase == Scoring && earlier.score != "" && earlier.reward == task.Spec.Reward.ID {
 		s.Finish(task, earlier.score, now)
 	}
 }
 
+// Complete records that a task's text is complete. A task without a reward is
+// finished; one with a reward waits for it.
+func (s *Scheduler) Complete(task *Task, now time.Time) {
+	if task.Spec.Reward == nil {
+		s.Finish(task, "", now)
+		return
+	}
+	task.Phase = Scoring
+}
+
 // End closes a job and discards its pending results. It returns the tasks
 // whose runs must be canceled.
 func (s *Scheduler) End(id string, now time.Time) []*Task {
@@ -273,7 +283,7 @@
 	entry := retainedText{text: task.Text, complete: task.Phase >= Scoring, until: now.Add(retainPeriod)}
 	for _, results := range [][]quetzalpier.Result{task.Job.Listed, task.Job.Pending} {
 		for _, result := range results {
-			if result.ID == task.Spec.ID && result.Done {
+			if result.ID == task.Spec.ID && result.Done && task.Spec.Reward != nil {
 				entry.reward, entry.score = task.Spec.Reward.ID, result.Score
 			}
 		}
--- a/wire/job.go
+++ b/wire/job.go
@@ -17,11 +17,14 @@
 		Expires: job.ExpiresAt.UnixMilli(), Attempts: int64(job.MaxAttempts), Single: job.SingleVersion,
 	}
 	for _, task := range job.Tasks {
-		message.Tasks = append(message.Tasks, &Task{
+		packed := &Task{
 			Id: task.ID, Group: task.Group, Path: task.Path, Headers: task.Headers, Body: task.Body,
-			Tokens: int64(task.MaxTokens), Hint: int64(task.LengthHint), Reward: task.Reward.ID,
-			RewardHost: task.Reward.Host, RewardPath: task.Reward.Path, RewardBody: task.Reward.Body,
-		})
+			Tokens: int64(task.MaxTokens), Hint: int64(task.LengthHint),
+		}
+		if reward := task.Reward; reward != nil {
+			packed.Reward, packed.RewardHost, packed.RewardPath, packed.RewardBody = &reward.ID, reward.Host, reward.Path, reward.Body
+		}
+		message.Tasks = append(message.Tasks, packed)
 	}
 	data, err := proto.Marshal(message)
 	return data, errors.Wrap(err, "encode job")
@@ -40,11 +43,14 @@
 		ExpiresAt: time.UnixMilli(message.GetExpires()), MaxAttempts: int(message.GetAttempts()), SingleVersion: message.GetSingle(),
 	}
 	for _, task := range message.GetTasks() {
-		job.Tasks = append(job.Tasks, quetzalpier.Task{
+		unpacked := quetzalpier.Task{
 			ID: task.GetId(), Group: task.GetGroup(), Path: task.GetPath(), Headers: task.GetHeaders(), Body: task.GetBody(),
 			MaxTokens: int(task.GetTokens()), LengthHint: int(task.GetHint()),
-			Reward: quetzalpier.Reward{ID: task.GetReward(), Host: task.GetRewardHost(), Path: task.GetRewardPath(), Body: task.GetRewardBody()},
-		})
+		}
+		if task.Reward != nil {
+			unpacked.Reward = &quetzalpier.Reward{ID: task.GetReward(), Host: task.GetRewardHost(), Path: task.GetRewardPath(), Body: task.GetRewardBody()}
+		}
+		job.Tasks = append(job.Tasks, unpacked)
 	}
 	return job, job.Validate()
 }
