peer: End the streams of a closed session at once

Cause: after a session's socket was reset, a read of a stream polled the closed session without a pause until yamux had stopped its own goroutines, which takes until its last write has returned. A failed call also waited for the same close itself.

Change: the session's connection knows the open streams. yamux closes it first, and it then gives all of them an expired deadline. A failed call leaves the close to another goroutine.

Ruled out: a read deadline set when CloseChan closes, since the goroutine that sets it may not run while the reader polls.

--- a/peer/conns.go
+++ b/peer/conns.go
@@ -49,7 +49,7 @@
 
 	mu       sync.Mutex
 	sessions map[sessionKey]*session
-	accepted map[*yamux.Session]struct{}
+	accepted map[*muxSession]struct{}
 	workers  conc.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -62,7 +62,7 @@
 }
 
 type session struct {
-	mux         *yamux.Session
+	mux         *muxSession
 	lastUsed    time.Time
 	activeCalls int
 }
@@ -76,7 +76,7 @@
 	c := &conns{
 		handle: handle, count: count, listener: listener, ctx: ctx, cancel: cancel,
 		sessions: map[sessionKey]*session{},
-		accepted: map[*yamux.Session]struct{}{},
+		accepted: map[*muxSession]struct{}{},
 	}
 	c.workers.Go(c.accept)
 	return c, nil
@@ -123,13 +123,15 @@
 // Error implements error.
 func (e *FaultError) Error() string { return e.Addr + ": " + e.Fault }
 
-func roundTrip(ctx context.Context, mux *yamux.Session, call *wire.Call) (*wire.Reply, error) {
+func roundTrip(ctx context.Context, mux *muxSession, call *wire.Call) (*wire.Reply, error) {
 	stream, err := mux.OpenStream()
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = stream.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	mux.conn.add(stream)
+	defer mux.conn.remove(stream)
+	stop := context.AfterFunc(ctx, func() { expire(stream) })
 	defer stop()
 	if _, err := protodelim.MarshalTo(stream, call); err != nil {
 		return nil, err
@@ -158,7 +160,7 @@
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "send lane to peer")
 	}
-	mux, err := yamux.Client(c.counted(conn, key.lane), muxConfig())
+	mux, err := newMuxSession(c.counted(conn, key.lane), yamux.Client)
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "open session")
@@ -194,13 +196,19 @@
 	s.lastUsed = time.Now()
 }
 
+// discard closes a session that failed. It does not wait, since closing takes until
+// the last write to the socket has returned.
 func (c *conns) discard(key sessionKey, s *session) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		// close takes care of all sessions.
+		return
+	}
 	if c.sessions[key] == s {
 		delete(c.sessions, key)
 	}
-	c.mu.Unlock()
-	_ = s.mux.Close()
+	c.workers.Go(func() { _ = s.mux.Close() })
 }
 
 // prune closes sessions that have been idle for sessionIdleTimeout.
@@ -237,7 +245,7 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	mux, err := yamux.Server(c.counted(conn, lane(laneByte[0])), muxConfig())
+	mux, err := newMuxSession(c.counted(conn, lane(laneByte[0])), yamux.Server)
 	if err != nil {
 		return
 	}
@@ -251,11 +259,11 @@
 		if err != nil {
 			return
 		}
-		c.workers.Go(func() { c.serveStream(stream) })
+		c.workers.Go(func() { c.serveStream(mux, stream) })
 	}
 }
 
-func (c *conns) register(mux *yamux.Session) bool {
+func (c *conns) register(mux *muxSession) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil || len(c.accepted) >= maxAcceptedSessions {
@@ -265,24 +273,30 @@
 	return true
 }
 
-func (c *conns) closeAccepted(mux *yamux.Session) {
+func (c *conns) closeAccepted(mux *muxSession) {
 	c.mu.Lock()
 	delete(c.accepted, mux)
 	c.mu.Unlock()
 	_ = mux.Close()
 }
 
-func (c *conns) serveStream(stream *yamux.Stream) {
+func (c *conns) serveStream(mux *muxSession, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(streamTimeout))
+	mux.conn.add(stream)
+	defer mux.conn.remove(stream)
 	call := &wire.Call{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
 	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, streamBufferBytes), call); err != nil {
 		return
 	}
-	_ = stream.SetReadDeadline(time.Time{})
 	reply := c.handle(c.ctx, call)
 	_ = stream.SetWriteDeadline(time.Now().Add(streamTimeout))
+	// The new deadline may have replaced the one that ends a closed session's
+	// streams.
+	if mux.IsClosed() {
+		return
+	}
 	_, _ = protodelim.MarshalTo(stream, reply)
 }
 
@@ -290,7 +304,7 @@
 	c.cancel()
 	_ = c.listener.Close()
 	c.mu.Lock()
-	var open []*yamux.Session
+	var open []*muxSession
 	for _, s := range c.sessions {
 		open = append(open, s.mux)
 	}
