logcap, runner, entry: Bound repeated warnings and space out retries

Cause: retries of a failed call had fixed pauses and a warning each.

Change: a zerolog hook passes at most 20 warnings and errors a second with the same message and counts the others, in a metric and in the next line of that message. Information lines are not limited: their volume follows the work done.

Looked at and left: - taking over a pool: every 100 ms, since a takeover must not wait; its warning is bounded by the hook - kept jobs: every 250 ms and only while the service is available - saved parts: every 0.6 s, one transaction - mirrors, relay probes, orders to engines, upstream ejections, conf, claim: grow already or log only changes of state - runs that failed: one line for each run, and the engine or task is delayed - refused requests and failed reads of an owner: one line for each request

Measured: each soak run now fails when a process logs more than 100 warnings in a second, a bound chosen before the runs.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -23,9 +23,12 @@
 	// submitTimeout limits how long a submission waits for the key-value service. A
 	// step loses value with every second of delay, but a late one is worth more to
 	// its trainer than a refused one.
-	submitTimeout    = 6 * time.Second
-	endTimeout       = 3 * time.Second
+	submitTimeout = 6 * time.Second
+	endTimeout    = 3 * time.Second
+	// storeRetryDelay and storeRetryMax bound the pause between two attempts to
+	// store a job or its end.
 	storeRetryDelay  = 100 * time.Millisecond
+	storeRetryMax    = 400 * time.Millisecond
 	storeCallTimeout = 1200 * time.Millisecond
 	// keepCallTimeout limits a call that stores a job on nodes' disks. The pool's
 	// owner is called first and, until a call succeeds, at most otherKeepers other
@@ -120,7 +123,7 @@
 		return false, err
 	}
 	ran := quetzalpier.RanNo
-	for {
+	for failures := 1; ; failures++ {
 		ctx, cancel := context.WithDeadline(context.Background(), sleep.Earlier(deadline, time.Now().Add(storeCallTimeout)))
 		existed, err = e.Vault.Put(ctx, job)
 		cancel()
@@ -142,13 +145,18 @@
 				return false, nil
 			}
 		}
-		if !time.Now().Add(storeRetryDelay).Before(deadline) {
+		pause := storePause(failures)
+		if !time.Now().Add(pause).Before(deadline) {
 			return false, quetzalpier.Unavailable("store", "the job could not be stored: "+err.Error(), ran, e.Sender.Jitter(submitRetryAfter))
 		}
-		sleep.For(context.Background(), storeRetryDelay)
+		sleep.For(context.Background(), pause)
 	}
 }
 
+func storePause(failures int) time.Duration {
+	return sleep.Backoff(failures, storeRetryDelay, storeRetryMax, rand.Float64())
+}
+
 // keepOnDisk stores a job on disks, through the pool's owner or else another node
 // with a disk. It reports whether it succeeded.
 func (e *Entry) keepOnDisk(job *quetzalpier.Job, data []byte) bool {
@@ -222,7 +230,7 @@
 		return
 	}
 	deadline := r.start.Add(endTimeout)
-	for {
+	for failures := 1; ; failures++ {
 		ctx, cancel := context.WithDeadline(context.Background(), sleep.Earlier(deadline, time.Now().Add(storeCallTimeout)))
 		err := e.Vault.End(ctx, call.Job)
 		cancel()
@@ -231,11 +239,12 @@
 			e.Log.Info().Str("job", call.Job).Dur("took_ms", time.Since(r.start)).Msg("job end stored")
 			return
 		}
-		if !time.Now().Add(storeRetryDelay).Before(deadline) {
+		pause := storePause(failures)
+		if !time.Now().Add(pause).Before(deadline) {
 			e.refuse(c, r, quetzalpier.Unavailable("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
 			return
 		}
-		sleep.For(context.Background(), storeRetryDelay)
+		sleep.For(context.Background(), pause)
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"quetzalpier/keep"
 	"quetzalpier/lease"
 	"quetzalpier/link"
+	"quetzalpier/logcap"
 	"quetzalpier/meter"
 	"quetzalpier/mirror"
 	"quetzalpier/peer"
@@ -127,7 +128,8 @@
 	dropped := func(lines int) { n.Meter.DroppedLogLines.Add(float64(lines)) }
 	writer := diode.NewWriter(out, logBufferLines, 0, dropped)
 	n.logs = writer
-	n.Log = zerolog.New(writer).Level(level).With().Timestamp().Str("node", n.Settings.Name).Logger()
+	limiter := &logcap.Limiter{OnSuppress: n.Meter.SuppressedLogLines.Inc}
+	n.Log = zerolog.New(writer).Level(level).Hook(limiter).With().Timestamp().Str("node", n.Settings.Name).Logger()
 }
 
 func (n *Node) open() error {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,6 +36,9 @@
 	// DroppedLogLines counts log lines that were dropped because the log buffer was
 	// full.
 	DroppedLogLines prometheus.Counter
+	// SuppressedLogLines counts warnings and errors that were not logged because
+	// the same message was logged too often.
+	SuppressedLogLines prometheus.Counter
 	// Members is the number of known members, by state.
 	Members *prometheus.GaugeVec
 }
@@ -46,22 +49,23 @@
 func New() *Meter {
 	registry := prometheus.NewRegistry()
 	m := &Meter{
-		Registry:        registry,
-		Requests:        histogram("request_seconds", "Time of callers' requests.", prometheus.ExponentialBuckets(0.001, bucketFactor, 18), "class", "tenant", "outcome"),
-		QueueTime:       histogram("queue_seconds", "Wait for a slot.", prometheus.ExponentialBuckets(0.0005, bucketFactor, 18), "class"),
-		SampleAge:       histogram("sample_age_versions", "Age of delivered samples.", prometheus.LinearBuckets(0, 1, 9), "trainer"),
-		Attempts:        counter("attempts_total", "Attempts at upstreams.", "pool", "outcome"),
-		Refusals:        counter("refusals_total", "Refused requests.", "type", "ran"),
-		Samples:         counter("samples_total", "Samples by fate.", "trainer", "fate"),
-		Orders:          counter("orders_total", "Orders to engines.", "pool", "outcome"),
-		Crashes:         counter("crashes_total", "Upstream crashes with requests in flight.", "pool"),
-		ControlBytes:    counter("control_bytes_total", "Control traffic between nodes.", "direction"),
-		PlatformCalls:   counter("platform_calls_total", "Calls to the platform.", "call", "outcome"),
-		ConfigNumber:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "config_number", Help: "Number of the configuration in force."}),
-		DroppedLogLines: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "quetzalpier", Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
-		Members:         prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "members", Help: "Known members."}, []string{"state"}),
+		Registry:           registry,
+		Requests:           histogram("request_seconds", "Time of callers' requests.", prometheus.ExponentialBuckets(0.001, bucketFactor, 18), "class", "tenant", "outcome"),
+		QueueTime:          histogram("queue_seconds", "Wait for a slot.", prometheus.ExponentialBuckets(0.0005, bucketFactor, 18), "class"),
+		SampleAge:          histogram("sample_age_versions", "Age of delivered samples.", prometheus.LinearBuckets(0, 1, 9), "trainer"),
+		Attempts:           counter("attempts_total", "Attempts at upstreams.", "pool", "outcome"),
+		Refusals:           counter("refusals_total", "Refused requests.", "type", "ran"),
+		Samples:            counter("samples_total", "Samples by fate.", "trainer", "fate"),
+		Orders:             counter("orders_total", "Orders to engines.", "pool", "outcome"),
+		Crashes:            counter("crashes_total", "Upstream crashes with requests in flight.", "pool"),
+		ControlBytes:       counter("control_bytes_total", "Control traffic between nodes.", "direction"),
+		PlatformCalls:      counter("platform_calls_total", "Calls to the platform.", "call", "outcome"),
+		ConfigNumber:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "config_number", Help: "Number of the configuration in force."}),
+		DroppedLogLines:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "quetzalpier", Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
+		SuppressedLogLines: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "quetzalpier", Name: "log_lines_suppressed_total", Help: "Warnings and errors beyond the limit of their message."}),
+		Members:            prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "members", Help: "Known members."}, []string{"state"}),
 	}
-	registry.MustRegister(m.Requests, m.QueueTime, m.SampleAge, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.ConfigNumber, m.DroppedLogLines, m.Members)
+	registry.MustRegister(m.Requests, m.QueueTime, m.SampleAge, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.Members)
 	return m
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"quetzalpier/hash"
 	"quetzalpier/lease"
 	"quetzalpier/link"
+	"quetzalpier/logcap"
 	"quetzalpier/meter"
 	"quetzalpier/owner"
 	"quetzalpier/peer"
@@ -82,7 +83,7 @@
 	}
 	n := &Node{
 		Settings: settings, Meter: meter.New(), drain: make(chan struct{}), killed: make(chan struct{}),
-		Log: zerolog.New(out).Level(level).With().Timestamp().Str("node", settings.Name).Logger(),
+		Log: zerolog.New(out).Level(level).Hook(&logcap.Limiter{}).With().Timestamp().Str("node", settings.Name).Logger(),
 		kv:  platform.NewKV(settings.Platform.KV),
 	}
 	n.Board = board.New(board.Member{
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"quetzalpier"
-	"quetzalpier/sleep"
 	"quetzalpier/vault"
 )
 
@@ -24,15 +23,21 @@
 	// idleCommitDelay is the delay before the next attempt when there is
 	// nothing to store.
 	idleCommitDelay = 20 * time.Millisecond
-	// commitRetryDelay is the delay while the pool is not owned and after a
-	// failed transaction.
-	commitRetryDelay = 100 * time.Millisecond
+	// notOwnedDelay is the delay while the pool is not owned.
+	notOwnedDelay = 100 * time.Millisecond
 )
 
 // commitLoop stores finished results until ctx ends.
 func (p *poolRunner) commitLoop(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
-		wait := p.commitDue(ctx)
+		wait, err := p.commitDue(ctx)
+		if err != nil {
+			failures++
+			pauseKV(ctx, failures)
+			continue
+		}
+		failures = 0
 		select {
 		case <-ctx.Done():
 		case <-p.resultReady:
@@ -43,11 +48,11 @@
 
 // commitDue stores the results that are due and returns the delay until the
 // next call.
-func (p *poolRunner) commitDue(ctx context.Context) time.Duration {
+func (p *poolRunner) commitDue(ctx context.Context) (time.Duration, error) {
 	now := time.Now()
 	fence, ok := p.validFence(now)
 	if !ok {
-		return commitRetryDelay
+		return notOwnedDelay, nil
 	}
 	p.mu.Lock()
 	due := p.scheduler.FlushDelay(resultBatchDelay, now)
@@ -57,16 +62,15 @@
 	}
 	p.mu.Unlock()
 	if len(pages) == 0 {
-		return max(due, idleCommitDelay)
+		return max(due, idleCommitDelay), nil
 	}
 	err := p.runner.Vault.AppendResults(ctx, p.pool, fence, pages)
 	if err != nil {
 		p.handleAppendError(err, fence, pages)
-		sleep.For(ctx, commitRetryDelay)
-		return time.Millisecond
+		return 0, err
 	}
 	p.markListed(pages, time.Now())
-	return time.Millisecond
+	return time.Millisecond, nil
 }
 
 // pendingPages returns the pending results for one transaction. The caller
@@ -144,7 +148,7 @@
 // reconcile updates the scheduler from the stored results, each time that the
 // lease was acquired anew or a result position was already occupied.
 func (p *poolRunner) reconcile(ctx context.Context) {
-	for {
+	for failures := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -154,10 +158,12 @@
 			stored, err := p.runner.Vault.Results(ctx, id)
 			if err != nil {
 				p.runner.Log.Warn().Str("job", id).Err(err).Msg("failed to read stored results")
-				sleep.For(ctx, kvRetryDelay)
+				failures++
+				pauseKV(ctx, failures)
 				signal(p.reconcileDue)
 				break
 			}
+			failures = 0
 			p.mu.Lock()
 			p.cancelRuns(p.scheduler.Reconcile(id, stored, time.Now()))
 			delete(p.uncertain, id)
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -70,10 +70,12 @@
 	}
 	last, err := p.runner.Vault.SetOrderingNode(ctx, p.pool, p.runner.Lease.Node)
 	if err != nil {
+		p.orderFailures++
 		p.runner.Log.Warn().Str("pool", p.pool).Err(err).Msg("failed to take over engine orders")
-		sleep.For(ctx, kvRetryDelay)
+		pauseKV(ctx, p.orderFailures)
 		return false
 	}
+	p.orderFailures = 0
 	p.ordersFence = fence
 	p.ordersFrom = now
 	if last != "" && last != p.runner.Lease.Node && (!p.runner.EnginesFenced || p.maySendOrders(last)) {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -31,7 +32,10 @@
 	// maxConcurrentOpens limits how many jobs are read at a time after a
 	// takeover.
 	maxConcurrentOpens = 8
-	kvRetryDelay       = 100 * time.Millisecond
+	// kvRetryBase and kvRetryMax bound the pause before a failed call to the
+	// key-value service is repeated.
+	kvRetryBase = 100 * time.Millisecond
+	kvRetryMax  = 500 * time.Millisecond
 	// expireMargin is added to the expiry time of tasks, since the clocks of
 	// VMs differ.
 	expireMargin = 3 * time.Second
@@ -79,9 +83,11 @@
 	// from the key-value service, with the time of their submission.
 	dropped map[string]time.Time
 	// ordersFence is the fencing token under which this node sends orders,
-	// starting at ordersFrom. Only rotationLoop uses them.
+	// starting at ordersFrom. Only rotationLoop uses these three.
 	ordersFence uint64
 	ordersFrom  time.Time
+	// orderFailures counts the consecutive failures to take over the orders.
+	orderFailures int
 	// versionInterval and loadTime are the moving averages of the time between
 	// two versions of one model and of the time of a load. lastSeen holds the
 	// last version of each model.
@@ -112,6 +118,12 @@
 	}
 }
 
+// pauseKV waits before a call to the key-value service that failed failures times
+// in a row is repeated.
+func pauseKV(ctx context.Context, failures int) {
+	sleep.For(ctx, sleep.Backoff(failures, kvRetryBase, kvRetryMax, rand.Float64()))
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -183,13 +195,13 @@
 	}
 	var stored []quetzalpier.Result
 	var parts []vault.Part
-	for mayHaveResults && p.ctx.Err() == nil {
+	for failures := 1; mayHaveResults && p.ctx.Err() == nil; failures++ {
 		var err error
 		if stored, parts, err = p.readStored(job.ID); err == nil {
 			break
 		}
 		p.runner.Log.Warn().Str("job", job.ID).Err(err).Msg("failed to read stored results")
-		sleep.For(p.ctx, kvRetryDelay)
+		pauseKV(p.ctx, failures)
 	}
 	job.ExpiresAt = job.ExpiresAt.Add(expireMargin)
 	p.mu.Lock()
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -289,6 +290,30 @@
 	return found
 }
 
+// PeakWarnings returns the largest number of warnings and errors that the node
+// logged in one second.
+func (n *Node) PeakWarnings() (int, error) {
+	log, err := os.ReadFile(filepath.Join(n.rig.Dir, n.Settings.Name+".log"))
+	if err != nil {
+		return 0, err
+	}
+	peak := 0
+	bySecond := map[string]int{}
+	for text := range bytes.Lines(log) {
+		line := struct {
+			Level string `json:"level"`
+			Time  string `json:"time"`
+		}{}
+		// Panics and reports of the race detector are no JSON; LoggedFaults finds them.
+		if json.Unmarshal(text, &line) != nil || (line.Level != "warn" && line.Level != "error") {
+			continue
+		}
+		bySecond[line.Time]++
+		peak = max(peak, bySecond[line.Time])
+	}
+	return peak, nil
+}
+
 // Signal sends a signal to the node's process.
 func (n *Node) Signal(signal syscall.Signal) { _ = n.command.Process.Signal(signal) }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -113,6 +113,7 @@
 		for _, fault := range n.LoggedFaults() {
 			l.recordViolation("%s logged %q", n.Settings.Name, fault)
 		}
+		l.recordWarnings(n)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,6 +126,23 @@
 	}
 }
 
+// maxWarningsPerSecond limits the warnings and errors that one process may log in
+// a second, whatever it depends on is unavailable.
+const maxWarningsPerSecond = 100
+
+func (l *Ledger) recordWarnings(n *Node) {
+	peak, err := n.PeakWarnings()
+	if err != nil {
+		l.recordViolation("log of %s not read: %v", n.Settings.Name, err)
+	}
+	if peak > maxWarningsPerSecond {
+		l.recordViolation("%s logged %d warnings in a second", n.Settings.Name, peak)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.PeakWarnings = max(l.PeakWarnings, peak)
+}
+
 // faultInjector injects random faults and waits until those that last are reverted.
 type faultInjector struct {
 	rig     *Rig
@@ -289,7 +307,8 @@
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text := fmt.Sprintf("%d steps whole, %d late; %d requests, %d failed; %d promises broken", l.Steps, l.LateSteps, l.Requests, l.FailedRequests, len(l.Violations))
+	text := fmt.Sprintf("%d steps whole, %d late; %d requests, %d failed; at most %d warnings a second; %d promises broken",
+		l.Steps, l.LateSteps, l.Requests, l.FailedRequests, l.PeakWarnings, len(l.Violations))
 	if len(l.Violations) > 0 {
 		text += ":\n  " + strings.Join(l.Violations, "\n  ")
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"quetzalpier/cmds"
 	"quetzalpier/soak"
+	"quetzalpier/stand"
 )
 
 // asProgram names the environment variable that makes the test binary run the
@@ -135,6 +137,28 @@
 			}
 		})
 	})
+	t.Run("every engine answers with an error", func(t *testing.T) {
+		runSteps(t, func(r *soak.Rig) {
+			for _, e := range r.Engines {
+				e.SetFaults(stand.WorkerFaults{Status: http.StatusBadGateway, StatusCount: 1 << 20})
+			}
+			time.Sleep(3 * time.Second)
+			for _, e := range r.Engines {
+				e.SetFaults(stand.WorkerFaults{})
+			}
+		})
+	})
+	t.Run("the reward service is unavailable", func(t *testing.T) {
+		runSteps(t, func(r *soak.Rig) {
+			for _, w := range r.Plains {
+				w.SetFaults(stand.WorkerFaults{Status: http.StatusBadGateway, StatusCount: 1 << 20})
+			}
+			time.Sleep(4 * time.Second)
+			for _, w := range r.Plains {
+				w.SetFaults(stand.WorkerFaults{})
+			}
+		})
+	})
 	t.Run("the key-value service loses responses to writes", func(t *testing.T) {
 		runSteps(t, func(r *soak.Rig) {
 			for range 6 {
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -48,6 +48,9 @@
 	// CutRequests counts plain requests that were sent on an open connection, which
 	// was then closed or reset without a response.
 	CutRequests int
+	// PeakWarnings is the largest number of warnings and errors that one process
+	// logged in a second.
+	PeakWarnings int
 }
 
 type jobRecord struct {
