report, tally, runner: Explain from the logs where steps lose time

Cause: nothing but scripts thrown away afterwards answered why a step was late.

Change: `quetzalpier report` merges the logs of any number of processes and prints the parts of each step's critical path, calls and connections by purpose, and refused and late requests by cause. The logs gain: times in milliseconds; the group, first event and waits of each run; "task scored"; a line "usage" every 5 s with the totals of calls and connections; the route of refused requests; late requests. The metric of calls, registered and never counted, counts them now by purpose.

--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -8,7 +8,9 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
+	"quetzalpier/logcap"
 	"quetzalpier/setup"
 )
 
@@ -24,10 +26,11 @@
 
 // Run runs the command in args and returns the exit code.
 func Run(args []string) int {
+	zerolog.TimeFieldFormat = logcap.TimeFormat
 	parser := flags.NewNamedParser("quetzalpier", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Rollout service for reinforcement learning."
 	for _, add := range []func(*flags.Parser) error{
-		addNode, addServe, addCheck, addConfig, addStatus, addDrain, addLoad, addTrial, addScale, addAudit, addSoak, addStand, addVersion,
+		addNode, addServe, addCheck, addConfig, addStatus, addDrain, addLoad, addTrial, addScale, addAudit, addSoak, addStand, addReport, addVersion,
 	} {
 		if err := add(parser); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -182,7 +182,7 @@
 		number, bodyLimit = s.Config.Number, s.Config.InputLimits.MaxBodyBytes
 		route, found = s.Config.MatchRoute(req.host, req.path)
 	})
-	req.configNumber = number
+	req.configNumber, req.route, req.objective = number, route.Name, route.LatencyObjective
 	switch {
 	case bodyLimit > 0 && len(c.Request.Body()) > bodyLimit:
 		e.refuse(c, req, &quetzalpier.Refusal{
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -10,6 +10,7 @@
 	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/hash"
+	"quetzalpier/link"
 	"quetzalpier/platform"
 	"quetzalpier/send"
 )
@@ -38,7 +39,7 @@
 	req := e.outgoing(c, r)
 	var answer *platform.Answer
 	err := e.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
-		got, err := platform.Forward(ctx, e.Links, a.VM, a.Fresh, req, r.deadline)
+		got, err := platform.Forward(ctx, e.Links, a.VM, a.Fresh, link.PurposeRequest, req, r.deadline)
 		if err != nil {
 			e.Log.Info().Str("request", r.id).Str("upstream", a.VM.ID).Bool("fresh", a.Fresh).
 				Dur("left_ms", time.Until(r.deadline)).Err(err).Msg("request attempt failed")
@@ -56,7 +57,10 @@
 	c.SetStatusCode(answer.Status)
 	answer.CopyHeader(&c.Response.Header)
 	c.SetBody(answer.Body)
-	e.Log.Debug().Str("request", r.id).Int("status", answer.Status).Dur("took_ms", time.Since(r.start)).Msg("request served")
+	if took := time.Since(r.start); r.objective > 0 && took > r.objective {
+		e.Log.Info().Str("request", r.id).Str("route", r.route).Int("status", answer.Status).
+			Dur("objective_ms", r.objective).Dur("took_ms", took).Msg("request served late")
+	}
 }
 
 // outgoing returns a copy of the request for an upstream, without hop-by-hop
--- a/entry/request.go
+++ b/entry/request.go
@@ -24,6 +24,10 @@
 	path     string
 	start    time.Time
 	deadline time.Time
+	// route is the name of the request's route; empty if there is none. objective
+	// is the time within which it should be answered; zero for none.
+	route     string
+	objective time.Duration
 	// configNumber is the number of the configuration that the request was routed
 	// by.
 	configNumber uint64
@@ -79,6 +83,6 @@
 	}
 	c.SetBodyString(reason)
 	e.Meter.Refusals.WithLabelValues(strconv.Itoa(status), strconv.FormatBool(status == http.StatusServiceUnavailable)).Inc()
-	e.Log.Warn().Str("request", r.id).Str("path", r.path).Int("status", status).Dur("after_ms", after).
+	e.Log.Warn().Str("request", r.id).Str("route", r.route).Str("path", r.path).Int("status", status).Dur("after_ms", after).
 		Uint64("config", r.configNumber).Dur("took_ms", time.Since(r.start)).Err(err).Msg("request refused")
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"quetzalpier/runner"
 	"quetzalpier/send"
 	"quetzalpier/setup"
+	"quetzalpier/tally"
 	"quetzalpier/vault"
 )
 
@@ -135,13 +136,15 @@
 func (n *Node) open() error {
 	seed := hash.Text(n.Settings.Name + time.Now().String())
 	direct := platform.NewKV(n.Settings.KV)
-	n.kv = &relay.KV{Direct: direct, Peers: n.peerAddrs, Call: n.callPeer, Reset: direct.Reset, Log: n.Log}
+	counted := &tally.KV{KV: direct, Purpose: callPurpose, Calls: n.Meter.PlatformCalls}
+	n.kv = &relay.KV{Direct: counted, Peers: n.peerAddrs, Call: n.callPeer, Reset: direct.Reset, Log: n.Log}
 	n.lease = &lease.Holder{
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, TTL: ownerLeaseTTL, RenewInterval: ownerRenewInterval, Margin: leaseMargin,
 		IdleTTL: idleLeaseTTL, IdleRenewInterval: idleRenewInterval,
 	}
 	n.kv.WritesAwaited = n.ownsPool
 	n.links = link.New()
+	n.links.OnDial = n.countDial
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.OnStrikes = n.sendStrikes
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log}
@@ -238,7 +241,7 @@
 	ownCtx, releasePools := context.WithCancel(work)
 	defer releasePools()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.upstreams.dropExpired,
+		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.upstreams.dropExpired, n.reportUsage,
 	} {
 		n.background.Go(func() { run(work) })
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -20,6 +20,8 @@
 	Request *fasthttp.Request
 	// Fresh requires a new connection instead of an idle one.
 	Fresh bool
+	// Purpose names the kind of call in the counts of opened connections.
+	Purpose Purpose
 	// HeaderTimeout bounds the wait for the response header.
 	HeaderTimeout time.Duration
 	// ReadTimeout bounds the wait for each read of the response body.
@@ -28,12 +30,17 @@
 
 // Links sends requests to upstreams and keeps idle connections for reuse.
 type Links struct {
+	// OnDial is called before a connection is opened; nil does nothing.
+	OnDial func(Purpose, Cause)
+
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// known are the upstreams to which a connection was opened before.
+	known map[string]bool
 }
 
 // New returns Links without idle connections.
-func New() *Links { return &Links{idle: map[string][]*conn{}} }
+func New() *Links { return &Links{idle: map[string][]*conn{}, known: map[string]bool{}} }
 
 // Response is an upstream's response, whose body is read as a stream.
 type Response struct {
@@ -179,6 +186,9 @@
 // to the upstream cannot be opened.
 func (l *Links) RefusesConnection(addr string) bool {
 	time.Sleep(probeDelay)
+	if l.OnDial != nil {
+		l.OnDial(PurposeProbe, CauseFresh)
+	}
 	c, err := dial(addr)
 	if err != nil {
 		return true
@@ -188,26 +198,43 @@
 }
 
 func (l *Links) acquire(call Call) (*conn, error) {
+	cause := CauseFresh
 	if !call.Fresh {
-		if c := l.takeIdle(call.Addr, time.Now()); c != nil {
+		var c *conn
+		if c, cause = l.takeIdle(call.Addr, time.Now()); c != nil {
 			return c, nil
 		}
 	}
+	if l.OnDial != nil {
+		l.OnDial(call.Purpose, cause)
+	}
 	return dial(call.Addr)
 }
 
-func (l *Links) takeIdle(addr string, now time.Time) *conn {
+// takeIdle returns an idle connection to the upstream, or the cause for which a new
+// one is needed.
+func (l *Links) takeIdle(addr string, now time.Time) (*conn, Cause) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	cause := CauseMore
+	if !l.known[addr] {
+		l.known[addr] = true
+		cause = CauseFirst
+	}
 	for conns := l.idle[addr]; len(conns) > 0; conns = l.idle[addr] {
 		c := conns[len(conns)-1]
 		l.idle[addr] = conns[:len(conns)-1]
-		if now.Sub(c.releasedAt) < c.idleTimeout && c.reusable() {
-			return c
+		switch {
+		case now.Sub(c.releasedAt) >= c.idleTimeout:
+			cause = CauseIdle
+		case !c.reusable():
+			cause = CauseClosed
+		default:
+			return c, ""
 		}
 		_ = c.Close()
 	}
-	return nil
+	return nil, cause
 }
 
 func (l *Links) release(addr string, c *conn) {
--- a/logcap/logcap.go
+++ b/logcap/logcap.go
@@ -16,6 +16,10 @@
 	Period = time.Second
 )
 
+// TimeFormat is the format of the time in log lines. Milliseconds are needed to
+// compare lines of several processes.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // SuppressedField is the field with the number of lines of this message that were
 // suppressed since the previous one.
 const SuppressedField = "suppressed"
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -29,8 +29,10 @@
 	Crashes *prometheus.CounterVec
 	// ControlBytes counts the bytes of control traffic between nodes, by direction.
 	ControlBytes *prometheus.CounterVec
-	// PlatformCalls counts calls to the platform, by call and outcome.
+	// PlatformCalls counts calls to the platform, by call, purpose and outcome.
 	PlatformCalls *prometheus.CounterVec
+	// Connections counts the connections opened to upstreams, by purpose and cause.
+	Connections *prometheus.CounterVec
 	// ConfigNumber is the number of the configuration in use.
 	ConfigNumber prometheus.Gauge
 	// DroppedLogLines counts log lines that were dropped because the log buffer was
@@ -43,7 +45,16 @@
 	Members *prometheus.GaugeVec
 }
 
-const bucketFactor = 2
+// Names of the counters whose totals a node logs.
+const (
+	NamePlatformCalls = namespace + "_platform_calls_total"
+	NameConnections   = namespace + "_connections_total"
+)
+
+const (
+	namespace    = "quetzalpier"
+	bucketFactor = 2
+)
 
 // New returns a set of metrics that is registered in a new registry.
 func New() *Meter {
@@ -59,22 +70,23 @@
 		Orders:             counter("orders_total", "Orders to engines.", "pool", "outcome"),
 		Crashes:            counter("crashes_total", "Upstream crashes with requests in flight.", "pool"),
 		ControlBytes:       counter("control_bytes_total", "Control traffic between nodes.", "direction"),
-		PlatformCalls:      counter("platform_calls_total", "Calls to the platform.", "call", "outcome"),
-		ConfigNumber:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "config_number", Help: "Number of the configuration in force."}),
-		DroppedLogLines:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "quetzalpier", Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
-		SuppressedLogLines: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "quetzalpier", Name: "log_lines_suppressed_total", Help: "Warnings and errors beyond the limit of their message."}),
-		Members:            prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "quetzalpier", Name: "members", Help: "Known members."}, []string{"state"}),
+		PlatformCalls:      counter("platform_calls_total", "Calls to the platform.", "call", "purpose", "outcome"),
+		Connections:        counter("connections_total", "Connections opened to upstreams.", "purpose", "cause"),
+		ConfigNumber:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_number", Help: "Number of the configuration in force."}),
+		DroppedLogLines:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
+		SuppressedLogLines: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_suppressed_total", Help: "Warnings and errors beyond the limit of their message."}),
+		Members:            prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Known members."}, []string{"state"}),
 	}
-	registry.MustRegister(m.Requests, m.QueueTime, m.SampleAge, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.Members)
+	registry.MustRegister(m.Requests, m.QueueTime, m.SampleAge, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.Members)
 	return m
 }
 
 func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "quetzalpier", Name: name, Help: help, Buckets: buckets}, labels)
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
 }
 
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "quetzalpier", Name: name, Help: help}, labels)
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
 // SecondsBetween returns the time from start to now in seconds, the unit of the
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -71,13 +71,21 @@
 	// one.
 	lastEvent int
 	startedAt time.Time
+	// firstEvent is the last event before the run.
+	firstEvent int
+	// waited is how long the task waited for the run.
+	waited tasks.Wait
 }
 
 // launch starts a run. The caller holds the lock.
 func (p *poolRunner) launch(l tasks.Launch) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	p.cancels[l.Task] = cancel
-	r := &run{parent: p, task: l.Task, engine: p.engines[l.Engine.VM.ID], vm: l.Engine.VM, lastEvent: len(l.Task.Text.Events), startedAt: l.Task.StartedAt}
+	events := len(l.Task.Text.Events)
+	r := &run{
+		parent: p, task: l.Task, engine: p.engines[l.Engine.VM.ID], vm: l.Engine.VM, startedAt: l.Task.StartedAt,
+		firstEvent: events, lastEvent: events, waited: l.Waited,
+	}
 	p.goroutines.Go(func() {
 		err := r.stream(ctx)
 		canceled := ctx.Err() != nil
@@ -90,7 +98,7 @@
 // has.
 func (r *run) stream(ctx context.Context) error {
 	resp, err := r.parent.runner.Links.Do(ctx, link.Call{
-		Addr: r.vm.Addr, Request: r.request(time.Now()), HeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		Addr: r.vm.Addr, Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
 	})
 	if err != nil {
 		return err
@@ -254,8 +262,8 @@
 		line = p.runner.Log.Warn().Err(err)
 	}
 	p.runner.Meter.Attempts.WithLabelValues(p.pool, outcome).Inc()
-	line.Str("task", r.task.Spec.ID).Str("job", r.task.Job.Spec.ID).Str("engine", r.vm.ID).Str("outcome", outcome).
-		Int("events", r.lastEvent).Int("hint", r.task.Spec.LengthHint).Int("running", r.engine.Running).
+	line.Str("task", r.task.Spec.ID).Str("job", r.task.Job.Spec.ID).Str("group", r.task.Spec.Group).Str("engine", r.vm.ID).Str("outcome", outcome).
+		Dur("busy_ms", r.waited.Busy).Dur("unloaded_ms", r.waited.Unloaded).Int("from", r.firstEvent).Int("events", r.lastEvent).Int("hint", r.task.Spec.LengthHint).Int("running", r.engine.Running).
 		Dur("took_ms", now.Sub(r.startedAt)).Msg("run ended")
 }
 
@@ -296,6 +304,7 @@
 	defer signal(p.resultReady)
 	if result.Err == nil && result.Status < http.StatusMultipleChoices && result.Stamp != "" {
 		p.scheduler.Finish(task, result.Stamp, now)
+		p.runner.Log.Info().Str("task", task.Spec.ID).Str("job", task.Job.Spec.ID).Int("failures", task.RewardFailures).Msg("task scored")
 		return true
 	}
 	if result.Status == http.StatusInternalServerError {
@@ -338,7 +347,7 @@
 		req.Header.SetHost(reward.Host)
 		req.Header.Set(platform.HeaderAttempt, reward.ID)
 		req.SetBodyRaw(reward.Body)
-		resp, err := platform.Forward(ctx, p.runner.Links, a.VM, a.Fresh, req, deadline)
+		resp, err := platform.Forward(ctx, p.runner.Links, a.VM, a.Fresh, link.PurposeReward, req, deadline)
 		if err != nil {
 			return err
 		}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -298,18 +298,19 @@
 		return 0, err
 	}
 	peak := 0
-	bySecond := map[string]int{}
+	bySecond := map[int64]int{}
 	for text := range bytes.Lines(log) {
 		line := struct {
-			Level string `json:"level"`
-			Time  string `json:"time"`
+			Level string    `json:"level"`
+			Time  time.Time `json:"time"`
 		}{}
 		// Panics and reports of the race detector are no JSON; LoggedFaults finds them.
 		if json.Unmarshal(text, &line) != nil || (line.Level != "warn" && line.Level != "error") {
 			continue
 		}
-		bySecond[line.Time]++
-		peak = max(peak, bySecond[line.Time])
+		second := line.Time.Unix()
+		bySecond[second]++
+		peak = max(peak, bySecond[second])
 	}
 	return peak, nil
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"quetzalpier/cmds"
+	"quetzalpier/report"
 	"quetzalpier/soak"
 	"quetzalpier/stand"
 )
@@ -75,9 +77,41 @@
 	t.Log(ledger.Summary())
 	require.Empty(t, ledger.Violations)
 	require.Positive(t, ledger.Steps)
+	requireReport(t, r.Dir, ledger)
 	return ledger
 }
 
+// requireReport requires that the nodes' logs explain every step.
+func requireReport(t *testing.T, dir string, ledger *soak.Ledger) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	require.NoError(t, err)
+	var sources []report.Source
+	for _, name := range logs {
+		file, err := os.Open(name)
+		require.NoError(t, err)
+		defer func() { _ = file.Close() }()
+		sources = append(sources, report.Source{Name: name, Reader: file})
+	}
+	r, err := report.Read(sources)
+	require.NoError(t, err)
+	require.Zero(t, r.Broken, "%v", r.BrokenLines)
+	listed := 0
+	for _, step := range r.Steps {
+		total := 0.0
+		for _, part := range step.Parts.Values() {
+			require.GreaterOrEqual(t, part, 0.0)
+			total += part
+		}
+		require.InDelta(t, step.Total, total, 1e-6, "step %d", step.Step)
+		if step.Listed > 0 {
+			listed++
+		}
+	}
+	require.GreaterOrEqual(t, listed, ledger.Steps)
+	require.NotEmpty(t, r.Calls)
+}
+
 func TestFaults(t *testing.T) {
 	t.Run("every store node is killed, one after the other", func(t *testing.T) {
 		runSteps(t, func(r *soak.Rig) {
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -1,6 +1,7 @@
 package tasks
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -84,6 +85,15 @@
 type Launch struct {
 	Task   *Task
 	Engine *Engine
+	// Waited is how long the task waited for this run.
+	Waited Wait
+}
+
+// Wait is how long a task waited to run: while all engines with suitable weights
+// were Busy, and while none had suitable weights (Unloaded).
+type Wait struct {
+	Busy     time.Duration
+	Unloaded time.Duration
 }
 
 // Plan assigns waiting tasks to engines, the tasks with the least slack first.
@@ -121,7 +131,14 @@
 		selectEngine = firstWithRoom
 	}
 	var launches []Launch
+	loaded := map[*Job]bool{}
 	for _, task := range waiting {
+		known, checked := loaded[task.Job]
+		if !checked {
+			known = slices.ContainsFunc(engines, func(e *Engine) bool { return e.eligible(task.Job.Spec) })
+			loaded[task.Job] = known
+		}
+		task.addWait(known, now)
 		engine := selectEngine(engines, task, pace, now)
 		if engine == nil {
 			continue
@@ -131,6 +148,18 @@
 	return launches
 }
 
+// addWait adds the time since the task was last planned to what it waited for.
+func (t *Task) addWait(loaded bool, now time.Time) {
+	if !t.plannedAt.IsZero() {
+		if elapsed := now.Sub(t.plannedAt); loaded {
+			t.waited.Busy += elapsed
+		} else {
+			t.waited.Unloaded += elapsed
+		}
+	}
+	t.plannedAt = now
+}
+
 // sortBySlack sorts tasks by slack, and longer tasks first at equal slack.
 func (s *Scheduler) sortBySlack(waiting []*Task, pace time.Duration, now time.Time) {
 	sort.SliceStable(waiting, func(i, j int) bool {
@@ -149,7 +178,9 @@
 	task.Engine = engine.VM.ID
 	task.StartedAt = now
 	task.LastEventAt = now
-	return Launch{task, engine}
+	waited := task.waited
+	task.waited, task.plannedAt = Wait{}, time.Time{}
+	return Launch{task, engine, waited}
 }
 
 // waitingTasks returns the tasks that may start now, in order of id.
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -83,6 +83,11 @@
 	SavedEvents int
 	// Canceled reports whether the current run has been canceled.
 	Canceled bool
+
+	// waited is how long the task has waited since its last run, up to plannedAt,
+	// when it was last planned.
+	waited    Wait
+	plannedAt time.Time
 }
 
 // Group counts the unfinished tasks of a group. CompletedAt is when the last one
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -31,6 +31,27 @@
 	Nodes  = "sys/node/"
 )
 
+// Purpose returns what a key or prefix is used for.
+func Purpose(key string) string {
+	switch {
+	case strings.HasPrefix(key, prefixResults):
+		return "results"
+	case strings.HasPrefix(key, prefixPart):
+		return "parts"
+	case strings.HasPrefix(key, prefixEnd):
+		return "ends"
+	case strings.HasPrefix(key, Jobs):
+		return "jobs"
+	case strings.HasPrefix(key, prefixOrdering):
+		return "orders"
+	case strings.HasPrefix(key, Owners):
+		return "owners"
+	case strings.HasPrefix(key, System):
+		return "nodes"
+	}
+	return "other"
+}
+
 // Vault reads and writes jobs and their results.
 type Vault struct {
 	KV quetzalpier.KV
