--- a/logcap/logcap.go
+++ b/logcap/logcap.go
@@ -12,7 +12,8 @@
 const (
 	// Burst is how many warnings and errors with the same message are logged in one
 	// Period; further ones are counted.
-	Burst  = 20
+	Burst = 20
+	// Period is the time after which a message may be logged again.
 	Period = time.Second
 )
 
