peer, relay, runner: Keep listing results while the owner is cut from the store

Causes and changes: - A call to a peer that had no answer in time closed the session, and with it all other calls in progress; a relayed transaction then had an unknown outcome. The session now only gets no new calls and closes with its last one. - The stored results of uncertain jobs were read one job after the other, from the first one again after each failure. Each job is now read independently. - Watches that the node's own reset closed counted as answers of the service, so that the node tried it directly again, 0.5 s each time. A watch closed without an answer now shows nothing.

Red before, green after: peer TestTimedOutCall, runner TestRunner (a job whose stored results can't be read ...), relay TestRelay (a watch that was closed in an outage ...).

--- a/errors.go
+++ b/errors.go
@@ -115,6 +115,9 @@
 type CompactedError struct {
 	Prefix string
 	Rev    uint64
+	// Cut is set if the watch was closed without an answer, so that it may have
+	// missed changes.
+	Cut bool
 }
 
 // Error implements error.
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -49,6 +49,9 @@
 
 	mu       sync.Mutex
 	sessions map[sessionKey]*session
+	// retired are the sessions that get no new calls, and close with the last call
+	// in progress.
+	retired  map[*session]struct{}
 	accepted map[*muxSession]struct{}
 	workers  conc.WaitGroup
 	ctx      context.Context
@@ -76,6 +79,7 @@
 	c := &conns{
 		handle: handle, count: count, listener: listener, ctx: ctx, cancel: cancel,
 		sessions: map[sessionKey]*session{},
+		retired:  map[*session]struct{}{},
 		accepted: map[*muxSession]struct{}{},
 	}
 	c.workers.Go(c.accept)
@@ -92,8 +96,9 @@
 	return cfg
 }
 
-// call makes one call. If it fails other than by cancellation of ctx, the session
-// is closed, so that the next call opens a new one.
+// call makes one call. If it fails other than by cancellation of ctx, the next call
+// opens a new session. A call without an answer in time does not end the other
+// calls of its session, since only that call may be slow.
 func (c *conns) call(ctx context.Context, addr string, l lane, call *wire.Call) (*wire.Reply, error) {
 	key := sessionKey{addr, l}
 	s, err := c.session(ctx, key)
@@ -103,8 +108,11 @@
 	defer c.release(s)
 	reply, err := roundTrip(ctx, s.mux, call)
 	if err != nil {
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		switch {
+		case ctx.Err() == nil:
 			c.discard(key, s)
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+			c.retire(key, s)
 		}
 		return nil, errors.Wrapf(err, "call %s", addr)
 	}
@@ -194,10 +202,28 @@
 	defer c.mu.Unlock()
 	s.activeCalls--
 	s.lastUsed = time.Now()
+	if _, retired := c.retired[s]; retired && s.activeCalls == 0 && c.ctx.Err() == nil {
+		delete(c.retired, s)
+		c.closeSession(s)
+	}
 }
 
-// discard closes a session that failed. It does not wait, since closing takes until
-// the last write to the socket has returned.
+// retire takes a session out of use without ending its other calls.
+func (c *conns) retire(key sessionKey, s *session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sessions[key] == s {
+		delete(c.sessions, key)
+		c.retired[s] = struct{}{}
+	}
+}
+
+// closeSession closes a session without waiting, since closing takes until the last
+// write to the socket has returned. The caller holds the lock and has checked that
+// conns is not being closed.
+func (c *conns) closeSession(s *session) { c.workers.Go(func() { _ = s.mux.Close() }) }
+
+// discard closes a session that failed.
 func (c *conns) discard(key sessionKey, s *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -208,7 +234,8 @@
 	if c.sessions[key] == s {
 		delete(c.sessions, key)
 	}
-	c.workers.Go(func() { _ = s.mux.Close() })
+	delete(c.retired, s)
+	c.closeSession(s)
 }
 
 // prune closes sessions that have been idle for sessionIdleTimeout.
@@ -308,6 +335,9 @@
 	for _, s := range c.sessions {
 		open = append(open, s.mux)
 	}
+	for s := range c.retired {
+		open = append(open, s.mux)
+	}
 	for mux := range c.accepted {
 		open = append(open, mux)
 	}
--- a/peer/conns_test.go
+++ b/peer/conns_test.go
@@ -69,6 +69,39 @@
 	}
 }
 
+// Load pattern: some calls wait long for their answer, while others have short
+// deadlines.
+func TestTimedOutCall(t *testing.T) {
+	answer := make(chan struct{})
+	server, err := listen("127.0.0.1:0", func(_ context.Context, call *wire.Call) *wire.Reply {
+		if call.GetHold() != nil {
+			<-answer
+		}
+		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+	}, nil)
+	require.NoError(t, err)
+	defer server.close()
+	c, err := listen("127.0.0.1:0", nil, nil)
+	require.NoError(t, err)
+	defer c.close()
+	addr := server.listener.Addr().String()
+	hold := &wire.Call{Kind: &wire.Call_Hold{Hold: &wire.Hold{}}}
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := c.call(context.Background(), addr, control, hold)
+		waiting <- err
+	}()
+	require.Eventually(t, func() bool { return c.activeCalls() == 1 }, time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = c.call(ctx, addr, control, hold)
+	require.Error(t, err)
+	_, err = c.call(context.Background(), addr, control, &wire.Call{})
+	require.NoError(t, err, "the next call opens a new session")
+	close(answer)
+	require.NoError(t, <-waiting, "the other call of the old session gets its answer")
+}
+
 func (c *conns) activeCalls() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,7 +118,7 @@
 		if isOutcomeUnknown(err) && ctx.Err() == nil {
 			// A healthy service may close a waiting watch. The caller reads the
 			// changes that the watch may have missed.
-			err = &quetzalpier.CompactedError{Prefix: prefix, Rev: rev}
+			err = &quetzalpier.CompactedError{Prefix: prefix, Rev: rev, Cut: true}
 		}
 		return err
 	}, message, func(s *wire.Stored) {
@@ -199,7 +199,9 @@
 			// outage.
 			return err
 		}
-		k.recordDirect(err)
+		if !isCutWatch(err) {
+			k.recordDirect(err)
+		}
 		if !unavailable(err) || (isOutcomeUnknown(err) && !idempotent) {
 			return err
 		}
@@ -353,6 +355,13 @@
 // unavailable reports whether the service refused a call or did not answer.
 func unavailable(err error) bool { return isOutcomeUnknown(err) || isRefused(err) }
 
+// isCutWatch reports whether a watch was closed without an answer. That shows neither
+// that the service is available nor that it is not.
+func isCutWatch(err error) bool {
+	var compacted *quetzalpier.CompactedError
+	return errors.As(err, &compacted) && compacted.Cut
+}
+
 func isOutcomeUnknown(err error) bool {
 	var u *quetzalpier.OutcomeUnknownError
 	return errors.As(err, &u)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -29,6 +29,16 @@
 	calls   int
 	// cutWatches is the number of watches to fail while other calls work.
 	cutWatches int
+	// cutAfter delays the failure of such a watch until it is closed; nil fails it at
+	// once. waiting counts the watches that wait for it.
+	cutAfter chan struct{}
+	waiting  int
+}
+
+func (kv *faultyKV) waitingWatches() int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	return kv.waiting
 }
 
 func (kv *faultyKV) setFault(err error, applied bool) {
@@ -75,8 +85,14 @@
 	kv.mu.Lock()
 	cut := kv.cutWatches > 0
 	kv.cutWatches = max(0, kv.cutWatches-1)
+	if cut && kv.cutAfter != nil {
+		kv.waiting++
+	}
 	kv.mu.Unlock()
 	if cut {
+		if kv.cutAfter != nil {
+			<-kv.cutAfter
+		}
 		return quetzalpier.Changes{}, errNoAnswer
 	}
 	return kv.MemoryKV.WatchPrefix(ctx, prefix, rev, wait)
@@ -235,6 +251,24 @@
 		require.Len(t, found.Entries, 1)
 		require.True(t, a.DirectFailed(), "a failed read counts as an outage")
 	})
+	t.Run("a watch that was closed in an outage does not count as its end", func(t *testing.T) {
+		service := stand.NewMemoryKV()
+		a, _, directA, _ := relayPair(service)
+		closed := make(chan struct{})
+		directA.cutWatches, directA.cutAfter = 1, closed
+		watched := make(chan error, 1)
+		go func() {
+			_, err := a.WatchPrefix(t.Context(), "k/", 0, time.Second)
+			watched <- err
+		}()
+		require.Eventually(t, func() bool { return directA.waitingWatches() == 1 }, time.Second, time.Millisecond)
+		directA.setFault(errNoAnswer, false)
+		_, _ = a.Get(t.Context(), "k")
+		require.True(t, a.DirectFailed())
+		close(closed)
+		require.Error(t, <-watched)
+		require.True(t, a.DirectFailed(), "only an answer of the service ends an outage")
+	})
 	t.Run("a call canceled by its caller does not count as an outage", func(t *testing.T) {
 		service := stand.NewMemoryKV()
 		a, _, _, _ := relayPair(service)
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"quetzalpier"
 	"quetzalpier/vault"
@@ -126,6 +127,9 @@
 	defer p.mu.Unlock()
 	for _, page := range pages {
 		p.uncertain[page.Job] = true
+		if read := p.reads[page.Job]; read != nil {
+			read.outdated = true
+		}
 	}
 }
 
@@ -146,35 +150,76 @@
 }
 
 // reconcile updates the scheduler from the stored results, each time that the
-// lease was acquired anew or a result position was already occupied.
+// lease was acquired anew or a result position was already occupied. The jobs are
+// read independently: while the key-value service is unhealthy, one that can't be
+// read must not delay the others, whose trainers may wait for a last result.
 func (p *poolRunner) reconcile(ctx context.Context) {
-	for failures := 0; ; {
+	var reads conc.WaitGroup
+	defer reads.Wait()
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.reconcileDue:
 		}
+		p.mu.Lock()
 		for _, id := range p.openJobs() {
-			stored, err := p.runner.Vault.Results(ctx, id)
-			if err != nil {
-				p.runner.Log.Warn().Str("job", id).Err(err).Msg("failed to read stored results")
-				failures++
-				pauseKV(ctx, failures)
-				signal(p.reconcileDue)
-				break
+			if read := p.reads[id]; read != nil {
+				read.outdated = true
+				continue
 			}
-			failures = 0
-			p.mu.Lock()
-			p.cancelRuns(p.scheduler.Reconcile(id, stored, time.Now()))
-			delete(p.uncertain, id)
-			p.mu.Unlock()
+			p.reads[id] = &storedRead{}
+			reads.Go(func() { p.reconcileJob(ctx, id) })
 		}
+		p.mu.Unlock()
 	}
 }
 
-func (p *poolRunner) openJobs() []string {
+// storedRead is a read of a job's stored results that is in progress.
+type storedRead struct {
+	// outdated is set if the results may have changed since the read began, so that
+	// it must be repeated.
+	outdated bool
+}
+
+// reconcileJob updates one job from its stored results. It reads them until it
+// succeeds or ctx ends.
+func (p *poolRunner) reconcileJob(ctx context.Context, id string) {
+	for failures := 0; ctx.Err() == nil; {
+		p.mu.Lock()
+		p.reads[id].outdated = false
+		p.mu.Unlock()
+		stored, err := p.runner.Vault.Results(ctx, id)
+		if err != nil {
+			failures++
+			p.runner.Log.Warn().Str("job", id).Err(err).Msg("failed to read stored results")
+			pauseKV(ctx, failures)
+			continue
+		}
+		if p.applyStored(id, stored, time.Now()) {
+			return
+		}
+	}
+}
+
+// applyStored updates a job from its stored results. It returns false if they may
+// be outdated.
+func (p *poolRunner) applyStored(id string, stored []quetzalpier.Result, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.cancelRuns(p.scheduler.Reconcile(id, stored, now))
+	if p.reads[id].outdated {
+		return false
+	}
+	delete(p.uncertain, id)
+	delete(p.reads, id)
+	signal(p.resultReady)
+	return true
+}
+
+// openJobs returns the IDs of the jobs that have not ended. The caller holds the
+// lock.
+func (p *poolRunner) openJobs() []string {
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(p.scheduler.Jobs)) {
 		if !p.scheduler.Jobs[id].Ended {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -79,6 +79,8 @@
 	// uncertain are the jobs of which the key-value service may hold more
 	// results than the scheduler.
 	uncertain map[string]bool
+	// reads are the reads of stored results in progress, by job.
+	reads map[string]*storedRead
 	// dropped are the jobs that are no longer in memory and are to be deleted
 	// from the key-value service, with the time of their submission.
 	dropped map[string]time.Time
@@ -102,7 +104,7 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: tasks.NewScheduler(), engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, lastSeen: map[string]seenVersion{}, uncertain: map[string]bool{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, lastSeen: map[string]seenVersion{}, uncertain: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -35,6 +35,18 @@
 	*stand.MemoryKV
 	mu          sync.Mutex
 	lostReplies int
+	// unreadable is a prefix whose reads fail; empty for none.
+	unreadable string
+}
+
+func (s *lossyKV) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
+	s.mu.Lock()
+	fails := s.unreadable != "" && strings.HasPrefix(prefix, s.unreadable)
+	s.mu.Unlock()
+	if fails {
+		return quetzalpier.Changes{}, &quetzalpier.RefusedError{Call: "range", Reason: "unreadable"}
+	}
+	return s.MemoryKV.Range(ctx, prefix, stale)
 }
 
 func (s *lossyKV) Commit(ctx context.Context, txn quetzalpier.Txn) (uint64, error) {
@@ -353,6 +365,22 @@
 		r.kv.mu.Unlock()
 		r.waitResults(t, "b", 2)
 	})
+	t.Run("a job whose stored results can't be read does not delay the results of others", func(t *testing.T) {
+		r := newFixture(t, 1)
+		r.putJob(t, newJob("a", 1, 400))
+		r.putJob(t, newJob("b", 1, 2, 2))
+		r.waitResults(t, "b", 2)
+		r.kv.mu.Lock()
+		r.kv.lostReplies, r.kv.unreadable = 1, "out/a/"
+		r.kv.mu.Unlock()
+		r.putJob(t, newJob("c", 1, 2, 2, 2))
+		start := time.Now()
+		r.waitResults(t, "c", 3)
+		require.Less(t, time.Since(start), 2*time.Second)
+		require.Eventually(t, func() bool {
+			return len(r.runner.Read(context.Background(), &wire.Read{Job: "c"}).GetResults()) == 3
+		}, 2*time.Second, time.Millisecond)
+	})
 	t.Run("a revoked ownership key is acquired again, and no event or result is duplicated", func(t *testing.T) {
 		r := newFixture(t, 1)
 		r.putJob(t, newJob("j", 1, 100, 2, 2))
