fleet, link: End idle watches within the history and keep stated connections

Hypotheses: (1) an idle watch of 25 s meets the store's 20 s of history; each loss costs a read and five short watches a node. (2) Connections are given up after 5 s though upstreams state longer timeouts, and trainers come back every 4 s.

Change: the platform's history is a setting (window); an idle watch ends after 0.6 of it. A connection is kept for as long as the upstream states, at most a minute.

Tried and reverted: the configuration read from the domain's leader instead of the store by every node, refused once the leader heard nothing for 1.5 s.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,9 +43,13 @@
 	// are many of them, and each renewal is a call. One renewal may be lost.
 	idleLeaseTTL      = 8 * time.Second
 	idleRenewInterval = 3600 * time.Millisecond
-	// watchTimeout is how long one watch waits; the platform allows 30 s. Broken
-	// connections are detected by the renewals of the lease.
-	watchTimeout = 25 * time.Second
+	// maxWatchTimeout limits how long one watch waits; the platform allows 30 s.
+	// Broken connections are detected by the renewals of the lease.
+	maxWatchTimeout = 25 * time.Second
+	// watchHistoryShare is the share of the service's history after which an idle
+	// watch ends. One that waits for longer than the history can't be continued, and
+	// all keys must be read again.
+	watchHistoryShare = 0.6
 	// minWorkersInterval is the minimum time between two watches of the upstreams,
 	// whose entries change with every heartbeat. Updates must be applied within two
 	// seconds.
@@ -153,7 +157,7 @@
 	jobVault := n.vault
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: jobVault, Lease: n.lease, Links: n.links, Sender: n.sender,
-		KVFailed: n.kv.DirectFailed, Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(),
+		KVFailed: n.kv.DirectFailed, Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
 	}
 	n.entry = entry.New(entry.Options{
 		Board: n.Board, Sender: n.sender, Links: n.links, Vault: jobVault, Meter: n.Meter, Log: n.Log,
@@ -195,7 +199,13 @@
 }
 
 func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
-	return &mirror.Mirror{KV: n.kv, Prefix: prefix, WatchTimeout: watchTimeout, Log: n.Log, Apply: apply}
+	return &mirror.Mirror{KV: n.kv, Prefix: prefix, WatchTimeout: watchTimeout(n.Settings.KVHistory.D()), Log: n.Log, Apply: apply}
+}
+
+// watchTimeout returns how long one watch waits, given how long the service keeps
+// past changes.
+func watchTimeout(history time.Duration) time.Duration {
+	return min(maxWatchTimeout, time.Duration(watchHistoryShare*float64(history)))
 }
 
 func (n *Node) serve() error {
--- a/link/conn.go
+++ b/link/conn.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	dialTimeout     = 1 * time.Second
-	writeTimeout    = 5 * time.Second
-	maxIdleTime     = 5 * time.Second
+	dialTimeout  = 1 * time.Second
+	writeTimeout = 5 * time.Second
+	// defaultIdleTime is how long a connection may be idle and still be reused if the
+	// upstream states no timeout, and maxIdleTime if it does.
+	defaultIdleTime = 5 * time.Second
+	maxIdleTime     = time.Minute
 	keepAliveMargin = 500 * time.Millisecond
 	maxIdleConns    = 64
 	readBufferSize  = 16 << 10
--- a/link/link.go
+++ b/link/link.go
@@ -118,18 +118,21 @@
 	notCanceled := r.stopCancel()
 	if r.complete && notCanceled && !r.resp.ConnectionClose() {
 		_ = r.resp.CloseBodyStream()
-		c.idleTimeout = parseKeepAlive(string(r.Header.Peek("Keep-Alive")))
+		c.idleTimeout = IdleTime(string(r.Header.Peek("Keep-Alive")))
 		r.links.release(r.addr, c)
 		return nil
 	}
 	return c.Close()
 }
 
-// parseKeepAlive returns how long a connection may be idle and still be reused:
-// the timeout in the upstream's Keep-Alive header, less a margin for the time
-// that a request takes to reach it, and at most maxIdleTime.
-func parseKeepAlive(header string) time.Duration {
-	for part := range strings.SplitSeq(header, ",") {
+// IdleTime returns how long a connection may be idle and still be reused: the
+// timeout in the upstream's Keep-Alive header, less a margin for the time that a
+// request takes to reach it.
+//
+// Load pattern: trainers submit a step every few seconds. A connection that is given
+// up in between is opened again for each run.
+func IdleTime(keepAlive string) time.Duration {
+	for part := range strings.SplitSeq(keepAlive, ",") {
 		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !ok {
 			continue
@@ -138,7 +141,7 @@
 			return min(maxIdleTime, time.Duration(seconds)*time.Second-keepAliveMargin)
 		}
 	}
-	return maxIdleTime
+	return defaultIdleTime
 }
 
 func (l *Links) closeFailed(ctx context.Context, addr string, c *conn, stopCancel func() bool, stage Stage, err error) *Error {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -254,3 +254,12 @@
 		require.True(t, linkErr.Canceled)
 	})
 }
+
+func TestIdleTime(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"": 5 * time.Second, "max=5": 5 * time.Second, "timeout=x": 5 * time.Second,
+		"timeout=2": 1500 * time.Millisecond, "max=9, timeout=15": 14500 * time.Millisecond, "timeout=3600": time.Minute,
+	} {
+		require.Equal(t, want, link.IdleTime(header), "%q", header)
+	}
+}
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -22,8 +22,6 @@
 const (
 	// planInterval limits the time between two checks of the waiting tasks.
 	planInterval = 50 * time.Millisecond
-	// jobWatchWait is how long one watch call for jobs waits.
-	jobWatchWait = 25 * time.Second
 	// endedJobRetention is how long the results of an ended job stay in memory.
 	endedJobRetention = 10 * time.Second
 	// historyMargin is added to the time for which results must stay readable,
@@ -134,7 +132,7 @@
 }
 
 func (p *poolRunner) run() {
-	jobWatch := &mirror.Mirror{KV: p.runner.KV, Prefix: vault.Jobs, WatchTimeout: jobWatchWait, Log: p.runner.Log, Apply: p.applyChanges}
+	jobWatch := &mirror.Mirror{KV: p.runner.KV, Prefix: vault.Jobs, WatchTimeout: p.runner.WatchTimeout, Log: p.runner.Log, Apply: p.applyChanges}
 	p.goroutines.Go(func() { jobWatch.Run(p.ctx) })
 	p.goroutines.Go(func() { p.commitLoop(p.ctx) })
 	p.goroutines.Go(func() { p.rotationLoop(p.ctx) })
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -64,6 +64,9 @@
 	// Retention is how long results stay readable after a job's submission.
 	Retention time.Duration
 
+	// WatchTimeout is how long one watch call for jobs waits.
+	WatchTimeout time.Duration
+
 	// KVFailed reports whether the key-value service is unavailable to this node.
 	KVFailed func() bool
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -108,7 +108,7 @@
 	sender := send.New(r.board, links, m, 1)
 	r.runner = &runner.Runner{
 		Board: r.board, KV: r.kv, Vault: r.vault, Lease: r.lease, Links: links, Sender: sender, Engines: platform.NewEngines(),
-		Meter: m, Log: zerolog.Nop(), Retention: time.Minute, KVFailed: r.kvFailed.Load,
+		Meter: m, Log: zerolog.Nop(), Retention: time.Minute, WatchTimeout: 25 * time.Second, KVFailed: r.kvFailed.Load,
 		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
 			return nil, errors.New("no other node")
 		},
--- a/setup/serve.go
+++ b/setup/serve.go
@@ -40,6 +40,9 @@
 	// Retention is the time after submission for which a job and its results stay
 	// readable.
 	Retention Duration `toml:"history" validate:"min=1000000000,max=86400000000000"`
+	// KVHistory is the time for which the key-value service keeps past changes, which
+	// a watch needs to continue.
+	KVHistory Duration `toml:"window" validate:"min=1000000000,max=86400000000000"`
 	// SettleTime is the time after the key-value service's recovery within which
 	// entries that expired during the outage may still be missing.
 	SettleTime Duration `toml:"settle" validate:"min=0,max=60000000000"`
@@ -57,7 +60,7 @@
 	return Serve{
 		Log: "info", MemoryMiB: 256,
 		LookupTTL: Duration(time.Second), StopTimeout: Duration(8 * time.Second), OrderInterval: Duration(3 * time.Second),
-		Retention: Duration(2 * time.Minute), SettleTime: Duration(2 * time.Second),
+		Retention: Duration(2 * time.Minute), KVHistory: Duration(20 * time.Second), SettleTime: Duration(2 * time.Second),
 	}
 }
 
--- a/setup/serve_test.go
+++ b/setup/serve_test.go
@@ -45,7 +45,7 @@
 		template, err := os.ReadFile("../deploy/settings.toml")
 		require.NoError(t, err)
 		known := map[string]bool{}
-		for line := range strings.SplitSeq(serveText+"region=\nready=\nlookup=\nmetrics=\nhistory=\ndata=\nlosses=\n", "\n") {
+		for line := range strings.SplitSeq(serveText+"region=\nready=\nlookup=\nmetrics=\nhistory=\nwindow=\ndata=\nlosses=\n", "\n") {
 			name, _, _ := strings.Cut(line, "=")
 			known[strings.TrimSpace(name)] = true
 		}
