snap, fleet, mirror: Serve on nodes that start while the store is unavailable

Hypothesis: all fronts killed in an outage of the store serve nothing until it is back, although upstreams run and store machines know everything needed.

Change: nodes with a disk save their view of the platform (nodes, upstreams, configuration with revisions) and offer it to nodes that may have started: all while the store is unavailable to them, else those whose entries are gone. A node uses it only until its first read of the store, never an older one than it has, and first tries to read the store through the nodes in it. keep and snap share disk.Replace.

Red before, green after: soak TestStart (both cases red without the offers), mirror TestSeed, snap tests.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -27,6 +27,9 @@
 		n.recordStrikes(strikes, time.Now())
 		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
 	}
+	if view := call.GetView(); view != nil {
+		return n.views.receive(ctx, view)
+	}
 	if message := call.GetKeep(); message != nil {
 		return n.acceptJob(ctx, message)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,6 +103,7 @@
 	versions  *mirror.Mirror
 	retired   *mirror.Mirror
 	upstreams *upstreamList
+	views     *viewSharer
 
 	startedAt  time.Time
 	background conc.WaitGroup
@@ -153,6 +154,7 @@
 	n.sender.OnStrikes = n.sendStrikes
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log}
 	n.openMirrors()
+	n.views = &viewSharer{node: n, lapsed: map[string]lapsedMember{}}
 	n.vault = &vault.Vault{KV: n.kv}
 	jobVault := n.vault
 	n.runner = &runner.Runner{
@@ -251,7 +253,7 @@
 	ownCtx, releasePools := context.WithCancel(work)
 	defer releasePools()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.upstreams.dropExpired, n.reportUsage,
+		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.upstreams.dropExpired, n.reportUsage, n.views.run,
 	} {
 		n.background.Go(func() { run(work) })
 	}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"quetzalpier"
+	"quetzalpier/disk"
 	"quetzalpier/sleep"
 	"quetzalpier/vault"
 	"quetzalpier/wire"
@@ -31,7 +32,6 @@
 	// disk sync and a network round trip.
 	copyTimeout = 800 * time.Millisecond
 	fileSuffix  = ".job"
-	tempSuffix  = ".new"
 )
 
 // Keeper writes jobs to this VM's disk and has other nodes write copies.
@@ -100,24 +100,7 @@
 	if err != nil {
 		return err
 	}
-	file, err := os.Create(name + tempSuffix)
-	if err != nil {
-		return errors.Wrap(err, "write kept job")
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
-	if err == nil {
-		err = os.Rename(name+tempSuffix, name)
-	}
-	if err == nil {
-		err = k.syncDir()
-	}
-	return errors.Wrap(err, "write kept job")
+	return errors.Wrap(disk.Replace(name, data), "keep job")
 }
 
 func (k *Keeper) path(id string) (string, error) {
@@ -127,19 +110,6 @@
 	return filepath.Join(k.Dir, id+fileSuffix), nil
 }
 
-// syncDir syncs the directory to disk, so that file names are durable.
-func (k *Keeper) syncDir() error {
-	dir, err := os.Open(k.Dir)
-	if err != nil {
-		return err
-	}
-	err = dir.Sync()
-	if closeErr := dir.Close(); err == nil {
-		err = closeErr
-	}
-	return err
-}
-
 // Run submits kept jobs to the service until ctx ends. unavailable reports
 // whether the service can't be reached.
 func (k *Keeper) Run(ctx context.Context, unavailable func() bool) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -53,6 +53,9 @@
 	// existing keys, not only the changed ones.
 	Apply func(changed []quetzalpier.Entry, full bool, now time.Time)
 
+	// applyMu serializes the changes of the content, each with its call of Apply.
+	applyMu sync.Mutex
+
 	mu      sync.Mutex
 	entries map[string]quetzalpier.Entry
 	rev     uint64
@@ -144,10 +147,12 @@
 			changes.Rev = cur.rev
 		}
 	}
+	m.applyMu.Lock()
 	updates := m.merge(changes, full)
 	if full || len(updates) > 0 {
 		m.Apply(updates, full, now)
 	}
+	m.applyMu.Unlock()
 	cur.synced, cur.rev = true, changes.Rev
 }
 
@@ -187,6 +192,33 @@
 	m.failing = failed
 }
 
+// Seed sets the content to what another node or an earlier process has read, until
+// the first read of the own source replaces it. It does nothing, and returns false,
+// once that has happened or if the present content is as new.
+func (m *Mirror) Seed(changes quetzalpier.Changes, now time.Time) bool {
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	m.mu.Lock()
+	usable := m.lastContact.IsZero() && changes.Rev > m.rev
+	m.mu.Unlock()
+	if !usable {
+		return false
+	}
+	m.Apply(m.merge(changes, true), true, now)
+	return true
+}
+
+// Snapshot returns all keys, also while the mirror has no contact with its source.
+// It returns false if it never had any content.
+func (m *Mirror) Snapshot() (quetzalpier.Changes, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entries == nil {
+		return quetzalpier.Changes{}, false
+	}
+	return m.changesSince(0), true
+}
+
 // merge stores changes for the followers of this mirror. It returns those that
 // are not equivalent to what was stored, or all entries of a full read.
 func (m *Mirror) merge(changes quetzalpier.Changes, full bool) []quetzalpier.Entry {
@@ -265,7 +297,7 @@
 func (m *Mirror) Range() (quetzalpier.Changes, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failing || m.entries == nil {
+	if m.failing || m.lastContact.IsZero() {
 		return quetzalpier.Changes{}, m.unavailable()
 	}
 	return m.changesSince(0), nil
@@ -281,7 +313,7 @@
 func (m *Mirror) Watch(ctx context.Context, rev uint64) (quetzalpier.Changes, error) {
 	for {
 		m.mu.Lock()
-		if m.failing || m.entries == nil {
+		if m.failing || m.lastContact.IsZero() {
 			m.mu.Unlock()
 			return quetzalpier.Changes{}, m.unavailable()
 		}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -169,6 +169,55 @@
 	return kv.MemoryKV.WatchPrefix(ctx, prefix, rev, wait)
 }
 
+// outKV is a service whose reads and watches fail.
+type outKV struct{ *faultyKV }
+
+func newOutKV() outKV { return outKV{&faultyKV{MemoryKV: stand.NewMemoryKV(), err: errors.New("out")}} }
+
+func (kv outKV) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
+	if err := kv.fault(); err != nil {
+		return quetzalpier.Changes{}, err
+	}
+	return kv.MemoryKV.Range(ctx, prefix, stale)
+}
+
+func TestSeed(t *testing.T) {
+	seed := func(rev uint64, value string) quetzalpier.Changes {
+		return quetzalpier.Changes{Rev: rev, Entries: []quetzalpier.Entry{{Key: "p/a", Value: []byte(value), Rev: rev}}}
+	}
+	t.Run("the first read of the source replaces seeded content, also newer content", func(t *testing.T) {
+		kv := newOutKV()
+		m, c := startMirror(t, kv)
+		require.True(t, m.Seed(seed(1000, "seeded"), time.Now()))
+		requireValue(t, c, "p/a", "seeded")
+		put(t, kv.MemoryKV, "p/a", "read")
+		kv.setFault(nil)
+		requireValue(t, c, "p/a", "read")
+		require.False(t, m.Seed(seed(2000, "seeded"), time.Now()), "the source has been read")
+		requireValue(t, c, "p/a", "read")
+	})
+	t.Run("only newer content is seeded", func(t *testing.T) {
+		kv := newOutKV()
+		m, c := startMirror(t, kv)
+		require.True(t, m.Seed(seed(5, "five"), time.Now()))
+		require.False(t, m.Seed(seed(5, "other"), time.Now()))
+		require.False(t, m.Seed(seed(4, "four"), time.Now()))
+		requireValue(t, c, "p/a", "five")
+		require.True(t, m.Seed(seed(6, "six"), time.Now()))
+		requireValue(t, c, "p/a", "six")
+	})
+	t.Run("seeded content is not passed on to followers", func(t *testing.T) {
+		kv := newOutKV()
+		m, _ := startMirror(t, kv)
+		require.True(t, m.Seed(seed(5, "five"), time.Now()))
+		_, err := m.Range()
+		require.Error(t, err)
+		snapshot, ok := m.Snapshot()
+		require.True(t, ok)
+		require.Equal(t, uint64(5), snapshot.Rev)
+	})
+}
+
 func TestFeed(t *testing.T) {
 	feed := func(leader *mirror.Mirror, direct mirror.Source, fault func() error) *mirror.Feed {
 		return &mirror.Feed{
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -94,6 +95,26 @@
 	return false
 }
 
+// Request sends a plain request through a front and returns an error unless it is
+// served.
+func (r *Rig) Request(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Fronts[0].Settings.Front+viewPath+"single", strings.NewReader("view"))
+	if err != nil {
+		return err
+	}
+	req.Host = Host
+	req.Header.Set(platform.HeaderAttempt, "single")
+	resp, err := (&http.Client{Timeout: callTimeout}).Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
 // checkRuns checks the guarantees against what the engines ran, and the nodes for
 // unexpected exits and logged programming errors.
 func (r *Rig) checkRuns(l *Ledger) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -202,3 +202,26 @@
 		})
 	})
 }
+
+func TestStart(t *testing.T) {
+	for name, restart := range map[string]func(r *soak.Rig) []*soak.Node{
+		"every process": func(r *soak.Rig) []*soak.Node { return append(append([]*soak.Node(nil), r.Stores...), r.Fronts...) },
+		"every front":   func(r *soak.Rig) []*soak.Node { return r.Fronts },
+	} {
+		t.Run(name+" starts in an outage of the key-value service and serves before its end", func(t *testing.T) {
+			runSteps(t, func(r *soak.Rig) {
+				time.Sleep(time.Second)
+				r.KV.SetFaults(stand.KVFaults{Unavailable: true})
+				defer r.KV.SetFaults(stand.KVFaults{})
+				for _, n := range restart(r) {
+					n.Kill()
+				}
+				for _, n := range restart(r) {
+					require.NoError(t, n.Start())
+				}
+				require.True(t, r.WaitReady(t.Context(), 4*time.Second))
+				require.NoError(t, r.Request(t.Context()), "a request is served in the outage")
+			})
+		})
+	}
+}
