tasks, runner: List fewer times and keep ended jobs readable for longer

Hypotheses: (1) single results are listed although their trainer can't use an incomplete group. (2) Reads of ended jobs by other clients each cost two calls to the store, since the owner forgets a job after 10 s.

Change: results are gathered for 400 ms until the groups that the trainer waits for are complete, and listed at once from then on. Ended jobs stay with the owner for up to a minute and 32 MB of texts.

--- a/runner/commit.go
+++ b/runner/commit.go
@@ -16,7 +16,7 @@
 const (
 	// resultBatchDelay is how long finished results wait for others, to be
 	// stored in one transaction. Trainers read twice a second.
-	resultBatchDelay = 120 * time.Millisecond
+	resultBatchDelay = 400 * time.Millisecond
 	// maxPageBytes limits the texts in one page; a value of the key-value
 	// service holds 1 MB.
 	maxPageBytes   = 700 << 10
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -22,8 +22,6 @@
 const (
 	// planInterval limits the time between two checks of the waiting tasks.
 	planInterval = 50 * time.Millisecond
-	// endedJobRetention is how long the results of an ended job stay in memory.
-	endedJobRetention = 10 * time.Second
 	// historyMargin is added to the time for which results must stay readable,
 	// since the clocks of VMs differ.
 	historyMargin = 30 * time.Second
@@ -39,6 +37,9 @@
 	expireMargin = 3 * time.Second
 )
 
+// endedJobs limits how long the results of ended jobs stay in memory.
+var endedJobs = tasks.Retention{MinAge: 10 * time.Second, MaxAge: time.Minute, MaxBytes: 32 << 20}
+
 // engine is an engine of the pool.
 type engine struct {
 	tasks.Engine
@@ -278,7 +279,7 @@
 	for _, launch := range p.scheduler.Plan(engines, now) {
 		p.launch(launch)
 	}
-	for _, job := range p.scheduler.DropEnded(endedJobRetention, now) {
+	for _, job := range p.scheduler.DropEnded(endedJobs, now) {
 		p.dropped[job.Spec.ID] = job.Spec.SubmittedAt
 	}
 	for id, submittedAt := range p.dropped {
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -296,16 +296,39 @@
 	s.retained[task.Spec.ID] = entry
 }
 
-// DropEnded drops the jobs that ended, or expired with nothing pending, longer than
-// age ago, and the retained texts that expired. It returns the dropped jobs, whose
-// results remain readable in storage.
-func (s *Scheduler) DropEnded(age time.Duration, now time.Time) []*Job {
+// Retention limits how long ended jobs stay in memory for readers: at least MinAge
+// and at most MaxAge, and no longer than MinAge beyond MaxBytes of listed texts.
+type Retention struct {
+	MinAge, MaxAge time.Duration
+	MaxBytes       int
+}
+
+// DropEnded drops ended and expired jobs with nothing pending, and the retained texts
+// that expired. It returns the dropped jobs, whose results remain readable in storage.
+//
+// Load pattern: other clients read the results of ended jobs, at any node. Each such
+// read of a dropped job is two calls to the key-value service.
+func (s *Scheduler) DropEnded(limits Retention, now time.Time) []*Job {
 	var dropped []*Job
-	for id, job := range s.Jobs {
-		endedBefore := job.Ended && now.Sub(job.EndedAt) > age
-		if endedBefore || (len(job.Pending) == 0 && now.Sub(job.Spec.ExpiresAt) > age) {
-			dropped = append(dropped, job)
-			delete(s.Jobs, id)
+	drop := func(job *Job) {
+		dropped = append(dropped, job)
+		delete(s.Jobs, job.Spec.ID)
+	}
+	var kept []*Job
+	for _, job := range s.Jobs {
+		switch age, over := job.age(now); {
+		case !over || age <= limits.MinAge:
+		case age > limits.MaxAge:
+			drop(job)
+		default:
+			kept = append(kept, job)
+		}
+	}
+	sort.Slice(kept, func(i, j int) bool { return kept[i].Spec.SubmittedAt.After(kept[j].Spec.SubmittedAt) })
+	bytes := 0
+	for _, job := range kept {
+		if bytes += job.listedBytes(); bytes > limits.MaxBytes {
+			drop(job)
 		}
 	}
 	for id, entry := range s.retained {
@@ -316,6 +339,26 @@
 	return dropped
 }
 
+// age returns how long ago the job ended, or expired with nothing pending. It returns
+// false if it did neither.
+func (j *Job) age(now time.Time) (age time.Duration, over bool) {
+	switch {
+	case j.Ended:
+		return now.Sub(j.EndedAt), true
+	case len(j.Pending) == 0 && now.After(j.Spec.ExpiresAt):
+		return now.Sub(j.Spec.ExpiresAt), true
+	}
+	return 0, false
+}
+
+func (j *Job) listedBytes() int {
+	bytes := 0
+	for _, result := range j.Listed {
+		bytes += len(result.Text)
+	}
+	return bytes
+}
+
 // Finish records the score of a task and adds its text to the job's pending
 // results.
 func (s *Scheduler) Finish(task *Task, score string, now time.Time) {
@@ -444,21 +487,26 @@
 	task.SavedEvents = len(text.Events)
 }
 
-// lastTasks is the number of unfinished tasks of a job at or below which its
-// results are listed at once instead of being gathered: the last results come one
-// by one.
+// lastTasks is the number of unfinished tasks at or below which the results of a job
+// without a number of wanted groups are listed at once: the last ones come one by
+// one.
 const lastTasks = 6
 
 // FlushDelay returns how much longer pending results may be gathered before they
 // are stored, at most gather. It is zero if a job with pending results is satisfied
-// or has few unfinished tasks, since its trainer then waits for just these results.
+// or finished, since its trainer then waits for just these results.
+//
+// Load pattern: the last tasks of a step end one by one. Each listing is a call to
+// the key-value service, and a trainer that reads an incomplete group comes back half
+// a second later.
 func (s *Scheduler) FlushDelay(gather time.Duration, now time.Time) time.Duration {
 	remaining := gather
 	for _, job := range s.Jobs {
 		if len(job.Pending) == 0 {
 			continue
 		}
-		if job.Satisfied() || job.Unfinished() <= lastTasks {
+		unfinished := job.Unfinished()
+		if job.Satisfied() || unfinished == 0 || (job.Spec.WantGroups == 0 && unfinished <= lastTasks) {
 			return 0
 		}
 		remaining = min(remaining, gather-now.Sub(job.PendingAt))
