--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -109,6 +109,8 @@
 		kv.setFault(&quetzalpier.CompactedError{Prefix: "p/"})
 		put(t, kv, "p/a", "2")
 		requireValue(t, c, "p/a", "2")
+		// The watch in progress may have delivered the change; the next one fails.
+		require.Eventually(t, func() bool { kv.mu.Lock(); defer kv.mu.Unlock(); return kv.failed > 0 }, eventuallyTimeout, time.Millisecond)
 		kv.mu.Lock()
 		kv.emptyWatches = 1
 		kv.err = nil
@@ -133,6 +135,8 @@
 	*stand.MemoryKV
 	mu  sync.Mutex
 	err error
+	// failed counts the calls that failed with err.
+	failed int
 	// emptyWatches is the number of watches that return no changes, but the
 	// latest revision.
 	emptyWatches int
@@ -147,6 +151,9 @@
 func (kv *faultyKV) fault() error {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
+	if kv.err != nil {
+		kv.failed++
+	}
 	return kv.err
 }
 
