tasks: Measure how many hinted tokens make an event

Hypothesis: a task's length is estimated from its hint with 46 tokens an event, the number of the first deployments; others send 62 to 88, so that every task looks up to twice as long as it is.

Change: the quotient of hints and events of finished tasks, per model, decaying; 46 until 100 events were seen.

Red before, green after: tasks TestHintedLength.

--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -1,6 +1,7 @@
 package tasks
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -12,7 +13,8 @@
 	// defaultLength is the expected number of events of a task without a length
 	// hint.
 	defaultLength = 16
-	// EventTokens is the number of tokens per event of an engine.
+	// EventTokens is the assumed number of hinted tokens per event, until enough
+	// tasks have finished to measure it.
 	EventTokens = 46
 	// defaultPace is the assumed time per event of an engine without a measurement.
 	defaultPace = 35 * time.Millisecond
@@ -222,7 +224,7 @@
 func (t *Task) remainingEvents() int {
 	expected := defaultLength
 	if t.Spec.LengthHint > 0 {
-		expected = (t.Spec.LengthHint + EventTokens - 1) / EventTokens
+		expected = int(math.Ceil(float64(t.Spec.LengthHint) / t.Job.stats.eventTokens()))
 	}
 	generated := len(t.Text.Events)
 	return max(1, expected-generated, generated/2)
--- a/tasks/plan_test.go
+++ b/tasks/plan_test.go
@@ -225,3 +225,36 @@
 	t.Logf("mean time of a step: %s, naive %s", ours/20, naive/20)
 	require.Less(t, ours, naive*9/10)
 }
+
+// Load pattern: a deployment's engines send more tokens in an event than others. With
+// an assumed number, all its tasks look longer than they are.
+func TestHintedLength(t *testing.T) {
+	const tokensPerEvent = 2 * tasks.EventTokens
+	engines := []*tasks.Engine{newEngine("slow", 2, 2), newEngine("a", 2, 2), newEngine("b", 2, 2)}
+	for _, e := range engines {
+		e.EventTime = 35 * time.Millisecond
+	}
+	engines[0].EventTime = 80 * time.Millisecond
+	movesShortTask := func(scheduler *tasks.Scheduler, id string) bool {
+		spec := newSpec(id, 1, 1)
+		spec.Tasks[0].LengthHint = 5 * tokensPerEvent
+		task := scheduler.Add(spec, nil, start).Tasks[0]
+		task.Phase, task.Engine, task.StartedAt, task.LastEventAt = tasks.Running, "slow", start.Add(-time.Second), start
+		moved := len(scheduler.TasksToMove(engines, start)) == 1
+		scheduler.End(id, start)
+		return moved
+	}
+	scheduler := tasks.NewScheduler()
+	require.True(t, movesShortTask(scheduler, "before"), "ten events are expected, and five are left")
+	spec := newSpec("j", 1, 20)
+	for i := range spec.Tasks {
+		spec.Tasks[i].LengthHint = 10 * tokensPerEvent
+	}
+	for _, task := range scheduler.Add(spec, nil, start).Tasks {
+		for range 10 {
+			task.Text.Add("event", 2)
+		}
+		scheduler.Finish(task, "", start)
+	}
+	require.False(t, movesShortTask(scheduler, "after"), "five events don't pay for a move")
+}
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -109,6 +109,7 @@
 	PendingAt time.Time
 	Ended     bool
 	EndedAt   time.Time
+	stats     *stats
 	// CompleteGroups counts the groups whose tasks are all finished.
 	CompleteGroups int
 	// Changed is closed, and replaced by a new channel, when results are listed or
@@ -146,6 +147,10 @@
 
 // stats holds the observed task lengths of a model.
 type stats struct {
+	// hintTokens and events are decaying sums over finished tasks with a length hint.
+	hintTokens float64
+	events     float64
+
 	// jobEvents is the moving average of the expected number of events of a job.
 	// longestTask is the decaying maximum of the events of a task.
 	jobEvents   float64
@@ -153,6 +158,10 @@
 }
 
 const (
+	// hintDecay is applied to the sums of hints and events at each finished task.
+	// minHintEvents is the number of events from which on their quotient is used.
+	hintDecay     = 0.99
+	minHintEvents = 100
 	// jobEventsWeight is the weight of a new job in the moving average.
 	// longestTaskDecay is applied at each finished task, so that the maximum
 	// decays within a few steps.
@@ -160,6 +169,24 @@
 	longestTaskDecay = 0.997
 )
 
+// observe adds a finished task.
+func (m *stats) observe(hint, events int) {
+	m.longestTask = max(m.longestTask*longestTaskDecay, float64(events))
+	if hint > 0 && events > 0 {
+		m.hintTokens = m.hintTokens*hintDecay + float64(hint)
+		m.events = m.events*hintDecay + float64(events)
+	}
+}
+
+// eventTokens returns the number of hinted tokens per event. Engines group tokens
+// into events in their own way.
+func (m *stats) eventTokens() float64 {
+	if m == nil || m.events < minHintEvents {
+		return EventTokens
+	}
+	return m.hintTokens / m.events
+}
+
 // NewScheduler returns a scheduler without jobs.
 func NewScheduler() *Scheduler {
 	return &Scheduler{Jobs: map[string]*Job{}, retained: map[string]retainedText{}, models: map[string]*stats{}}
@@ -199,7 +226,7 @@
 	if present := s.Jobs[spec.ID]; present != nil {
 		return present
 	}
-	job := &Job{Spec: spec, Listed: listed, Changed: make(chan struct{})}
+	job := &Job{Spec: spec, Listed: listed, Changed: make(chan struct{}), stats: s.modelStats(spec.Model)}
 	groups := map[string]*Group{}
 	done := make(map[string]bool, len(listed))
 	for _, result := range listed {
@@ -362,8 +389,7 @@
 // Finish records the score of a task and adds its text to the job's pending
 // results.
 func (s *Scheduler) Finish(task *Task, score string, now time.Time) {
-	model := s.modelStats(task.Job.Spec.Model)
-	model.longestTask = max(model.longestTask*longestTaskDecay, float64(len(task.Text.Events)))
+	s.modelStats(task.Job.Spec.Model).observe(task.Spec.LengthHint, len(task.Text.Events))
 	task.addResult(quetzalpier.Result{
 		ID: task.Spec.ID, Done: true, Text: task.Text.Join(), Versions: task.Text.Versions, Score: score,
 	}, now)
