--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -112,6 +112,17 @@
 	require.NotEmpty(t, r.Calls)
 }
 
+// failAll makes the workers answer every request with an error for the given time.
+func failAll(workers []*stand.Worker, duration time.Duration) {
+	for _, w := range workers {
+		w.SetFaults(stand.WorkerFaults{Status: http.StatusBadGateway, StatusCount: 1 << 20})
+	}
+	time.Sleep(duration)
+	for _, w := range workers {
+		w.SetFaults(stand.WorkerFaults{})
+	}
+}
+
 func TestFaults(t *testing.T) {
 	t.Run("every store node is killed, one after the other", func(t *testing.T) {
 		runSteps(t, func(r *soak.Rig) {
@@ -172,26 +183,10 @@
 		})
 	})
 	t.Run("every engine answers with an error", func(t *testing.T) {
-		runSteps(t, func(r *soak.Rig) {
-			for _, e := range r.Engines {
-				e.SetFaults(stand.WorkerFaults{Status: http.StatusBadGateway, StatusCount: 1 << 20})
-			}
-			time.Sleep(3 * time.Second)
-			for _, e := range r.Engines {
-				e.SetFaults(stand.WorkerFaults{})
-			}
-		})
+		runSteps(t, func(r *soak.Rig) { failAll(r.Engines, 3*time.Second) })
 	})
 	t.Run("the reward service is unavailable", func(t *testing.T) {
-		runSteps(t, func(r *soak.Rig) {
-			for _, w := range r.Plains {
-				w.SetFaults(stand.WorkerFaults{Status: http.StatusBadGateway, StatusCount: 1 << 20})
-			}
-			time.Sleep(4 * time.Second)
-			for _, w := range r.Plains {
-				w.SetFaults(stand.WorkerFaults{})
-			}
-		})
+		runSteps(t, func(r *soak.Rig) { failAll(r.Plains, 4*time.Second) })
 	})
 	t.Run("the key-value service loses responses to writes", func(t *testing.T) {
 		runSteps(t, func(r *soak.Rig) {
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -31,23 +31,23 @@
 	Nodes  = "sys/node/"
 )
 
-// Purpose returns what a key or prefix is used for.
+// purposes names the prefixes, the longer ones before those that they start with.
+var purposes = []struct{ prefix, name string }{
+	{prefixResults, "results"},
+	{prefixPart, "parts"},
+	{prefixEnd, "ends"},
+	{Jobs, "jobs"},
+	{prefixOrdering, "orders"},
+	{Owners, "owners"},
+	{System, "nodes"},
+}
+
+// Purpose returns what a key or prefix is used for, or "other".
 func Purpose(key string) string {
-	switch {
-	case strings.HasPrefix(key, prefixResults):
-		return "results"
-	case strings.HasPrefix(key, prefixPart):
-		return "parts"
-	case strings.HasPrefix(key, prefixEnd):
-		return "ends"
-	case strings.HasPrefix(key, Jobs):
-		return "jobs"
-	case strings.HasPrefix(key, prefixOrdering):
-		return "orders"
-	case strings.HasPrefix(key, Owners):
-		return "owners"
-	case strings.HasPrefix(key, System):
-		return "nodes"
+	for _, purpose := range purposes {
+		if strings.HasPrefix(key, purpose.prefix) {
+			return purpose.name
+		}
 	}
 	return "other"
 }
