admit, send: Refuse waiting requests that no upstream can answer in time

Hypothesis: in a burst, requests wait until their deadline. One that is granted in its last moments takes a slot for an answer that nobody waits for; one that is not is refused when it is too late to go elsewhere.

Change: a queue keeps a low estimate of its upstreams' service time, which falls to each shorter observation and rises slowly. A request is refused at once, or stops waiting, when its deadline is nearer than that.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -20,6 +20,9 @@
 	// minRetryAfter and maxRetryAfter bound the delay suggested to refused requests.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
+	// serviceRise is the share by which the estimate of the service time rises towards
+	// each longer observation. It falls to a shorter one at once.
+	serviceRise = 0.02
 )
 
 // minShares is the minimum share of the grants of each class while it has waiting
@@ -48,6 +51,9 @@
 	classes [len(minShares)]classQueue
 	waiting int
 	rate    rate
+	// service is a low estimate of the time that an upstream takes for a request;
+	// zero while unknown.
+	service time.Duration
 }
 
 // classQueue holds the waiting tickets of one class, sorted by finish.
@@ -62,14 +68,40 @@
 	credit float64
 }
 
-// Enqueue adds a ticket. It refuses the ticket if the queue is full or the expected
-// wait exceeds the deadline; after is then the retry delay for the caller.
+// ObserveService updates the estimate of the service time with one request that was
+// answered.
+func (q *Queue) ObserveService(took time.Duration) {
+	if q.service == 0 || took < q.service {
+		q.service = took
+		return
+	}
+	q.service += time.Duration(serviceRise * float64(took-q.service))
+}
+
+// LatestStart returns when the ticket must be granted so that even a fast upstream
+// can answer before its deadline; zero if it has none.
+//
+// Load pattern: in a burst at slow upstreams, requests wait until their deadline. One
+// that is granted in its last moments occupies a slot for an answer that nobody waits
+// for, and one that is not is refused too late to try elsewhere.
+func (q *Queue) LatestStart(t *Ticket) time.Time {
+	if t.Deadline.IsZero() {
+		return time.Time{}
+	}
+	return t.Deadline.Add(-q.service)
+}
+
+// Enqueue adds a ticket. It refuses the ticket if the queue is full or it is not
+// expected to be granted in time; after is then the retry delay for the caller.
 func (q *Queue) Enqueue(t *Ticket, now time.Time) (after time.Duration, ok bool) {
 	if q.waiting >= maxWaiting {
 		return q.retryAfter(q.waiting, now), false
 	}
 	ahead := q.countAhead(t.Class)
-	if wait, known := q.estimateWait(ahead, now); known && ahead > minRefuseAhead && !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline) {
+	if latest := q.LatestStart(t); !latest.IsZero() && now.After(latest) {
+		return q.retryAfter(ahead, now), false
+	}
+	if wait, known := q.estimateWait(ahead, now); known && ahead > minRefuseAhead && !t.Deadline.IsZero() && now.Add(wait).After(q.LatestStart(t)) {
 		return q.retryAfter(ahead, now), false
 	}
 	q.classes[t.Class].add(t)
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -152,3 +152,24 @@
 		require.Equal(t, 1, q.Len())
 	})
 }
+
+// Load pattern: six times the usual requests, at upstreams that take 100 ms and more.
+func TestLatestStart(t *testing.T) {
+	q := &admit.Queue{}
+	ticket := &admit.Ticket{Class: interactive, Deadline: start.Add(80 * time.Millisecond)}
+	require.Equal(t, ticket.Deadline, q.LatestStart(ticket), "the service time is unknown")
+	q.ObserveService(100 * time.Millisecond)
+	_, ok := q.Enqueue(ticket, start)
+	require.False(t, ok, "not even a fast upstream can answer in time")
+	ticket.Deadline = start.Add(250 * time.Millisecond)
+	_, ok = q.Enqueue(ticket, start)
+	require.True(t, ok)
+	require.Equal(t, start.Add(150*time.Millisecond), q.LatestStart(ticket), "it gives up while another node could serve it")
+	for range 50 {
+		q.ObserveService(200 * time.Millisecond)
+	}
+	require.Less(t, q.LatestStart(ticket), start.Add(100*time.Millisecond), "upstreams became slow")
+	q.ObserveService(20 * time.Millisecond)
+	require.Equal(t, start.Add(230*time.Millisecond), q.LatestStart(ticket), "one fast answer shows what is possible")
+	require.Zero(t, q.LatestStart(&admit.Ticket{Class: rollout}))
+}
--- a/send/queue.go
+++ b/send/queue.go
@@ -88,7 +88,10 @@
 func (s *Sender) awaitGrant(ctx context.Context, w *waiter, job *Job) (quetzalpier.VM, error) {
 	var expired <-chan time.Time
 	if !job.Deadline.IsZero() {
-		timer := time.NewTimer(time.Until(job.Deadline))
+		s.mu.Lock()
+		latest := s.poolQueue(job.Pool).LatestStart(w.ticket)
+		s.mu.Unlock()
+		timer := time.NewTimer(time.Until(latest))
 		defer timer.Stop()
 		expired = timer.C
 	}
--- a/send/send.go
+++ b/send/send.go
@@ -205,6 +205,9 @@
 	s.Meter.Attempts.WithLabelValues(job.Pool, outcomeLabel(ctx, err)).Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err == nil && a.Units == 1 {
+		s.poolQueue(job.Pool).ObserveService(now.Sub(start))
+	}
 	s.grantSlots(job.Pool, now)
 }
 
