--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,7 +49,7 @@
 	// watchHistoryShare is the share of the service's history after which an idle
 	// watch ends. One that waits for longer than the history can't be continued, and
 	// all keys must be read again.
-	watchHistoryShare = 0.6
+	watchHistoryShare = 0.85
 	// minWorkersInterval is the minimum time between two watches of the upstreams,
 	// whose entries change with every heartbeat. Updates must be applied within two
 	// seconds.
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -11,7 +11,7 @@
 // history, at all nodes at once.
 func TestWatchTimeout(t *testing.T) {
 	for history, want := range map[time.Duration]time.Duration{
-		20 * time.Second: 12 * time.Second, 5 * time.Second: 3 * time.Second, time.Hour: maxWatchTimeout,
+		20 * time.Second: 17 * time.Second, 4 * time.Second: 3400 * time.Millisecond, time.Hour: maxWatchTimeout,
 	} {
 		require.Equal(t, want, watchTimeout(history))
 	}
