runner, report: Log results that turn out to be stored

A transaction whose answer was lost leaves no line "stored results"; the results are found later by reading them back, or by the next owner. Both log it now ("found stored results", whole in "job opened"), and the report takes them as listed.

--- a/report/lines.go
+++ b/report/lines.go
@@ -63,6 +63,7 @@
 	messageRun         = "run ended"
 	messageScored      = "task scored"
 	messageStored      = "stored results"
+	messageFound       = "found stored results"
 	messageEnded       = "job ended"
 	messageEndStored   = "job end stored"
 	messageStarted     = "node started"
@@ -76,7 +77,7 @@
 )
 
 var usedMessages = map[string]bool{
-	messageAccepted: true, messageOpened: true, messageRun: true, messageScored: true, messageStored: true, messageEnded: true,
+	messageAccepted: true, messageOpened: true, messageRun: true, messageScored: true, messageStored: true, messageFound: true, messageEnded: true,
 	messageEndStored: true, messageStarted: true, messageUsage: true, messageRefused: true, messageServedLate: true,
 }
 
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -78,6 +78,11 @@
 			}
 		}
 	})
+	t.Run("results whose transaction got no answer are listed once they are found", func(t *testing.T) {
+		_, owner := stepLogs()
+		step := read(t, strings.ReplaceAll(owner, "stored results", "found stored results")).Steps[0]
+		require.InDelta(t, 9.5, step.Listed, 1e-6)
+	})
 	t.Run("a step that was never listed is late", func(t *testing.T) {
 		_, owner := stepLogs()
 		owner, _, _ = strings.Cut(owner, `{"node":"o","time":"2026-05-04T12:00:09.500`)
--- a/report/steps.go
+++ b/report/steps.go
@@ -123,14 +123,13 @@
 		j.submitted(l.Time.Add(-milliseconds(l.Age)))
 		setFirst(&j.openedAt, l.Time)
 		j.want, j.objective = l.Want, milliseconds(l.Objective)
+		j.listed(l)
 	case messageRun:
 		s.addRun(j, l)
 	case messageScored:
 		j.task(l.Task).scoredAt = l.Time
-	case messageStored:
-		if j.want > 0 && l.Whole >= j.want {
-			setFirst(&j.listedAt, l.Time)
-		}
+	case messageStored, messageFound:
+		j.listed(l)
 	case messageEnded, messageEndStored:
 		setFirst(&j.endedAt, l.Time)
 	}
@@ -143,6 +142,14 @@
 	}
 }
 
+// listed records that the groups that the trainer waits for are stored, if a line
+// shows it.
+func (j *jobLog) listed(l *line) {
+	if j.want > 0 && l.Whole >= j.want {
+		setFirst(&j.listedAt, l.Time)
+	}
+}
+
 func setFirst(t *time.Time, at time.Time) {
 	if t.IsZero() {
 		*t = at
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -207,7 +207,12 @@
 func (p *poolRunner) applyStored(id string, stored []quetzalpier.Result, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cancelRuns(p.scheduler.Reconcile(id, stored, now))
+	if job := p.scheduler.Jobs[id]; job != nil && len(stored) > len(job.Listed) {
+		from := len(job.Listed)
+		p.cancelRuns(p.scheduler.Reconcile(id, stored, now))
+		p.runner.Log.Info().Str("job", id).Int("from", from).Int("results", len(stored)-from).Int("whole", job.CompleteGroups).
+			Msg("found stored results")
+	}
 	if p.reads[id].outdated {
 		return false
 	}
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -220,7 +220,7 @@
 		}
 	}
 	p.runner.Log.Info().Str("job", job.ID).Str("model", job.Model).Int("step", job.Step).Uint64("floor", uint64(job.MinVersion)).Int("want", job.WantGroups).
-		Int("tasks", len(job.Tasks)).Dur("objective_ms", job.DueAt.Sub(job.SubmittedAt)).Int("listed", len(stored)).Int("resumed", len(parts)).Dur("age_ms", now.Sub(job.SubmittedAt)).Msg("job opened")
+		Int("tasks", len(job.Tasks)).Dur("objective_ms", job.DueAt.Sub(job.SubmittedAt)).Int("listed", len(stored)).Int("whole", opened.CompleteGroups).Int("resumed", len(parts)).Dur("age_ms", now.Sub(job.SubmittedAt)).Msg("job opened")
 }
 
 // knownJob reports whether a job is open here or has ended. The caller holds
