--- a/link/cause.go
+++ b/link/cause.go
@@ -3,7 +3,7 @@
 // Purpose is the kind of call for which a connection is opened.
 type Purpose string
 
-// The purposes of calls. A call without a purpose counts as a request.
+// The purposes of calls.
 const (
 	PurposeRequest Purpose = "request"
 	PurposeStream  Purpose = "stream"
--- a/report/lines.go
+++ b/report/lines.go
@@ -58,22 +58,27 @@
 
 // Messages of the lines that a report uses.
 const (
-	messageAccepted    = "job accepted"
-	messageOpened      = "job opened"
-	messageRun         = "run ended"
-	messageScored      = "task scored"
-	messageStored      = "stored results"
-	messageFound       = "found stored results"
-	messageEnded       = "job ended"
-	messageEndStored   = "job end stored"
-	messageStarted     = "node started"
-	messageUsage       = "usage"
-	messageRefused     = "request refused"
-	messageServedLate  = "request served late"
-	maxLineBytes       = 1 << 20
-	maxNamedBroken     = 20
-	readerBufferBytes  = 256 << 10
-	messageFieldPrefix = `"message":"`
+	messageAccepted   = "job accepted"
+	messageOpened     = "job opened"
+	messageRun        = "run ended"
+	messageScored     = "task scored"
+	messageStored     = "stored results"
+	messageFound      = "found stored results"
+	messageEnded      = "job ended"
+	messageEndStored  = "job end stored"
+	messageStarted    = "node started"
+	messageUsage      = "usage"
+	messageRefused    = "request refused"
+	messageServedLate = "request served late"
+)
+
+const (
+	maxLineBytes      = 1 << 20
+	readerBufferBytes = 256 << 10
+	// maxNamedBroken is how many broken lines are named; all are counted.
+	maxNamedBroken = 20
+	// messageField is how the field with the message begins; zerolog writes it last.
+	messageField = `"message":"`
 )
 
 var usedMessages = map[string]bool{
@@ -136,8 +141,8 @@
 	}
 	text = text[start:]
 	// Most lines are skipped without being decoded.
-	if i := bytes.LastIndex(text, []byte(messageFieldPrefix)); i >= 0 {
-		message, _, found := bytes.Cut(text[i+len(messageFieldPrefix):], []byte(`"`))
+	if i := bytes.LastIndex(text, []byte(messageField)); i >= 0 {
+		message, _, found := bytes.Cut(text[i+len(messageField):], []byte(`"`))
 		if found && !usedMessages[string(message)] && bytes.HasSuffix(bytes.TrimSpace(text), []byte("}")) {
 			r.report.Lines++
 			return false
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -37,8 +37,8 @@
 	expireMargin = 3 * time.Second
 )
 
-// endedJobs limits how long the results of ended jobs stay in memory.
-var endedJobs = tasks.Retention{MinAge: 10 * time.Second, MaxAge: time.Minute, MaxBytes: 32 << 20}
+// endedRetention limits how long the results of ended jobs stay in memory.
+var endedRetention = tasks.Retention{MinAge: 10 * time.Second, MaxAge: time.Minute, MaxBytes: 32 << 20}
 
 // engine is an engine of the pool.
 type engine struct {
@@ -279,7 +279,7 @@
 	for _, launch := range p.scheduler.Plan(engines, now) {
 		p.launch(launch)
 	}
-	for _, job := range p.scheduler.DropEnded(endedJobs, now) {
+	for _, job := range p.scheduler.DropEnded(endedRetention, now) {
 		p.dropped[job.Spec.ID] = job.Spec.SubmittedAt
 	}
 	for id, submittedAt := range p.dropped {
