trial: Name load patterns by their trainers

The simulator chose its load by the name of a user's deployment, and took any other name for the second one. The simulated loads are the same.

--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -11,7 +11,7 @@
 )
 
 type trialCommand struct {
-	Deployments []string `long:"place" default:"hraunmot" default:"redline" description:"deployment; may be repeated"`
+	Loads       []string `long:"load" choice:"single" choice:"double" default:"single" default:"double" description:"load pattern, by its number of trainers; may be repeated"`
 	Scenarios   []string `long:"scenario" description:"scenario; may be repeated; all by default"`
 	Seeds       int      `long:"seeds" default:"10" description:"number of seeds; each one runs under every policy"`
 	Policies    []string `long:"policy" default:"naive" default:"ours" description:"naive, ours, or ours with one decision replaced by its naive version: no-route, no-admit, no-step, no-swap, no-retry"`
@@ -56,9 +56,9 @@
 		c.Scenarios = trial.ScenarioNames()
 	}
 	var scenarios []trial.Scenario
-	for _, deployment := range c.Deployments {
+	for _, load := range c.Loads {
 		for _, name := range c.Scenarios {
-			scenarios = append(scenarios, trial.NewScenario(deployment, name))
+			scenarios = append(scenarios, trial.NewScenario(load, name))
 		}
 	}
 	rows := trial.RunScenarios(scenarios, chosen, c.Seeds, runtime.NumCPU())
--- a/trial/scenario.go
+++ b/trial/scenario.go
@@ -54,14 +54,21 @@
 	Faults     []Fault
 }
 
-// deployment returns the scenario of a user's deployment, without faults. The
-// engines' step times are assumed, as the users' figures for them are missing.
-func deployment(name string) Scenario {
+// The load patterns: one trainer with large steps, and two trainers that publish
+// versions periodically, each beside two callers.
+const (
+	LoadSingle = "single"
+	LoadDouble = "double"
+)
+
+// baseScenario returns the scenario of a load pattern, without faults. The engines'
+// step times are assumed, as the users' figures for them are missing.
+func baseScenario(load string) Scenario {
 	s := Scenario{
 		Engines: 9, Gates: 3, SwapTime: 3 * time.Second, MinServing: 0.5, Duration: 15 * time.Minute,
 		Params: model.Params{BaseTime: 40 * time.Millisecond, PerSeq: 600 * time.Microsecond, PerPrompt: 100 * time.Microsecond, Slots: 32, CacheSize: 48, TokensPerStep: 4},
 	}
-	if name == "hraunmot" {
+	if load == LoadSingle {
 		s.Callers = []Caller{
 			{"quote", quetzalpier.ClassInteractive, 48, 400, 12, constantRate(6)},
 			{"lookup", quetzalpier.ClassInternal, 16, 200, 30, constantRate(3)},
@@ -100,13 +107,10 @@
 // ScenarioNames returns the scenarios' names.
 func ScenarioNames() []string { return append([]string(nil), scenarioNames...) }
 
-// Deployments returns the deployments' names.
-func Deployments() []string { return []string{"hraunmot", "redline"} }
-
-// NewScenario returns the named scenario of a deployment.
-func NewScenario(deploymentName, name string) Scenario {
-	s := deployment(deploymentName)
-	s.Name = deploymentName + "/" + name
+// NewScenario returns the named scenario under a load pattern.
+func NewScenario(load, name string) Scenario {
+	s := baseScenario(load)
+	s.Name = load + "/" + name
 	switch name {
 	case "peak":
 		for i := range s.Callers {
