--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -11,13 +11,13 @@
 )
 
 type trialCommand struct {
-	Loads       []string `long:"load" choice:"single" choice:"double" default:"single" default:"double" description:"load pattern, by its number of trainers; may be repeated"`
-	Scenarios   []string `long:"scenario" description:"scenario; may be repeated; all by default"`
-	Seeds       int      `long:"seeds" default:"10" description:"number of seeds; each one runs under every policy"`
-	Policies    []string `long:"policy" default:"naive" default:"ours" description:"naive, ours, or ours with one decision replaced by its naive version: no-route, no-admit, no-step, no-swap, no-retry"`
-	Pools       bool     `long:"pools" description:"simulate the steps of one pool instead, and compare longest-first order, placement, moves and resumption with their naive versions"`
-	JSON        bool     `long:"json" description:"print JSON"`
-	Plot        string   `long:"plot" description:"PNG file for a plot of the idle times"`
+	Loads     []string `long:"load" choice:"single" choice:"double" default:"single" default:"double" description:"load pattern, by its number of trainers; may be repeated"`
+	Scenarios []string `long:"scenario" description:"scenario; may be repeated; all by default"`
+	Seeds     int      `long:"seeds" default:"10" description:"number of seeds; each one runs under every policy"`
+	Policies  []string `long:"policy" default:"naive" default:"ours" description:"naive, ours, or ours with one decision replaced by its naive version: no-route, no-admit, no-step, no-swap, no-retry"`
+	Pools     bool     `long:"pools" description:"simulate the steps of one pool instead, and compare longest-first order, placement, moves and resumption with their naive versions"`
+	JSON      bool     `long:"json" description:"print JSON"`
+	Plot      string   `long:"plot" description:"PNG file for a plot of the idle times"`
 }
 
 func addTrial(p *flags.Parser) error {
