fleet, entry: Log changes of the list of nodes and of the addresses in lookups

Each node now logs and counts the changes of its list of nodes, and each front why it names an address or stops doing so.

--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -54,20 +54,29 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var draining []string
+	first := len(e.seenNodes) == 0
 	e.Board.Do(func(s *board.State) {
 		for id, m := range s.Members {
 			switch {
 			case m.HTTP == "":
 			case m.Usable():
+				if _, known := e.seenNodes[id]; !known && !first {
+					e.Log.Info().Str("member", id).Str("front", m.HTTP).Msg("lookups name a front")
+				}
 				e.seenNodes[id] = seenNode{m.HTTP, now}
 			default:
-				delete(e.seenNodes, id)
+				e.withdraw(id, "draining", now)
 				draining = append(draining, m.HTTP)
 			}
 		}
 		for id, node := range e.seenNodes {
-			if _, listed := s.Members[id]; !listed && (kvStable || now.Sub(node.seenAt) > lapsedNodeTTL) {
-				delete(e.seenNodes, id)
+			if _, listed := s.Members[id]; listed {
+				continue
+			}
+			if kvStable {
+				e.withdraw(id, "entry missing", now)
+			} else if now.Sub(node.seenAt) > lapsedNodeTTL {
+				e.withdraw(id, "entry missing for too long", now)
 			}
 		}
 	})
@@ -81,3 +90,15 @@
 	sort.Strings(addrs)
 	return addrs[:min(len(addrs), maxAddrs)]
 }
+
+// withdraw takes a front out of the answers, if it is in them; the caller holds the
+// lock.
+func (e *Entry) withdraw(id, reason string, now time.Time) {
+	node, named := e.seenNodes[id]
+	if !named {
+		return
+	}
+	delete(e.seenNodes, id)
+	e.Log.Info().Str("member", id).Str("front", node.addr).Str("reason", reason).Dur("unlisted_ms", now.Sub(node.seenAt)).
+		Msg("lookups no longer name a front")
+}
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"reflect"
 	"strings"
 	"sync"
@@ -102,6 +103,7 @@
 
 func (n *Node) applyMembers(changed []quetzalpier.Entry, full bool, now time.Time) {
 	n.Board.Update(func(s *board.State) {
+		before := maps.Clone(s.Members)
 		if full {
 			clear(s.Members)
 		}
@@ -110,9 +112,35 @@
 				n.setMember(s, id, e, now)
 			}
 		}
+		n.recordMembers(before, s.Members)
 	})
 }
 
+// recordMembers logs and counts the nodes that were listed, changed their state or
+// are no longer listed. The first list is logged as a whole.
+func (n *Node) recordMembers(before, after map[string]board.Member) {
+	if len(before) == 0 {
+		n.Log.Info().Int("members", len(after)).Msg("first list of nodes read")
+	}
+	for id, m := range after {
+		if old, known := before[id]; len(before) > 0 && (!known || old.State != m.State) {
+			n.Log.Info().Str("member", id).Stringer("state", m.State).Msg("node listed or its state changed")
+		}
+	}
+	for id := range before {
+		if _, listed := after[id]; !listed {
+			n.Log.Info().Str("member", id).Msg("entry of a node is missing")
+		}
+	}
+	counts := map[board.MemberState]int{board.Alive: 0, board.Draining: 0}
+	for _, m := range after {
+		counts[m.State]++
+	}
+	for state, count := range counts {
+		n.Meter.Members.WithLabelValues(state.String()).Set(float64(count))
+	}
+}
+
 func (n *Node) applyOwners(changed []quetzalpier.Entry, full bool, _ time.Time) {
 	n.Board.Update(func(s *board.State) {
 		if full {
