--- /dev/null
+++ b/soak/lookup_test.go
@@ -0,0 +1,114 @@
+package soak_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier/soak"
+	"quetzalpier/stand"
+)
+
+const lookupInterval = 100 * time.Millisecond
+
+// openFronts starts a deployment of four fronts, and returns the first front and the
+// others once each names all of them.
+func openFronts(t *testing.T) (r *soak.Rig, first *soak.Node, others []*soak.Node) {
+	t.Helper()
+	t.Parallel()
+	r = openRigWith(t, soak.Options{Fronts: 4, Stores: 2, Engines: 1, Plains: 1, EventInterval: 20 * time.Millisecond})
+	require.True(t, r.WaitReady(t.Context(), 15*time.Second))
+	first, others = r.Fronts[0], r.Fronts[1:]
+	requireNamed(t, others, first, true, 5*time.Second)
+	return r, first, others
+}
+
+// requireNamed requires that each of the fronts names the subject, or that none of
+// them does, within the limit.
+func requireNamed(t *testing.T, fronts []*soak.Node, subject *soak.Node, want bool, limit time.Duration) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for _, n := range fronts {
+		for {
+			askedAt := time.Now()
+			named, err := n.Names(t.Context(), subject)
+			if err == nil && named == want {
+				break
+			}
+			require.True(t, askedAt.Before(deadline), "after %s, %s names %s: %t, error: %v", limit, n.Settings.Name, subject.Settings.Name, named, err)
+			time.Sleep(lookupInterval)
+		}
+	}
+}
+
+// requireNamedThroughout requires that each of the fronts names the subject all the
+// time.
+func requireNamedThroughout(t *testing.T, fronts []*soak.Node, subject *soak.Node, period time.Duration) {
+	t.Helper()
+	for start := time.Now(); time.Since(start) < period; time.Sleep(lookupInterval) {
+		for _, n := range fronts {
+			named, err := n.Names(t.Context(), subject)
+			require.NoError(t, err)
+			require.True(t, named, "%s does not name %s after %s", n.Settings.Name, subject.Settings.Name, time.Since(start))
+		}
+	}
+}
+
+func TestLookupNamesLostFront(t *testing.T) {
+	t.Run("a front whose process is gone", func(t *testing.T) {
+		_, lost, others := openFronts(t)
+		lost.Kill()
+		requireNamed(t, others, lost, false, soak.MaxStaleLookup)
+	})
+	t.Run("a front that hangs", func(t *testing.T) {
+		_, lost, others := openFronts(t)
+		lost.Signal(syscall.SIGSTOP)
+		requireNamed(t, others, lost, false, soak.MaxStaleLookup)
+	})
+	t.Run("a front that is lost while the key-value service is unavailable", func(t *testing.T) {
+		r, lost, others := openFronts(t)
+		r.KV.SetFaults(stand.KVFaults{Unavailable: true})
+		time.Sleep(time.Second)
+		lost.Kill()
+		requireNamed(t, others, lost, false, soak.MaxStaleLookup)
+	})
+	t.Run("a front that is lost just before the key-value service becomes unavailable", func(t *testing.T) {
+		r, lost, others := openFronts(t)
+		lost.Signal(syscall.SIGSTOP)
+		r.KV.SetFaults(stand.KVFaults{Unavailable: true})
+		requireNamed(t, others, lost, false, soak.MaxStaleLookup)
+	})
+}
+
+func TestLookupNamesLiveFront(t *testing.T) {
+	t.Run("a front that hung and resumed", func(t *testing.T) {
+		_, paused, others := openFronts(t)
+		paused.Signal(syscall.SIGSTOP)
+		time.Sleep(5 * time.Second)
+		paused.Signal(syscall.SIGCONT)
+		requireNamed(t, others, paused, true, soak.MaxStaleLookup)
+		requireNamedThroughout(t, others, paused, 3*time.Second)
+	})
+	t.Run("a front that was killed and started again", func(t *testing.T) {
+		_, killed, others := openFronts(t)
+		killed.Kill()
+		time.Sleep(4 * time.Second)
+		require.NoError(t, killed.Start())
+		requireNamed(t, others, killed, true, soak.MaxStaleLookup)
+		requireNamedThroughout(t, others, killed, 3*time.Second)
+	})
+	t.Run("a front that can't reach the key-value service", func(t *testing.T) {
+		r, cut, _ := openFronts(t)
+		cut.KVProxy.SetMode(soak.Reset)
+		requireNamedThroughout(t, r.Fronts, cut, 10*time.Second)
+	})
+	t.Run("every front while the key-value service is unavailable, and after", func(t *testing.T) {
+		r, first, _ := openFronts(t)
+		r.KV.SetFaults(stand.KVFaults{Unavailable: true})
+		requireNamedThroughout(t, r.Fronts, first, 10*time.Second)
+		r.KV.SetFaults(stand.KVFaults{})
+		requireNamedThroughout(t, r.Fronts, first, 4*time.Second)
+	})
+}
