probe, fleet, entry: Find lost nodes by probes between nodes

Lookups name each front that has an entry in the key-value service, and an entry lives until its node's lease expires, 8 s after the last renewal. The lease was made that long to save calls, on the assumption that no other node waits for it; the lookups do.

An entry shows that a node ran when it last renewed its lease, not that it runs. Each node now probes up to twelve others, twice a second. A node that misses two probes, and that other nodes don't reach either, is left out of lookups at once, and the first of its probers removes its entry, under the condition of its revision. A node that runs writes it again, and further removals are spaced out by doubling pauses, so that a partition between two halves does not load the service. If no other node answers, the prober may be the one that is cut off, and nothing is concluded. The probers of a node are its neighbours on a ring ordered by hash; unreachable ones are skipped, so that mass failures leave no node unwatched, and no node probes more than its share in a large fleet.

Shorter leases were ruled out: with 2.4 s instead of 8 s, renewals would be four times as many, most of all calls.

TestLookupNamesLiveFront still passes: hung, restarted and cut-off fronts.

--- a/board/board.go
+++ b/board/board.go
@@ -84,6 +84,10 @@
 	State       MemberState
 	// Since is when this node first saw the state.
 	Since time.Time
+	// Rev is the revision of the member's entry in the key-value service, and
+	// Evictions how often the entry was removed while the member ran.
+	Rev       uint64
+	Evictions int
 }
 
 // MemberState is the state of a member. Of two states with the same incarnation,
@@ -115,7 +119,10 @@
 type State struct {
 	Self    Member
 	Members map[string]Member
-	Config  quetzalpier.Config
+	// Unreachable holds the members that don't answer this node nor others, with the
+	// times since when.
+	Unreachable map[string]time.Time
+	Config      quetzalpier.Config
 	// ConfirmedAt is when the configuration was last confirmed to be current.
 	ConfirmedAt time.Time
 	VMs         quetzalpier.VMList
@@ -136,6 +143,12 @@
 	CrashedAt time.Time
 }
 
+// Reachable reports whether a member is not known to be unreachable.
+func (s *State) Reachable(id string) bool {
+	_, unreachable := s.Unreachable[id]
+	return !unreachable
+}
+
 // Owner is a pool's owner. Fence is its fencing token, which rises with each
 // change of the owner.
 type Owner struct {
@@ -163,6 +176,7 @@
 		state: State{
 			Self:           self,
 			Members:        map[string]Member{},
+			Unreachable:    map[string]time.Time{},
 			Upstreams:      map[string]*Upstream{},
 			TargetVersions: map[string]quetzalpier.Version{},
 			Owners:         map[string]Owner{},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,8 @@
 	cache     map[string]*jobResults
 	records   map[string]jobRecord
 	seenNodes map[string]seenNode
+	// named holds the addresses of the last lookup answer by node.
+	named map[string]string
 }
 
 // New returns an Entry. It serves nothing until one of its Serve methods is
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -1,8 +1,9 @@
 package entry
 
 import (
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,60 +46,63 @@
 	c.SetBody(body)
 }
 
-// frontAddrs returns the addresses for clients: those of usable fronts or, if
-// there are none, of draining ones, which still serve requests for a while.
+// frontAddrs returns the addresses for clients: those of usable fronts that answer or,
+// if there are none, of draining ones, which still serve requests for a while.
 //
 // Load pattern: all fronts are restarted within a second.
 func (e *Entry) frontAddrs(now time.Time) []string {
 	kvStable := e.KVStable(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var draining []string
-	first := len(e.seenNodes) == 0
+	named, draining := map[string]string{}, map[string]string{}
+	reasons := map[string]string{}
 	e.Board.Do(func(s *board.State) {
 		for id, m := range s.Members {
 			switch {
 			case m.HTTP == "":
-			case m.Usable():
-				if _, known := e.seenNodes[id]; !known && !first {
-					e.Log.Info().Str("member", id).Str("front", m.HTTP).Msg("lookups name a front")
+			case !m.Usable():
+				reasons[id] = "draining"
+				delete(e.seenNodes, id)
+				if s.Reachable(id) {
+					draining[id] = m.HTTP
 				}
-				e.seenNodes[id] = seenNode{m.HTTP, now}
 			default:
-				e.withdraw(id, "draining", now)
-				draining = append(draining, m.HTTP)
+				e.seenNodes[id] = seenNode{m.HTTP, now}
 			}
 		}
 		for id, node := range e.seenNodes {
-			if _, listed := s.Members[id]; listed {
-				continue
-			}
-			if kvStable {
-				e.withdraw(id, "entry missing", now)
-			} else if now.Sub(node.seenAt) > lapsedNodeTTL {
-				e.withdraw(id, "entry missing for too long", now)
+			_, listed := s.Members[id]
+			switch {
+			case !listed && (kvStable || now.Sub(node.seenAt) > lapsedNodeTTL):
+				reasons[id] = "entry missing"
+				delete(e.seenNodes, id)
+			case !s.Reachable(id):
+				reasons[id] = "unreachable"
+			default:
+				named[id] = node.addr
 			}
 		}
 	})
-	addrs := make([]string, 0, len(e.seenNodes))
-	for _, node := range e.seenNodes {
-		addrs = append(addrs, node.addr)
+	e.logNamed(named, reasons)
+	if len(named) == 0 {
+		named = draining
 	}
-	if len(addrs) == 0 {
-		addrs = draining
-	}
-	sort.Strings(addrs)
+	addrs := slices.Sorted(maps.Values(named))
 	return addrs[:min(len(addrs), maxAddrs)]
 }
 
-// withdraw takes a front out of the answers, if it is in them; the caller holds the
-// lock.
-func (e *Entry) withdraw(id, reason string, now time.Time) {
-	node, named := e.seenNodes[id]
-	if !named {
-		return
+// logNamed logs the fronts that answers begin or cease to name, those of the first
+// answer excepted; the caller holds the lock.
+func (e *Entry) logNamed(named, reasons map[string]string) {
+	for id, addr := range named {
+		if _, before := e.named[id]; !before && len(e.named) > 0 {
+			e.Log.Info().Str("member", id).Str("front", addr).Msg("lookups name a front")
+		}
+	}
+	for id, addr := range e.named {
+		if _, still := named[id]; !still {
+			e.Log.Info().Str("member", id).Str("front", addr).Str("reason", reasons[id]).Msg("lookups no longer name a front")
+		}
 	}
-	delete(e.seenNodes, id)
-	e.Log.Info().Str("member", id).Str("front", node.addr).Str("reason", reason).Dur("unlisted_ms", now.Sub(node.seenAt)).
-		Msg("lookups no longer name a front")
+	e.named = named
 }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -10,6 +10,7 @@
 	"quetzalpier/board"
 	"quetzalpier/hash"
 	"quetzalpier/mirror"
+	"quetzalpier/probe"
 	"quetzalpier/runner"
 	"quetzalpier/sleep"
 	"quetzalpier/wire"
@@ -36,6 +37,9 @@
 	if store := call.GetStore(); store != nil {
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
 	}
+	if question := call.GetProbe(); question != nil {
+		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.reaches(ctx, question.GetPeer())}}}
+	}
 	if hold := call.GetHold(); hold != nil {
 		sleep.For(ctx, time.Duration(hold.GetWait())*time.Millisecond)
 		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
@@ -43,6 +47,16 @@
 	return &wire.Reply{Fault: "unknown call"}
 }
 
+// reaches reports whether the node at addr answers; an empty address is this node's.
+func (n *Node) reaches(ctx context.Context, addr string) bool {
+	if addr == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probe.PingTimeout)
+	defer cancel()
+	return n.mesh.Ping(ctx, addr) == nil
+}
+
 // serveFeed answers a request for the mirrored nodes or upstreams.
 func (n *Node) serveFeed(ctx context.Context, feed *wire.Feed) *wire.Stored {
 	for _, m := range []*mirror.Mirror{n.nodes, n.workers} {
--- /dev/null
+++ b/fleet/evict.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/sleep"
+	"quetzalpier/vault"
+)
+
+const (
+	// evictTimeout limits the removal of an entry, and evictStagger is the time that a
+	// node leaves to each of those that can remove it first.
+	evictTimeout = time.Second
+	evictStagger = 100 * time.Millisecond
+	// minEvictionPause and maxEvictionPause bound the time between two removals of the
+	// entry of a node that runs but that its probers don't reach. It doubles with each.
+	minEvictionPause = 3 * time.Second
+	maxEvictionPause = 96 * time.Second
+)
+
+// evictable reports whether the entry of an unreachable member may be removed now. A
+// member that wrote its entry again has shown that it runs.
+func evictable(m board.Member, now time.Time) bool {
+	if m.Evictions == 0 {
+		return true
+	}
+	pause := sleep.Backoff(m.Evictions, minEvictionPause, maxEvictionPause, 0)
+	return now.Sub(m.Since) >= pause
+}
+
+// evict removes the entry of a member that does not answer, which would otherwise
+// stay until the member's lease expires. A member that runs writes it again.
+func (n *Node) evict(ctx context.Context, m board.Member, rank int) {
+	if n.kv.DirectFailed() || !sleep.For(ctx, time.Duration(rank)*evictStagger) {
+		return
+	}
+	due := false
+	n.Board.Do(func(s *board.State) {
+		current, listed := s.Members[m.ID]
+		due = listed && current.Rev == m.Rev && !s.Reachable(m.ID) && evictable(current, time.Now())
+	})
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, evictTimeout)
+	defer cancel()
+	key := vault.Nodes + m.ID
+	_, err := n.kv.Commit(ctx, quetzalpier.Txn{Expect: map[string]uint64{key: m.Rev}, Deletes: []string{key}})
+	n.Log.Warn().Str("member", m.ID).Uint64("rev", m.Rev).Int("rank", rank).AnErr("cause", err).Msg("removed the entry of a node that does not answer")
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,7 @@
 	"quetzalpier/mirror"
 	"quetzalpier/peer"
 	"quetzalpier/platform"
+	"quetzalpier/probe"
 	"quetzalpier/relay"
 	"quetzalpier/runner"
 	"quetzalpier/send"
@@ -87,6 +88,7 @@
 	kv     *relay.KV
 	lease  *lease.Holder
 	mesh   *peer.Mesh
+	prober *probe.Prober
 	links  *link.Links
 	sender *send.Sender
 	runner *runner.Runner
@@ -178,6 +180,7 @@
 		return err
 	}
 	n.mesh = mesh
+	n.prober = &probe.Prober{Board: n.Board, Ping: mesh.Ping, Ask: mesh.Ask, OnUnreachable: n.evict, Log: n.Log}
 	return n.serve()
 }
 
@@ -253,7 +256,7 @@
 	ownCtx, releasePools := context.WithCancel(work)
 	defer releasePools()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.upstreams.dropExpired, n.reportUsage, n.views.run,
+		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.reportUsage, n.views.run,
 	} {
 		n.background.Go(func() { run(work) })
 	}
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -35,20 +35,31 @@
 	Region string   `json:"region,omitempty"`
 	Roles  []string `json:"roles"`
 	Leaves bool     `json:"leaves,omitempty"`
+	// Evictions is how often other nodes removed the entry while the node ran.
+	Evictions int `json:"evictions,omitempty"`
 }
 
 // register renews the node's lease, and writes the node's entry when the lease
-// or the entry changes.
+// or the entry changes or the entry was removed.
 func (n *Node) register(ctx context.Context) {
-	writtenLease, writtenLeaving := "", false
+	var written registration
 	for ctx.Err() == nil {
 		leaseID, err := n.keepLease(ctx, time.Now())
 		var self board.Member
-		n.Board.Do(func(s *board.State) { self = s.Self })
-		leaving := self.State != board.Alive
-		if err == nil && (leaseID != writtenLease || leaving != writtenLeaving) {
-			if err = n.writeEntry(ctx, self, leaseID); err == nil {
-				writtenLease, writtenLeaving = leaseID, leaving
+		listed := false
+		n.Board.Do(func(s *board.State) {
+			self = s.Self
+			_, listed = s.Members[self.ID]
+		})
+		next := registration{lease: leaseID, state: self.State, evictions: written.evictions}
+		if written.removed(listed, n.nodes.State()) {
+			next.evictions++
+			n.Log.Warn().Int("evictions", next.evictions).Msg("entry of this node was removed; writing it again")
+		}
+		if err == nil && !next.same(written) {
+			self.Evictions = next.evictions
+			if next.rev, err = n.writeEntry(ctx, self, leaseID); err == nil {
+				written = next
 			}
 		}
 		if err != nil {
@@ -58,6 +69,27 @@
 	}
 }
 
+// registration is what a node has written to the key-value service about itself, and
+// the revision of that write.
+type registration struct {
+	lease     string
+	state     board.MemberState
+	evictions int
+	rev       uint64
+}
+
+// same reports whether the other registration needs no write of its own.
+func (r registration) same(other registration) bool {
+	r.rev, other.rev = 0, 0
+	return r == other
+}
+
+// removed reports whether the registration is gone although it was written: the list
+// of nodes covers its revision and does not have it.
+func (r registration) removed(listed bool, nodes mirror.State) bool {
+	return r.rev > 0 && !listed && !nodes.Failing && nodes.Rev >= r.rev
+}
+
 func (n *Node) keepLease(ctx context.Context, now time.Time) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
@@ -68,18 +100,22 @@
 	return n.lease.GrantIdle(ctx, now)
 }
 
-func (n *Node) writeEntry(ctx context.Context, self board.Member, held string) error {
+func (n *Node) writeEntry(ctx context.Context, self board.Member, held string) (rev uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	value, err := json.Marshal(memberEntry{
 		Peer: self.Peer, HTTP: self.HTTP, Domain: self.Domain, Region: self.Region, Roles: self.Roles,
-		Leaves: self.State != board.Alive,
+		Leaves: self.State != board.Alive, Evictions: self.Evictions,
 	})
 	if err != nil {
-		return errors.Wrap(err, "encode the node's entry")
+		return 0, errors.Wrap(err, "encode the node's entry")
+	}
+	rev, err = n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{{Key: vault.Nodes + self.ID, Value: value, Lease: held}}})
+	var lost *quetzalpier.LeaseLostError
+	if errors.As(err, &lost) {
+		n.lease.Invalidate(held)
 	}
-	_, err = n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{{Key: vault.Nodes + self.ID, Value: value, Lease: held}}})
-	return err
+	return rev, err
 }
 
 // unregister releases the node's lease, which deletes its entry immediately.
@@ -112,6 +148,12 @@
 				n.setMember(s, id, e, now)
 			}
 		}
+		for id, m := range s.Members {
+			if old, known := before[id]; known && old.Rev == m.Rev {
+				m.Since = old.Since
+				s.Members[id] = m
+			}
+		}
 		n.recordMembers(before, s.Members)
 	})
 }
@@ -170,6 +212,7 @@
 	}
 	s.Members[id] = board.Member{
 		ID: id, Peer: m.Peer, HTTP: m.HTTP, Domain: m.Domain, Region: m.Region, Roles: m.Roles, State: state, Since: now,
+		Rev: e.Rev, Evictions: m.Evictions,
 	}
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -222,6 +222,16 @@
 	return true, nil
 }
 
+// Invalidate drops a lease that the key-value service no longer knows, with all its
+// names.
+func (h *Holder) Invalidate(lease string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lease == lease {
+		h.reset()
+	}
+}
+
 // Release releases a name before its lease expires, as in a graceful shutdown.
 func (h *Holder) Release(ctx context.Context, name string) error {
 	h.mu.Lock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -75,13 +75,15 @@
 	Failing bool
 	// RecoveredAt is when calls last succeeded again after a failure.
 	RecoveredAt time.Time
+	// Rev is the revision up to which the changes have been applied.
+	Rev uint64
 }
 
 // State returns the state of the mirror's contact with its source.
 func (m *Mirror) State() State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return State{m.lastContact, m.failing, m.recoveredAt}
+	return State{m.lastContact, m.failing, m.recoveredAt, m.rev}
 }
 
 // cursor is the position of a mirror in the history of its prefix.
--- /dev/null
+++ b/probe/probe_test.go
@@ -0,0 +1,244 @@
+package probe
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier/board"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func all(string) bool { return true }
+
+func TestTargets(t *testing.T) {
+	ids := func(n int) []string {
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprint("n", i))
+		}
+		return ids
+	}
+	t.Run("in a small fleet each node probes all others", func(t *testing.T) {
+		for _, self := range ids(10) {
+			require.Len(t, Targets(self, ids(10), all, targetCount), 9)
+			require.NotContains(t, Targets(self, ids(10), all, targetCount), self)
+		}
+	})
+	t.Run("in a large fleet each node probes, and is probed by, as many others", func(t *testing.T) {
+		probers := map[string]int{}
+		for _, self := range ids(390) {
+			targets := Targets(self, ids(390), all, targetCount)
+			require.Len(t, targets, targetCount)
+			for _, id := range targets {
+				probers[id]++
+			}
+		}
+		for _, id := range ids(390) {
+			require.Equal(t, targetCount, probers[id])
+		}
+	})
+	t.Run("the first prober of each node has rank 0, the next one 1", func(t *testing.T) {
+		ranks := map[int]int{}
+		for _, self := range ids(30) {
+			for _, id := range Targets(self, ids(30), all, targetCount) {
+				ranks[Rank(self, id, ids(30), all)]++
+			}
+		}
+		for rank := range targetCount {
+			require.Equal(t, 30, ranks[rank])
+		}
+	})
+	t.Run("nine tenths of the nodes are lost at once, and found in a few rounds", func(t *testing.T) {
+		const nodes, alive = 100, 10
+		unreachable := map[string]bool{}
+		rounds := 0
+		for ; countTrue(unreachable) < nodes-alive; rounds++ {
+			require.Less(t, rounds, 8)
+			var found []string
+			for _, self := range ids(alive) {
+				for _, id := range Targets(self, ids(nodes), func(id string) bool { return !unreachable[id] }, targetCount) {
+					found = append(found, id)
+				}
+			}
+			for _, id := range found {
+				unreachable[id] = !slices.Contains(ids(alive), id)
+			}
+		}
+	})
+	t.Run("a node that is not on the list probes nothing", func(t *testing.T) {
+		require.Empty(t, Targets("other", ids(5), all, targetCount))
+	})
+}
+
+func countTrue(set map[string]bool) (n int) {
+	for _, in := range set {
+		if in {
+			n++
+		}
+	}
+	return n
+}
+
+// network is a set of nodes, some of which don't answer.
+type network struct {
+	mu       sync.Mutex
+	failures map[string]error
+	// answers are those of helpers; a helper without one does not answer.
+	answers map[string]bool
+	asked   int
+}
+
+func (n *network) ping(_ context.Context, addr string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failures[addr]
+}
+
+func (n *network) ask(_ context.Context, helper, _ string) (bool, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.asked++
+	reached, answered := n.answers[helper]
+	if !answered {
+		return false, errors.New("no answer")
+	}
+	return reached, nil
+}
+
+// testProber is the Prober of node a, beside the nodes b, c and d.
+type testProber struct {
+	*Prober
+	network *network
+	// reported are the members passed to OnUnreachable.
+	reported []string
+}
+
+func newTestProber() *testProber {
+	p := &testProber{network: &network{failures: map[string]error{}, answers: map[string]bool{}}}
+	b := board.New(board.Member{ID: "a", Peer: "a:1"})
+	b.Do(func(s *board.State) {
+		for _, id := range []string{"a", "b", "c", "d"} {
+			s.Members[id] = board.Member{ID: id, Peer: id + ":1", Domain: "zone-" + id}
+		}
+	})
+	p.Prober = &Prober{
+		Board: b, Ping: p.network.ping, Ask: p.network.ask, Log: zerolog.Nop(),
+		OnUnreachable: func(_ context.Context, m board.Member, _ int) { p.reported = append(p.reported, m.ID) },
+	}
+	return p
+}
+
+// round probes all targets at the given time and returns the unreachable members.
+func (p *testProber) round(now time.Time) []string {
+	for _, target := range p.startRound(now) {
+		p.probe(context.Background(), target)
+		p.endProbe(target.ID)
+	}
+	var unreachable []string
+	p.Board.Do(func(s *board.State) {
+		for _, id := range []string{"b", "c", "d"} {
+			if !s.Reachable(id) {
+				unreachable = append(unreachable, id)
+			}
+		}
+	})
+	return unreachable
+}
+
+func (p *testProber) setListed(id string, state board.MemberState, listed bool) {
+	p.Board.Do(func(s *board.State) {
+		delete(s.Members, id)
+		if listed {
+			s.Members[id] = board.Member{ID: id, Peer: id + ":1", State: state}
+		}
+	})
+}
+
+func TestProber(t *testing.T) {
+	timeout := errors.New("timeout")
+	t.Run("a silent member is unreachable once another member confirms it", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = timeout
+		p.network.answers["c:1"] = false
+		require.Equal(t, []string{"b"}, p.round(start))
+		require.Equal(t, []string{"b"}, p.reported)
+	})
+	t.Run("a silent member that another member reaches is not", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = timeout
+		p.network.answers["c:1"], p.network.answers["d:1"] = false, true
+		require.Empty(t, p.round(start))
+		require.Empty(t, p.reported)
+	})
+	t.Run("no member is unreachable to a node that is cut off itself", func(t *testing.T) {
+		p := newTestProber()
+		for _, id := range []string{"b", "c", "d"} {
+			p.network.failures[id+":1"] = timeout
+		}
+		require.Empty(t, p.round(start))
+	})
+	t.Run("a refused connection needs no confirmation", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = errors.Wrap(syscall.ECONNREFUSED, "dial peer")
+		require.Equal(t, []string{"b"}, p.round(start))
+		require.Zero(t, p.network.asked)
+	})
+	t.Run("a member that answers again is reachable", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = syscall.ECONNREFUSED
+		require.Equal(t, []string{"b"}, p.round(start))
+		delete(p.network.failures, "b:1")
+		require.Empty(t, p.round(start.Add(time.Second)))
+	})
+	t.Run("an unreachable member is reported while it is listed", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = syscall.ECONNREFUSED
+		p.round(start)
+		p.round(start.Add(time.Second))
+		p.setListed("b", board.Alive, false)
+		require.Equal(t, []string{"b"}, p.round(start.Add(2*time.Second)))
+		require.Equal(t, []string{"b", "b"}, p.reported)
+	})
+	t.Run("a member whose entry is gone is probed for a while", func(t *testing.T) {
+		p := newTestProber()
+		p.round(start)
+		p.setListed("b", board.Alive, false)
+		p.network.failures["b:1"] = syscall.ECONNREFUSED
+		require.Equal(t, []string{"b"}, p.round(start.Add(forgetAfter)))
+		require.Empty(t, p.round(start.Add(forgetAfter+time.Second)))
+	})
+	t.Run("a draining member whose entry is gone has stopped", func(t *testing.T) {
+		p := newTestProber()
+		p.setListed("b", board.Draining, true)
+		p.round(start)
+		p.setListed("b", board.Draining, false)
+		p.network.failures["b:1"] = syscall.ECONNREFUSED
+		require.Empty(t, p.round(start.Add(time.Second)))
+	})
+}
+
+func TestRankHelpers(t *testing.T) {
+	candidate := func(id, domain string, answeredAt time.Time) member {
+		return member{Member: board.Member{ID: id, Domain: domain}, answeredAt: answeredAt}
+	}
+	candidates := []member{
+		candidate("old", "x", start), candidate("near-old", "y", start), candidate("new", "x", start.Add(time.Minute)),
+		candidate("near-new", "y", start.Add(time.Minute)), candidate("newer", "x", start.Add(time.Minute+interval/2)),
+	}
+	var ids []string
+	for _, m := range rankHelpers(candidates, "y", []int{0, 1, 2, 3, 4}) {
+		ids = append(ids, m.ID)
+	}
+	require.Equal(t, []string{"near-new", "new", "newer", "old"}, ids)
+	require.Empty(t, rankHelpers(nil, "y", nil))
+}
--- a/soak/lookup_test.go
+++ b/soak/lookup_test.go
@@ -21,7 +21,9 @@
 	r = openRigWith(t, soak.Options{Fronts: 4, Stores: 2, Engines: 1, Plains: 1, EventInterval: 20 * time.Millisecond})
 	require.True(t, r.WaitReady(t.Context(), 15*time.Second))
 	first, others = r.Fronts[0], r.Fronts[1:]
-	requireNamed(t, others, first, true, 5*time.Second)
+	for _, n := range r.Fronts {
+		requireNamed(t, r.Fronts, n, true, 5*time.Second)
+	}
 	return r, first, others
 }
 
