--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -47,11 +47,8 @@
 	return &wire.Reply{Fault: "unknown call"}
 }
 
-// reaches reports whether the node at addr answers; an empty address is this node's.
+// reaches reports whether the node at addr answers.
 func (n *Node) reaches(ctx context.Context, addr string) bool {
-	if addr == "" {
-		return true
-	}
 	ctx, cancel := context.WithTimeout(ctx, probe.PingTimeout)
 	defer cancel()
 	return n.mesh.Ping(ctx, addr) == nil
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -122,6 +122,30 @@
 	return reply, nil
 }
 
+// ping checks whether the node of a session answers. It fails if ctx ends before, and
+// the next ping then opens a new session.
+func (c *conns) ping(ctx context.Context, key sessionKey) error {
+	s, err := c.session(ctx, key)
+	if err != nil {
+		return err
+	}
+	defer c.release(s)
+	answered := make(chan error, 1)
+	c.workers.Go(func() {
+		_, err := s.mux.Ping()
+		answered <- err
+	})
+	select {
+	case err = <-answered:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		c.retire(key, s)
+	}
+	return errors.Wrapf(err, "ping %s", key.addr)
+}
+
 // FaultError is the error that another node returned for a call.
 type FaultError struct {
 	Addr  string
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -27,20 +27,15 @@
 	return m.conns.call(ctx, addr, bulk, call)
 }
 
-// Ping makes a call that any node answers at once, on the connection that is not used
-// for large messages.
+// Ping checks whether the node at addr answers, on a connection that is not used for
+// large messages.
 func (m *Mesh) Ping(ctx context.Context, addr string) error {
-	_, err := m.probe(ctx, addr, "")
-	return err
+	return m.conns.ping(ctx, sessionKey{addr, control})
 }
 
 // Ask asks the node at helper whether it reaches the node at addr.
 func (m *Mesh) Ask(ctx context.Context, helper, addr string) (reached bool, err error) {
-	return m.probe(ctx, helper, addr)
-}
-
-func (m *Mesh) probe(ctx context.Context, addr, peer string) (bool, error) {
-	reply, err := m.conns.call(ctx, addr, control, &wire.Call{Kind: &wire.Call_Probe{Probe: &wire.Probe{Peer: peer}}})
+	reply, err := m.conns.call(ctx, helper, control, &wire.Call{Kind: &wire.Call_Probe{Probe: &wire.Probe{Peer: addr}}})
 	return reply.GetProbed().GetAlive(), err
 }
 
