--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -10,7 +10,6 @@
 	"quetzalpier/board"
 	"quetzalpier/hash"
 	"quetzalpier/mirror"
-	"quetzalpier/probe"
 	"quetzalpier/runner"
 	"quetzalpier/sleep"
 	"quetzalpier/wire"
@@ -38,7 +37,7 @@
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
 	}
 	if question := call.GetProbe(); question != nil {
-		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.reaches(ctx, question.GetPeer())}}}
+		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.prober.Check(ctx, question.GetPeer(), question.GetUnreachable())}}}
 	}
 	if hold := call.GetHold(); hold != nil {
 		sleep.For(ctx, time.Duration(hold.GetWait())*time.Millisecond)
@@ -47,13 +46,6 @@
 	return &wire.Reply{Fault: "unknown call"}
 }
 
-// reaches reports whether the node at addr answers.
-func (n *Node) reaches(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probe.PingTimeout)
-	defer cancel()
-	return n.mesh.Ping(ctx, addr) == nil
-}
-
 // serveFeed answers a request for the mirrored nodes or upstreams.
 func (n *Node) serveFeed(ctx context.Context, feed *wire.Feed) *wire.Stored {
 	for _, m := range []*mirror.Mirror{n.nodes, n.workers} {
--- a/fleet/evict.go
+++ b/fleet/evict.go
@@ -11,10 +11,7 @@
 )
 
 const (
-	// evictTimeout limits the removal of an entry, and evictStagger is the time that a
-	// node leaves to each of those that can remove it first.
 	evictTimeout = time.Second
-	evictStagger = 100 * time.Millisecond
 	// minEvictionPause and maxEvictionPause bound the time between two removals of the
 	// entry of a node that runs but that its probers don't reach. It doubles with each.
 	minEvictionPause = 3 * time.Second
@@ -33,21 +30,18 @@
 
 // evict removes the entry of a member that does not answer, which would otherwise
 // stay until the member's lease expires. A member that runs writes it again.
-func (n *Node) evict(ctx context.Context, m board.Member, rank int) {
-	if n.kv.DirectFailed() || !sleep.For(ctx, time.Duration(rank)*evictStagger) {
-		return
-	}
+func (n *Node) evict(ctx context.Context, m board.Member) {
 	due := false
 	n.Board.Do(func(s *board.State) {
 		current, listed := s.Members[m.ID]
-		due = listed && current.Rev == m.Rev && !s.Reachable(m.ID) && evictable(current, time.Now())
+		due = listed && current.Rev == m.Rev && evictable(current, time.Now())
 	})
-	if !due {
+	if !due || n.kv.DirectFailed() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, evictTimeout)
 	defer cancel()
 	key := vault.Nodes + m.ID
 	_, err := n.kv.Commit(ctx, quetzalpier.Txn{Expect: map[string]uint64{key: m.Rev}, Deletes: []string{key}})
-	n.Log.Warn().Str("member", m.ID).Uint64("rev", m.Rev).Int("rank", rank).AnErr("cause", err).Msg("removed the entry of a node that does not answer")
+	n.Log.Warn().Str("member", m.ID).Uint64("rev", m.Rev).AnErr("cause", err).Msg("removed the entry of a node that does not answer")
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -33,9 +33,10 @@
 	return m.conns.ping(ctx, sessionKey{addr, control})
 }
 
-// Ask asks the node at helper whether it reaches the node at addr.
-func (m *Mesh) Ask(ctx context.Context, helper, addr string) (reached bool, err error) {
-	reply, err := m.conns.call(ctx, helper, control, &wire.Call{Kind: &wire.Call_Probe{Probe: &wire.Probe{Peer: addr}}})
+// Ask asks the node at helper whether it reaches the node at addr. unreachable tells it
+// that neither this node nor others do.
+func (m *Mesh) Ask(ctx context.Context, helper, addr string, unreachable bool) (reached bool, err error) {
+	reply, err := m.conns.call(ctx, helper, control, &wire.Call{Kind: &wire.Call_Probe{Probe: &wire.Probe{Peer: addr, Unreachable: unreachable}}})
 	return reply.GetProbed().GetAlive(), err
 }
 
