fleet: Keep the entries of owners until their leases expire

A node that sends the first orders to engines takes the last sender for gone if it has no entry. With entries removed by probers, the entry of an owner that runs but does not answer may be missing while its lease is valid. Found by reading all readers of the list of nodes.

--- a/fleet/evict.go
+++ b/fleet/evict.go
@@ -19,8 +19,14 @@
 )
 
 // evictable reports whether the entry of an unreachable member may be removed now. A
-// member that wrote its entry again has shown that it runs.
-func evictable(m board.Member, now time.Time) bool {
+// member that wrote its entry again has shown that it runs. The entry of an owner goes
+// with its lease, which is short; until then the owner may send orders.
+func evictable(s *board.State, m board.Member, now time.Time) bool {
+	for _, owner := range s.Owners {
+		if owner.Node == m.ID {
+			return false
+		}
+	}
 	if m.Evictions == 0 {
 		return true
 	}
@@ -34,7 +40,7 @@
 	due := false
 	n.Board.Do(func(s *board.State) {
 		current, listed := s.Members[m.ID]
-		due = listed && current.Rev == m.Rev && evictable(current, time.Now())
+		due = listed && current.Rev == m.Rev && evictable(s, current, time.Now())
 	})
 	if !due || n.kv.DirectFailed() {
 		return
