--- a/board/board.go
+++ b/board/board.go
@@ -149,6 +149,10 @@
 	return !unreachable
 }
 
+// Answers reports whether requests may be sent to a member: it is usable and not known
+// to be unreachable.
+func (s *State) Answers(m Member) bool { return m.Usable() && s.Reachable(m.ID) }
+
 // Owner is a pool's owner. Fence is its fencing token, which rises with each
 // change of the owner.
 type Owner struct {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -181,12 +181,12 @@
 		owner := s.Owners[pool].Node
 		ids := make([]string, 0, len(s.Members))
 		for id, m := range s.Members {
-			if id != owner && m.Usable() && m.HasRole(runner.ClassStore) {
+			if id != owner && s.Answers(m) && m.HasRole(runner.ClassStore) {
 				ids = append(ids, id)
 			}
 		}
 		ids = hash.Owners(pool, ids, otherKeepers)
-		if m, ok := s.Members[owner]; ok && m.HasRole(runner.ClassStore) {
+		if m, ok := s.Members[owner]; ok && m.HasRole(runner.ClassStore) && s.Reachable(owner) {
 			ids = append([]string{owner}, ids...)
 		}
 		for _, id := range ids {
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -101,7 +101,7 @@
 	n.Board.Do(func(s *board.State) {
 		for id, m := range s.Members {
 			switch {
-			case id == s.Self.ID || !m.Usable() || !m.HasRole(runner.ClassStore) || s.Retiring[id]:
+			case id == s.Self.ID || !s.Answers(m) || !m.HasRole(runner.ClassStore) || s.Retiring[id]:
 			case m.Domain == s.Self.Domain:
 				sameDomain = append(sameDomain, m.Peer)
 			default:
@@ -112,17 +112,25 @@
 	return append(otherDomains, sameDomain...)
 }
 
-// peerAddrs returns the addresses of the other nodes.
+// peerAddrs returns the addresses of the other nodes that are reachable, or of all if
+// none is.
 func (n *Node) peerAddrs() []string {
-	var peers []string
+	var reachable, unreachable []string
 	n.Board.Do(func(s *board.State) {
 		for id, m := range s.Members {
-			if id != s.Self.ID {
-				peers = append(peers, m.Peer)
+			switch {
+			case id == s.Self.ID:
+			case s.Reachable(id):
+				reachable = append(reachable, m.Peer)
+			default:
+				unreachable = append(unreachable, m.Peer)
 			}
 		}
 	})
-	return peers
+	if len(reachable) == 0 {
+		return unreachable
+	}
+	return reachable
 }
 
 func (n *Node) callPeer(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
@@ -136,7 +144,7 @@
 	n.Board.Do(func(s *board.State) {
 		var ids []string
 		for id, m := range s.Members {
-			if m.Domain == s.Self.Domain && m.HTTP != "" && m.Usable() {
+			if m.Domain == s.Self.Domain && m.HTTP != "" && s.Answers(m) {
 				ids = append(ids, id)
 			}
 		}
--- /dev/null
+++ b/fleet/calls_test.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier/board"
+	"quetzalpier/hash"
+	"quetzalpier/runner"
+)
+
+func TestUnreachablePeers(t *testing.T) {
+	front := func(id string) board.Member {
+		return board.Member{ID: id, Peer: id + ":1", HTTP: id + ":2", Domain: "d"}
+	}
+	store := func(id string) board.Member {
+		return board.Member{ID: id, Peer: id + ":1", Domain: "e", Roles: []string{runner.ClassStore}}
+	}
+	newNode := func(unreachable ...string) *Node {
+		n := &Node{Board: board.New(front("a"))}
+		n.Board.Do(func(s *board.State) {
+			for _, m := range []board.Member{front("a"), front("b"), front("c"), store("d"), store("e")} {
+				s.Members[m.ID] = m
+			}
+			for _, id := range unreachable {
+				s.Unreachable[id] = time.Unix(1, 0)
+			}
+		})
+		return n
+	}
+	t.Run("calls go to reachable nodes", func(t *testing.T) {
+		require.ElementsMatch(t, []string{"b:1", "c:1", "d:1", "e:1"}, newNode().peerAddrs())
+		require.ElementsMatch(t, []string{"c:1", "d:1"}, newNode("b", "e").peerAddrs())
+	})
+	t.Run("calls go to all nodes if none is reachable", func(t *testing.T) {
+		require.Len(t, newNode("b", "c", "d", "e").peerAddrs(), 4)
+	})
+	t.Run("jobs are copied to reachable disks", func(t *testing.T) {
+		require.ElementsMatch(t, []string{"d:1", "e:1"}, newNode().diskPeers())
+		require.Equal(t, []string{"e:1"}, newNode("d").diskPeers())
+	})
+	t.Run("an unreachable node leads no failure domain", func(t *testing.T) {
+		leader := hash.Owner("watch/d", []string{"a", "b", "c"})
+		next := hash.Owner("watch/d", remaining([]string{"a", "b", "c"}, leader))
+		addr := func(id string) string {
+			if id == "a" {
+				return ""
+			}
+			return id + ":1"
+		}
+		require.Equal(t, addr(leader), newNode().feedLeader())
+		require.Equal(t, addr(next), newNode(leader).feedLeader())
+	})
+}
+
+func remaining(ids []string, removed string) (kept []string) {
+	for _, id := range ids {
+		if id != removed {
+			kept = append(kept, id)
+		}
+	}
+	return kept
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -191,7 +191,7 @@
 	var store, other []string
 	for id, m := range s.Members {
 		switch {
-		case !m.Usable() || s.Retiring[id]:
+		case !s.Answers(m) || s.Retiring[id]:
 		case m.HasRole(ClassStore):
 			store = append(store, id)
 		default:
