--- a/soak/lookup_test.go
+++ b/soak/lookup_test.go
@@ -84,6 +84,32 @@
 	})
 }
 
+// A front that starts in an outage knows only the list of an earlier time.
+func TestLookupNamesFrontLostBeforeStart(t *testing.T) {
+	r, lost, others := openFronts(t)
+	time.Sleep(time.Second)
+	r.KV.SetFaults(stand.KVFaults{Unavailable: true})
+	time.Sleep(time.Second)
+	lost.Kill()
+	time.Sleep(soak.MaxStaleLookup)
+	for _, n := range others {
+		n.Kill()
+	}
+	for _, n := range others {
+		require.NoError(t, n.Start())
+	}
+	for start := time.Now(); time.Since(start) < 4*time.Second; time.Sleep(lookupInterval) {
+		for _, n := range others {
+			// Until it knows any front, a node answers with an error.
+			named, err := n.Names(t.Context(), lost)
+			require.False(t, err == nil && named, "%s names %s %s after its start", n.Settings.Name, lost.Settings.Name, time.Since(start))
+		}
+	}
+	for _, n := range others {
+		requireNamed(t, others, n, true, 0)
+	}
+}
+
 func TestLookupNamesLiveFront(t *testing.T) {
 	t.Run("a front that hung and resumed", func(t *testing.T) {
 		_, paused, others := openFronts(t)
