soak, cmds: Lose fronts for longer, overlapping, and check lookups

The soak's faults lasted 3 s at most, so that no front was ever lost for longer than a lease's remainder, and nothing asked for lookups. A second injector now kills or pauses one front after the other for 3.4 to 6.4 s beside the other faults, and each answer of a lookup is checked. The rig takes as many nodes as asked for; each gets the next loopback IP of the process.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -20,6 +20,8 @@
 	Seed          uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds         int           `long:"seeds" default:"1" description:"number of seeds; each runs in its own deployment"`
 	FaultDuration time.Duration `long:"for" default:"20s" description:"duration of the fault injection"`
+	Fronts        int           `long:"fronts" default:"4" description:"number of fronts"`
+	Stores        int           `long:"stores" default:"3" description:"number of nodes with a disk"`
 	Logs          string        `long:"logs" description:"parent directory of the logs; by default a temporary directory, removed if the seed passes"`
 }
 
@@ -68,12 +70,12 @@
 	}
 	defer func() { _ = log.Close() }()
 	r, err := soak.Open(soak.Options{
-		Program: program, Dir: dir, Fronts: 3, Stores: 3, Engines: 4, Plains: 2, EventInterval: 30 * time.Millisecond,
+		Program: program, Dir: dir, Fronts: c.Fronts, Stores: c.Stores, Engines: 4, Plains: 2, EventInterval: 30 * time.Millisecond,
 	})
 	if err != nil {
 		return nil, dir, err
 	}
 	defer r.Close()
-	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, Log: zerolog.New(log).With().Timestamp().Logger()}
+	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: true, Log: zerolog.New(log).With().Timestamp().Logger()}
 	return soak.Run(ctx, r, plan), dir, nil
 }
--- a/soak/lookup.go
+++ b/soak/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalpier/platform"
+	"quetzalpier/sleep"
 )
 
 // MaxStaleLookup is how long lookups may name a front that neither answers nor
@@ -17,6 +19,9 @@
 // lost VM.
 const MaxStaleLookup = 3 * time.Second
 
+// lookupPause is the time between two lookups of a check.
+const lookupPause = 50 * time.Millisecond
+
 // Lookup asks the node which fronts clients should use.
 func (n *Node) Lookup(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -46,3 +51,28 @@
 	addrs, err := n.Lookup(ctx)
 	return slices.Contains(addrs, other.Settings.Front), err
 }
+
+// checkLookups asks random fronts for addresses until ctx ends, and checks that none is
+// that of a front lost for longer than MaxStaleLookup. Fronts that have run for less
+// than that are not asked: a node needs some time to find out which others answer.
+func (r *Rig) checkLookups(ctx context.Context, ledger *Ledger, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 4))
+	for sleep.For(ctx, lookupPause) {
+		asked := r.Fronts[rnd.IntN(len(r.Fronts))]
+		now := time.Now()
+		if asked.runningFor(now) < MaxStaleLookup {
+			continue
+		}
+		addrs, err := asked.Lookup(ctx)
+		// The asked front may have been paused since.
+		if err != nil || asked.runningFor(time.Now()) < MaxStaleLookup {
+			continue
+		}
+		ledger.recordLookup()
+		for _, n := range r.Fronts {
+			if lost := n.lostFor(now); lost > MaxStaleLookup && slices.Contains(addrs, n.Settings.Front) {
+				ledger.recordViolation("a lookup at %s names %s, lost for %s", asked.Settings.Name, n.Settings.Name, lost)
+			}
+		}
+	}
+}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -72,6 +72,10 @@
 	disturbed          atomic.Bool
 	exitExpected       atomic.Bool
 	exitedUnexpectedly atomic.Bool
+	// running is when the process started or resumed, and lost when it was killed or
+	// paused since, in Unix nanoseconds; zero if it was not.
+	running atomic.Int64
+	lost    atomic.Int64
 }
 
 // Rig is a deployment under test: nodes, upstreams and a key-value service.
@@ -84,8 +88,6 @@
 	Fronts    []*Node
 	Stores    []*Node
 	config    quetzalpier.Config
-	index     int32
-	nodeCount int
 	processes conc.WaitGroup
 }
 
@@ -95,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{Options: options, KV: kv, index: rigCount.Add(1)}
+	r := &Rig{Options: options, KV: kv}
 	if err := r.start(); err != nil {
 		r.Close()
 		return nil, err
@@ -204,7 +206,7 @@
 	settings.Name, settings.Class, settings.Domain = name, class, domain(i)
 	settings.KV, settings.MemoryMiB, settings.MaxDiskLosses = proxy.Addr, 284, 1
 	settings.StopTimeout, settings.OrderInterval = setup.Duration(stopTimeout), setup.Duration(time.Second)
-	addrs := r.nodeAddrs(4)
+	addrs := nodeAddrs(4)
 	settings.Peer = addrs[0]
 	if class == "front" {
 		settings.Front, settings.Ready, settings.Lookup = addrs[1], addrs[2], addrs[3]
@@ -219,17 +221,16 @@
 	return n.Start()
 }
 
-// rigCount counts the deployments that this process started.
-var rigCount atomic.Int32
+// nodeCount counts the nodes that the deployments of this process have had.
+var nodeCount atomic.Int32
 
 // firstPort is the first port of each node. Each node has an IP of its own, so
 // that no outgoing connection can occupy the port.
 const firstPort = 7100
 
 // nodeAddrs returns n addresses for a new node, on a loopback IP of its own.
-func (r *Rig) nodeAddrs(n int) []string {
-	r.nodeCount++
-	host := stand.Host(int(r.index)*16 + r.nodeCount)
+func nodeAddrs(n int) []string {
+	host := stand.Host(int(nodeCount.Add(1)))
 	var addrs []string
 	for i := range n {
 		addrs = append(addrs, net.JoinHostPort(host, strconv.Itoa(firstPort+i)))
@@ -257,6 +258,7 @@
 	if err := n.command.Start(); err != nil {
 		return err
 	}
+	n.recordRunning(time.Now())
 	n.exited = make(chan struct{})
 	n.exitExpected.Store(false)
 	command, exited := n.command, n.exited
@@ -316,7 +318,37 @@
 }
 
 // Signal sends a signal to the node's process.
-func (n *Node) Signal(signal syscall.Signal) { _ = n.command.Process.Signal(signal) }
+func (n *Node) Signal(signal syscall.Signal) {
+	switch signal {
+	case syscall.SIGKILL, syscall.SIGSTOP:
+		n.lost.CompareAndSwap(0, time.Now().UnixNano())
+	case syscall.SIGCONT:
+		n.recordRunning(time.Now())
+	}
+	_ = n.command.Process.Signal(signal)
+}
+
+func (n *Node) recordRunning(now time.Time) {
+	n.running.Store(now.UnixNano())
+	n.lost.Store(0)
+}
+
+// lostFor returns how long the process has been killed or paused; zero if it runs.
+func (n *Node) lostFor(now time.Time) time.Duration {
+	lost := n.lost.Load()
+	if lost == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, lost))
+}
+
+// runningFor returns how long the process has run without a pause; zero if it does not.
+func (n *Node) runningFor(now time.Time) time.Duration {
+	if n.lost.Load() != 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, n.running.Load()))
+}
 
 // Kill kills the process and waits until it has exited.
 func (n *Node) Kill() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,7 +36,10 @@
 type Plan struct {
 	Seed          uint64
 	FaultDuration time.Duration
-	Log           zerolog.Logger
+	// LoseFronts also kills or pauses fronts for longer than lookups may name them,
+	// beside the other faults, and checks the answers of lookups.
+	LoseFronts bool
+	Log        zerolog.Logger
 }
 
 // Run injects random faults, drawn from the seed, for the given time, lets the
@@ -44,7 +47,18 @@
 func Run(ctx context.Context, r *Rig, plan Plan) *Ledger {
 	ledger := newLedger()
 	f := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 2)), log: plan.Log}
-	r.runCallers(ctx, ledger, plan.Seed, plan.FaultDuration+settleTime, func() { f.run(ctx, plan.FaultDuration) })
+	r.runCallers(ctx, ledger, plan.Seed, plan.FaultDuration+settleTime, func() {
+		var injectors conc.WaitGroup
+		if plan.LoseFronts {
+			checkCtx, stopCheck := context.WithCancel(ctx)
+			defer stopCheck()
+			injectors.Go(func() { r.checkLookups(checkCtx, ledger, plan.Seed) })
+			defer injectors.Wait()
+			losses := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 3)), log: plan.Log}
+			injectors.Go(func() { losses.loseFronts(ctx, plan.FaultDuration); stopCheck() })
+		}
+		f.run(ctx, plan.FaultDuration)
+	})
 	return ledger
 }
 
@@ -231,6 +245,32 @@
 	}
 }
 
+// loseFronts kills or pauses one front after the other, each for longer than lookups
+// may name it.
+func (f *faultInjector) loseFronts(ctx context.Context, total time.Duration) {
+	for end := time.Now().Add(total); time.Now().Before(end) && ctx.Err() == nil; {
+		n := f.rig.Fronts[f.rnd.IntN(len(f.rig.Fronts))]
+		duration := MaxStaleLookup + minFaultTime + time.Duration(f.rnd.Int64N(int64(maxFaultTime)))
+		killed := f.rnd.IntN(2) == 0
+		if !n.disturbed.CompareAndSwap(false, true) {
+			sleep.For(ctx, minFaultPause)
+			continue
+		}
+		if killed {
+			f.logFault("kill", n.Settings.Name, duration)
+			n.Kill()
+			sleep.For(ctx, duration)
+			f.restart(n)
+		} else {
+			f.logFault("pause", n.Settings.Name, duration)
+			n.Signal(syscall.SIGSTOP)
+			sleep.For(ctx, duration)
+			n.Signal(syscall.SIGCONT)
+			n.disturbed.Store(false)
+		}
+	}
+}
+
 func (f *faultInjector) restart(n *Node) {
 	if err := n.Start(); err != nil {
 		f.ledger.recordViolation("%s not started: %v", n.Settings.Name, err)
@@ -328,8 +368,8 @@
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text := fmt.Sprintf("%d steps whole, %d late; %d requests, %d failed; at most %d warnings a second; %d promises broken",
-		l.Steps, l.LateSteps, l.Requests, l.FailedRequests, l.PeakWarnings, len(l.Violations))
+	text := fmt.Sprintf("%d steps whole, %d late; %d requests, %d failed; %d lookups; at most %d warnings a second; %d promises broken",
+		l.Steps, l.LateSteps, l.Requests, l.FailedRequests, l.Lookups, l.PeakWarnings, len(l.Violations))
 	if len(l.Violations) > 0 {
 		text += ":\n  " + strings.Join(l.Violations, "\n  ")
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// TestSoakLosesFronts is the short run of the soak command with its deployment.
+func TestSoakLosesFronts(t *testing.T) {
+	t.Parallel()
+	r := openRigWith(t, soak.Options{Fronts: 4, Stores: 3, Engines: 4, Plains: 2, EventInterval: 30 * time.Millisecond})
+	ledger := soak.Run(context.Background(), r, soak.Plan{Seed: 1, FaultDuration: 20 * time.Second, LoseFronts: true, Log: zerolog.Nop()})
+	t.Log(ledger.Summary())
+	require.Empty(t, ledger.Violations)
+	require.Positive(t, ledger.Lookups)
+}
+
 // runSteps runs a deployment while inject injects the faults of one test. It
 // requires that no guarantee is broken and that a step completes.
 func runSteps(t *testing.T, inject func(r *soak.Rig)) *soak.Ledger {
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -45,6 +45,8 @@
 	LateSteps      int
 	Requests       int
 	FailedRequests int
+	// Lookups counts the answers to lookups that were checked.
+	Lookups int
 	// CutRequests counts plain requests that were sent on an open connection, which
 	// was then closed or reset without a response.
 	CutRequests int
@@ -62,6 +64,12 @@
 	results     []quetzalpier.Result
 }
 
+func (l *Ledger) recordLookup() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Lookups++
+}
+
 func newLedger() *Ledger { return &Ledger{jobs: map[string]*jobRecord{}} }
 
 // recordViolation adds a broken guarantee.
