--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,7 +41,8 @@
 	ownerRenewInterval = 300 * time.Millisecond
 	leaseMargin        = 200 * time.Millisecond
 	// idleLeaseTTL and idleRenewInterval apply to nodes that own no pool: there
-	// are many of them, and each renewal is a call. One renewal may be lost.
+	// are many of them, and each renewal is a call. One renewal may be lost. Lost
+	// nodes are found sooner, by probes.
 	idleLeaseTTL      = 8 * time.Second
 	idleRenewInterval = 3600 * time.Millisecond
 	// maxWatchTimeout limits how long one watch waits; the platform allows 30 s.
