--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -52,14 +52,18 @@
 			_, listed = s.Members[self.ID]
 		})
 		next := registration{lease: leaseID, state: self.State, evictions: written.evictions}
-		if written.removed(listed, n.nodes.State()) {
+		evicted := written.lease == leaseID && written.removed(listed, n.nodes.State())
+		if evicted {
 			next.evictions++
-			n.Log.Warn().Int("evictions", next.evictions).Msg("entry of this node was removed; writing it again")
 		}
 		if err == nil && !next.same(written) {
 			self.Evictions = next.evictions
-			if next.rev, err = n.writeEntry(ctx, self, leaseID); err == nil {
-				written = next
+			next.rev, err = n.writeEntry(ctx, self, leaseID)
+		}
+		if err == nil && next.rev > 0 {
+			written = next
+			if evicted {
+				n.Log.Warn().Int("evictions", next.evictions).Msg("entry of this node was removed; wrote it again")
 			}
 		}
 		if err != nil {
