probe: Let a node that is not listed probe all members

The new front had read the list before its own entry was written, so it was on no other node's list and on no ring, and nobody told it. A node that does not find itself on its list now probes all members, at most 64, until it does.

--- a/probe/probe.go
+++ b/probe/probe.go
@@ -32,8 +32,11 @@
 	// one, and askTimeout how long their answers may take.
 	maxHelpers = 4
 	askTimeout = 600 * time.Millisecond
-	// targetCount is the number of reachable members that each node probes.
-	targetCount = 4
+	// targetCount is the number of reachable members that each node probes, and
+	// unlistedTargetCount that of a node which is not listed itself, because other nodes
+	// may not know it and then tell it nothing.
+	targetCount         = 4
+	unlistedTargetCount = 64
 	// stagger is the time that a node leaves to each of those that can act first on a
 	// member that it found unreachable, and tellInterval the time between two messages
 	// about the same member. At most maxTellCalls are sent at a time.
@@ -114,7 +117,11 @@
 	})
 	p.mu.Lock()
 	forgotten := p.update(listed, now)
-	ids := Targets(self, p.ids(self), func(id string) bool { return !unreachable[id] }, targetCount)
+	count := targetCount
+	if _, isListed := listed[self]; !isListed {
+		count = unlistedTargetCount
+	}
+	ids := Targets(self, p.ids(self), func(id string) bool { return !unreachable[id] }, count)
 	targets = p.startProbes(ids)
 	told = p.startProbes(slices.Collect(maps.Keys(unreachable)))
 	p.mu.Unlock()
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -242,6 +242,18 @@
 		require.Equal(t, []string{"b"}, p.round(start.Add(2*time.Second)))
 		require.Equal(t, []string{"b", "b"}, p.reported)
 	})
+	t.Run("a node that is not listed probes all members", func(t *testing.T) {
+		p := newTestProber()
+		for i := range 2 * targetCount {
+			p.setListed(fmt.Sprint("x", i), board.Alive, true)
+		}
+		targets, _ := p.startRound(start)
+		require.Len(t, targets, targetCount)
+		p.probing = map[string]bool{}
+		p.setListed("a", board.Alive, false)
+		targets, _ = p.startRound(start)
+		require.Len(t, targets, 2*targetCount+3)
+	})
 	t.Run("a member whose entry is gone is probed for a while", func(t *testing.T) {
 		p := newTestProber()
 		p.round(start)
