soak: Start each node in a process group of its own

The front had run again since 06:57:01.14: its log, and that of the other paused process, has a reload of the settings at that moment, which only SIGHUP causes. The shell that had started the soak ended then; the kernel sends SIGHUP and SIGCONT to the stopped processes of a group that becomes orphaned. The fault was the harness's.

--- a/soak/rig.go
+++ b/soak/rig.go
@@ -255,6 +255,9 @@
 	n.command = exec.Command(n.rig.Program, "serve", "-c", file)
 	n.command.Env = append(os.Environ(), n.rig.Env...)
 	n.command.Stdout, n.command.Stderr = log, log
+	// The kernel resumes the paused processes of a group when its last parent of
+	// another group exits.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := n.command.Start(); err != nil {
 		return err
 	}
