--- a/fleet/evict.go
+++ b/fleet/evict.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/sleep"
@@ -11,6 +13,7 @@
 )
 
 const (
+	// evictTimeout limits the removal of an entry.
 	evictTimeout = time.Second
 	// minEvictionPause and maxEvictionPause bound the time between two removals of the
 	// entry of a node that runs but that its probers don't reach. It doubles with each.
@@ -49,5 +52,13 @@
 	defer cancel()
 	key := vault.Nodes + m.ID
 	_, err := n.kv.Commit(ctx, quetzalpier.Txn{Expect: map[string]uint64{key: m.Rev}, Deletes: []string{key}})
-	n.Log.Warn().Str("member", m.ID).Uint64("rev", m.Rev).AnErr("cause", err).Msg("removed the entry of a node that does not answer")
+	var changed *quetzalpier.RevisionError
+	switch {
+	case err == nil:
+		n.Log.Warn().Str("member", m.ID).Uint64("rev", m.Rev).Msg("removed the entry of a node that does not answer")
+	case errors.As(err, &changed):
+		n.Log.Debug().Str("member", m.ID).Err(err).Msg("entry of a node that does not answer was removed or written by another node")
+	default:
+		n.Log.Warn().Str("member", m.ID).Uint64("rev", m.Rev).Err(err).Msg("entry of a node that does not answer could not be removed")
+	}
 }
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -272,7 +272,7 @@
 	})
 }
 
-func TestRankHelpers(t *testing.T) {
+func TestChooseHelpers(t *testing.T) {
 	candidate := func(id, domain string, answeredAt time.Time) member {
 		return member{Member: board.Member{ID: id, Domain: domain}, answeredAt: answeredAt}
 	}
@@ -281,9 +281,9 @@
 		candidate("near-new", "y", start.Add(time.Minute)), candidate("newer", "x", start.Add(2*time.Minute)),
 	}
 	var ids []string
-	for _, m := range rankHelpers(members, "y") {
+	for _, m := range chooseHelpers(members, "y") {
 		ids = append(ids, m.ID)
 	}
 	require.Equal(t, []string{"near-new", "newer", "new", "old"}, ids)
-	require.Empty(t, rankHelpers(nil, "y"))
+	require.Empty(t, chooseHelpers(nil, "y"))
 }
--- /dev/null
+++ b/probe/tell.go
@@ -0,0 +1,67 @@
+package probe
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"quetzalpier/board"
+	"quetzalpier/sleep"
+)
+
+// handleUnreachable tells other nodes of an unreachable member, unless another node has
+// done so, and calls OnUnreachable. Each of the member's probers leaves time to those before it.
+func (p *Prober) handleUnreachable(ctx context.Context, target board.Member) {
+	p.mu.Lock()
+	ids := p.ids("")
+	p.mu.Unlock()
+	rank, listed := 0, false
+	p.Board.Do(func(s *board.State) { rank = Rank(s.Self.ID, target.ID, ids, s.Reachable) })
+	if !sleep.For(ctx, time.Duration(min(rank, targetCount))*stagger) {
+		return
+	}
+	p.Board.Do(func(s *board.State) {
+		_, listed = s.Members[target.ID]
+		listed = listed && !s.Reachable(target.ID)
+	})
+	if !listed {
+		return
+	}
+	var calls conc.WaitGroup
+	if now := time.Now(); p.recordTold(target.ID, now) {
+		calls.Go(func() { p.tell(ctx, target) })
+	}
+	p.OnUnreachable(ctx, target)
+	calls.Wait()
+}
+
+// recordTold records that other nodes are told of an unreachable member. It returns
+// false if they were told less than tellInterval ago.
+func (p *Prober) recordTold(id string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, isMember := p.known[id]
+	if !isMember || now.Sub(m.toldAt) < tellInterval {
+		return false
+	}
+	m.toldAt = now
+	p.known[id] = m
+	return true
+}
+
+// tell tells the reachable members that a member is unreachable. Each checks it.
+func (p *Prober) tell(ctx context.Context, target board.Member) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	calls := pool.New().WithMaxGoroutines(maxTellCalls)
+	for _, m := range p.reachableOthers(target.ID) {
+		calls.Go(func() {
+			if _, err := p.Ask(ctx, m.Peer, target.Peer, true); err != nil {
+				p.Log.Debug().Str("member", target.ID).Str("peer", m.Peer).Err(err).Msg("node could not be told of an unreachable one")
+			}
+		})
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/probe/verdict.go
@@ -0,0 +1,165 @@
+package probe
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"quetzalpier/board"
+)
+
+// probe probes one member and records whether it is reachable.
+func (p *Prober) probe(ctx context.Context, target board.Member) {
+	refused := false
+	for range maxMissed {
+		err := p.ping(ctx, target.Peer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			p.recordAnswer(target, time.Now())
+			return
+		}
+		refused = errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// A VM that refuses connections runs, and the process on it does not.
+	answers := votes{unreached: 1}
+	if !refused {
+		answers = p.askOthers(ctx, target)
+	}
+	switch {
+	case answers.reached > 0:
+		p.recordReached(target, time.Now())
+	case answers.unreached > 0 && p.recordUnreachable(target, time.Now()):
+		p.handleUnreachable(ctx, target)
+	}
+}
+
+func (p *Prober) ping(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return p.Ping(ctx, addr)
+}
+
+// Check answers another node's question whether this node reaches the one at addr.
+// unreachable tells that neither the other node nor others do.
+func (p *Prober) Check(ctx context.Context, addr string, unreachable bool) bool {
+	if p.ping(ctx, addr) == nil {
+		return true
+	}
+	if target, isMember := p.memberAt(addr); isMember && unreachable && ctx.Err() == nil {
+		now := time.Now()
+		p.recordTold(target.ID, now)
+		p.recordUnreachable(target, now)
+	}
+	return false
+}
+
+func (p *Prober) memberAt(addr string) (board.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.known {
+		if m.Peer == addr {
+			return m.Member, true
+		}
+	}
+	return board.Member{}, false
+}
+
+// votes counts the members that reach another one and those that do not. If there are
+// none of either, this node may be the one that is cut off.
+type votes struct{ reached, unreached int }
+
+// askOthers asks a few members whether they reach the target.
+func (p *Prober) askOthers(ctx context.Context, target board.Member) (answers votes) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var calls conc.WaitGroup
+	for _, helper := range chooseHelpers(p.reachableOthers(target.ID), target.Domain) {
+		calls.Go(func() {
+			reached, err := p.Ask(ctx, helper.Peer, target.Peer, false)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case reached:
+				answers.reached++
+				cancel()
+			case err == nil:
+				answers.unreached++
+			}
+		})
+	}
+	calls.Wait()
+	return answers
+}
+
+// chooseHelpers returns the members to ask about one in the given failure domain: first
+// one of that domain, which is the most likely to reach it, then the others in their
+// order, of both those that have answered this node last.
+func chooseHelpers(members []member, domain string) []member {
+	ranked := slices.Clone(members)
+	slices.SortStableFunc(ranked, func(a, b member) int { return b.answeredAt.Compare(a.answeredAt) })
+	if i := slices.IndexFunc(ranked, func(m member) bool { return m.Domain == domain }); i > 0 {
+		near := ranked[i]
+		ranked = slices.Insert(slices.Delete(ranked, i, i+1), 0, near)
+	}
+	return ranked[:min(len(ranked), maxHelpers)]
+}
+
+// recordAnswer records that a member answered this node.
+func (p *Prober) recordAnswer(target board.Member, now time.Time) {
+	p.mu.Lock()
+	if m, isMember := p.known[target.ID]; isMember && m.Peer == target.Peer {
+		m.answeredAt = now
+		p.known[target.ID] = m
+	}
+	p.mu.Unlock()
+	p.recordReached(target, now)
+}
+
+// recordReached records that this node or another one reaches a member.
+func (p *Prober) recordReached(target board.Member, now time.Time) {
+	p.mu.Lock()
+	m, isMember := p.known[target.ID]
+	current := isMember && m.Peer == target.Peer
+	if current {
+		m.toldAt = time.Time{}
+		p.known[target.ID] = m
+	}
+	p.mu.Unlock()
+	var since time.Time
+	recovered := false
+	p.Board.Do(func(s *board.State) {
+		since = s.Unreachable[target.ID]
+		recovered = current && !s.Reachable(target.ID)
+	})
+	if !recovered {
+		return
+	}
+	p.Board.Update(func(s *board.State) { delete(s.Unreachable, target.ID) })
+	p.Log.Info().Str("member", target.ID).Dur("unreachable_ms", now.Sub(since)).Msg("node answers again")
+}
+
+// recordUnreachable records that a member does not answer. It returns false if the
+// member is no longer known at that address.
+func (p *Prober) recordUnreachable(target board.Member, now time.Time) bool {
+	p.mu.Lock()
+	m, isMember := p.known[target.ID]
+	p.mu.Unlock()
+	if !isMember || m.Peer != target.Peer {
+		return false
+	}
+	found := false
+	p.Board.Do(func(s *board.State) { found = s.Reachable(target.ID) })
+	if found {
+		p.Board.Update(func(s *board.State) { s.Unreachable[target.ID] = now })
+		p.Log.Warn().Str("member", target.ID).Time("answered", m.answeredAt).Time("told", m.toldAt).Msg("node does not answer")
+	}
+	return true
+}
