--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -160,6 +160,7 @@
 		}
 		n.recordMembers(before, s.Members)
 	})
+	n.prober.Refresh(now)
 }
 
 // recordMembers logs and counts the nodes that were listed, changed their state or
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -96,39 +96,43 @@
 	}
 }
 
-// startRound updates the known members from the board and returns those to probe now:
-// the targets of this node, and the unreachable members that other nodes have told it
-// of, which may answer again.
+// Refresh updates the known members from the board. It must be called after each change
+// of the list, since a member may be listed for a moment only.
+func (p *Prober) Refresh(now time.Time) {
+	var listed map[string]board.Member
+	p.Board.Do(func(s *board.State) { listed = maps.Clone(s.Members) })
+	p.mu.Lock()
+	forgotten := p.update(listed, now)
+	p.mu.Unlock()
+	if len(forgotten) > 0 {
+		p.Board.Update(func(s *board.State) {
+			for _, id := range forgotten {
+				delete(s.Unreachable, id)
+			}
+		})
+	}
+}
+
+// startRound returns the members to probe now: the targets of this node, and the
+// unreachable members that other nodes have told it of, which may answer again.
 func (p *Prober) startRound(now time.Time) (targets, told []board.Member) {
+	p.Refresh(now)
 	var self string
-	listed := map[string]board.Member{}
+	count := targetCount
 	unreachable := map[string]bool{}
 	p.Board.Do(func(s *board.State) {
 		self = s.Self.ID
-		for id, m := range s.Members {
-			listed[id] = m
+		if _, listed := s.Members[self]; !listed {
+			count = unlistedTargetCount
 		}
 		for id := range s.Unreachable {
 			unreachable[id] = true
 		}
 	})
 	p.mu.Lock()
-	forgotten := p.update(listed, now)
-	count := targetCount
-	if _, isListed := listed[self]; !isListed {
-		count = unlistedTargetCount
-	}
-	ids := Targets(self, p.ids(self), func(id string) bool { return !unreachable[id] }, count)
-	targets = p.startProbes(ids)
+	defer p.mu.Unlock()
+	targets = p.startProbes(Targets(self, p.ids(self), func(id string) bool { return !unreachable[id] }, count))
 	told = p.startProbes(slices.Collect(maps.Keys(unreachable)))
-	p.mu.Unlock()
-	if len(forgotten) > 0 {
-		p.Board.Update(func(s *board.State) {
-			for _, id := range forgotten {
-				delete(s.Unreachable, id)
-			}
-		})
-	}
 	return targets, told
 }
 
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -198,6 +198,17 @@
 		p.network.failures["unknown:1"] = timeout
 		require.False(t, p.Check(t.Context(), "unknown:1", true))
 	})
+	t.Run("a node is told of a member that was listed between two rounds", func(t *testing.T) {
+		p := newTestProber()
+		p.round(start)
+		p.setListed("e", board.Alive, true)
+		p.Refresh(start.Add(time.Millisecond))
+		p.setListed("e", board.Alive, false)
+		p.Refresh(start.Add(2 * time.Millisecond))
+		p.network.failures["e:1"] = timeout
+		require.False(t, p.Check(t.Context(), "e:1", true))
+		p.Board.Do(func(s *board.State) { require.False(t, s.Reachable("e")) })
+	})
 	t.Run("a member that another one reaches again is reachable", func(t *testing.T) {
 		p := newTestProber()
 		p.network.failures["b:1"] = timeout
