--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,6 +75,7 @@
 	seeds := map[string]uint64{
 		"a node that started just before an outage was told of no lost front": 4007,
 		"a front that was listed for 0.3 s before its loss was not known":     5014,
+		"a front was first listed after its loss":                             6011,
 		"no fault found": 1,
 	}
 	for cause, seed := range seeds {
