--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -142,6 +142,9 @@
 }
 
 func (n *Node) applyMembers(changed []quetzalpier.Entry, full bool, now time.Time) {
+	if recovered := n.nodes.State().RecoveredAt; !recovered.IsZero() && now.Sub(recovered) < n.Settings.SettleTime.D() {
+		n.distrust(changed, now)
+	}
 	n.Board.Update(func(s *board.State) {
 		before := maps.Clone(s.Members)
 		if full {
@@ -163,6 +166,28 @@
 	n.prober.Refresh(now)
 }
 
+// distrust marks listed nodes that this node did not know as unreachable, since they may
+// have been lost in an outage; the prober clears the mark of each that answers.
+func (n *Node) distrust(entries []quetzalpier.Entry, now time.Time) {
+	var ids []string
+	for _, e := range entries {
+		if id, ok := strings.CutPrefix(e.Key, vault.Nodes); ok && !e.Deleted {
+			ids = append(ids, id)
+		}
+	}
+	unknown := n.prober.Unknown(ids)
+	if len(unknown) == 0 {
+		return
+	}
+	n.Board.Update(func(s *board.State) {
+		for _, id := range unknown {
+			if _, listed := s.Members[id]; !listed && id != s.Self.ID {
+				s.Unreachable[id] = now
+			}
+		}
+	})
+}
+
 // recordMembers logs and counts the nodes that were listed, changed their state or
 // are no longer listed. The first list is logged as a whole.
 func (n *Node) recordMembers(before, after map[string]board.Member) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -3,19 +3,16 @@
 import (
 	"context"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
 
-	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/platform"
 	"quetzalpier/runner"
 	"quetzalpier/sleep"
 	"quetzalpier/snap"
-	"quetzalpier/vault"
 	"quetzalpier/wire"
 )
 
@@ -183,19 +180,6 @@
 	return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{Needed: needed}}}
 }
 
-// distrust marks the nodes of an earlier list as unreachable, except those already
-// known; the prober clears the mark of each that answers.
-func (v *viewSharer) distrust(nodes []quetzalpier.Entry, now time.Time) {
-	v.node.Board.Update(func(s *board.State) {
-		for _, e := range nodes {
-			id := strings.TrimPrefix(e.Key, vault.Nodes)
-			if _, known := s.Members[id]; !known && id != s.Self.ID {
-				s.Unreachable[id] = now
-			}
-		}
-	})
-}
-
 // adopt uses the view until this node has read the service itself. With the nodes in
 // it, this node can read the service through one that reaches it; only if none does,
 // the view's configuration and upstreams are the newest within reach.
@@ -206,7 +190,7 @@
 		return
 	}
 	v.adoptedRev, v.adoptedAt = view.Rev(), now
-	v.distrust(view.Nodes.Entries, now)
+	v.node.distrust(view.Nodes.Entries, now)
 	v.node.nodes.Seed(view.Nodes, now)
 	if _, err := v.node.kv.Range(ctx, platform.KeyConfig, false); err == nil {
 		return
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Unknown returns those of the IDs that are not of members which this node has known
+// lately.
+func (p *Prober) Unknown(ids []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var unknown []string
+	for _, id := range ids {
+		if _, isMember := p.known[id]; !isMember {
+			unknown = append(unknown, id)
+		}
+	}
+	return unknown
+}
+
 // startRound returns the members to probe now: the targets of this node, and the
 // unreachable members that other nodes have told it of, which may answer again.
 func (p *Prober) startRound(now time.Time) (targets, told []board.Member) {
