--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -107,6 +107,7 @@
 		changes, err := m.next(ctx, cur, start)
 		now := time.Now()
 		m.recordResult(err, now)
+		m.logRead(cur, changes, err, now.Sub(start))
 		pause := m.MinInterval - now.Sub(start)
 		if err == nil {
 			m.applyChanges(&cur, changes, now)
@@ -194,6 +195,24 @@
 	m.failing = failed
 }
 
+// logRead logs each read of all keys, and each loss of history, which leads to one.
+func (m *Mirror) logRead(cur cursor, changes quetzalpier.Changes, err error, took time.Duration) {
+	var compacted *quetzalpier.CompactedError
+	switch {
+	case errors.As(err, &compacted):
+		m.Log.Warn().Str("prefix", m.Prefix).Uint64("rev", cur.rev).Bool("cut", compacted.Cut).Dur("took_ms", took).Msg("watch lost its place in the history")
+	case cur.synced:
+	case err != nil:
+		m.Log.Warn().Str("prefix", m.Prefix).Err(err).Dur("took_ms", took).Msg("failed to read all keys")
+	default:
+		bytes := 0
+		for _, entry := range changes.Entries {
+			bytes += len(entry.Key) + len(entry.Value)
+		}
+		m.Log.Info().Str("prefix", m.Prefix).Int("keys", len(changes.Entries)).Int("bytes", bytes).Uint64("rev", changes.Rev).Dur("took_ms", took).Msg("read all keys")
+	}
+}
+
 // Seed sets the content to what another node or an earlier process has read, until
 // the first read of the own source replaces it. It does nothing, and returns false,
 // once that has happened or if the present content is as new.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -266,11 +266,13 @@
 	var err error = &quetzalpier.RefusedError{Call: "relay", Reason: "no other node can relay the call"}
 	for _, peer := range k.relayPeers() {
 		var stored *wire.Stored
+		start := time.Now()
 		stored, err = k.relayVia(ctx, peer, each, message)
 		if err == nil {
 			decode(stored)
 			return nil
 		}
+		k.Log.Warn().Str("peer", peer).Str("call", callName(message)).Err(err).Dur("took_ms", time.Since(start)).Msg("call through another node failed")
 		if !isRefused(err) && !(idempotent && isOutcomeUnknown(err)) {
 			return err
 		}
@@ -278,6 +280,24 @@
 	return err
 }
 
+// callName names a relayed call in log lines.
+func callName(message *wire.Store) string {
+	switch {
+	case message.GetCommit() != nil:
+		return "commit"
+	case message.GetGet() != "":
+		return "get " + message.GetGet()
+	case message.GetRange() != "":
+		return "range " + message.GetRange()
+	case message.GetFollow() != nil:
+		return "watch " + message.GetFollow().GetPrefix()
+	case message.GetRenew() != "":
+		return "renew"
+	default:
+		return "grant"
+	}
+}
+
 // relayPeers returns the peers to try in random order, beginning with the one
 // that relayed the last call.
 func (k *KV) relayPeers() []string {
