runner, relay, mirror, link, entry: Test tasks that are sent after their job has ended

The owner learns of ends from one read of all jobs and ends, which does not finish in time once the jobs are large; ends wait behind jobs that are being opened; watches through other nodes can lose a change; canceled requests and reward calls are still sent; an end that was refused is forgotten.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -397,6 +397,21 @@
 		status, _ = get(t, r, platform.PathJobs+"j2")
 		require.Equal(t, http.StatusServiceUnavailable, status)
 	})
+	t.Run("an end that could not be stored in time is stored later", func(t *testing.T) {
+		r := newTestEntry(t)
+		r.setConfig()
+		submit(t, r, string(body))
+		r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+		resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+		r.kv.SetFaults(stand.KVFaults{})
+		ends := platform.NewKV(r.kv.Addr)
+		require.Eventually(t, func() bool {
+			stored, err := ends.Range(t.Context(), "in/end/", false)
+			return err == nil && len(stored.Entries) == 1
+		}, testTimeout, 10*time.Millisecond)
+	})
 	t.Run("a submission with an unknown outcome is not refused as not run", func(t *testing.T) {
 		r := newTestEntry(t)
 		r.setConfig()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -255,6 +256,38 @@
 	})
 }
 
+func TestCanceledRequest(t *testing.T) {
+	t.Run("a request that is canceled while connecting is not sent", func(t *testing.T) {
+		u := startUpstream(t, readRequest)
+		for range 200 {
+			ctx, cancel := context.WithCancel(t.Context())
+			links := link.New()
+			links.OnDial = func(link.Purpose, link.Cause) { cancel() }
+			_, err := attempt(ctx, links, newCall(u.addr()))
+			require.True(t, requireLinkError(t, err).Canceled)
+		}
+		_ = u.listener.Close()
+		u.workers.Wait()
+		require.Zero(t, u.runs.Load())
+	})
+	t.Run("a canceled request resets its connection", func(t *testing.T) {
+		closed := make(chan error, 1)
+		u := startUpstream(t, func(conn net.Conn) bool {
+			ran := readRequest(conn)
+			_, err := conn.Read(make([]byte, 1))
+			closed <- err
+			return ran
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCall(u.addr())
+		c.HeaderTimeout = time.Hour
+		time.AfterFunc(50*time.Millisecond, cancel)
+		_, err := attempt(ctx, link.New(), c)
+		require.True(t, requireLinkError(t, err).Canceled)
+		require.ErrorIs(t, <-closed, syscall.ECONNRESET)
+	})
+}
+
 func TestIdleTime(t *testing.T) {
 	for header, want := range map[string]time.Duration{
 		"": 5 * time.Second, "max=5": 5 * time.Second, "timeout=x": 5 * time.Second,
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -119,6 +119,18 @@
 		put(t, kv, "p/a", "3")
 		requireValue(t, c, "p/a", "3")
 	})
+	t.Run("a change that a watch did not report is found by the next one", func(t *testing.T) {
+		kv := &faultyKV{MemoryKV: stand.NewMemoryKV()}
+		put(t, kv, "p/a", "1")
+		_, c := startMirror(t, kv)
+		requireValue(t, c, "p/a", "1")
+		kv.mu.Lock()
+		kv.emptyWatches = 1
+		kv.mu.Unlock()
+		require.Eventually(t, func() bool { kv.mu.Lock(); defer kv.mu.Unlock(); return kv.emptyWatches == 0 }, eventuallyTimeout, time.Millisecond)
+		put(t, kv, "p/a", "2")
+		requireValue(t, c, "p/a", "2")
+	})
 	t.Run("its state shows failure and recovery", func(t *testing.T) {
 		kv := &faultyKV{MemoryKV: stand.NewMemoryKV()}
 		m, _ := startMirror(t, kv)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -251,6 +251,17 @@
 		require.Len(t, found.Entries, 1)
 		require.True(t, a.DirectFailed(), "a failed read counts as an outage")
 	})
+	t.Run("a watch that is closed at the relaying node may have missed changes", func(t *testing.T) {
+		service := stand.NewMemoryKV()
+		a, _, directA, directB := relayPair(service)
+		directA.setFault(errRefused, false)
+		_, err := a.Get(t.Context(), "k")
+		require.NoError(t, err)
+		directB.cutWatches = 1
+		_, err = a.WatchPrefix(t.Context(), "k/", 0, time.Second)
+		var compacted *quetzalpier.CompactedError
+		require.True(t, errors.As(err, &compacted), "got %v", err)
+	})
 	t.Run("a watch that was closed in an outage does not count as its end", func(t *testing.T) {
 		service := stand.NewMemoryKV()
 		a, _, directA, _ := relayPair(service)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -37,16 +37,28 @@
 	lostReplies int
 	// unreadable is a prefix whose reads fail; empty for none.
 	unreadable string
+	// maxReadBytes is the size beyond which a read gets no answer in time; zero for
+	// none.
+	maxReadBytes int
 }
 
 func (s *lossyKV) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
 	s.mu.Lock()
 	fails := s.unreadable != "" && strings.HasPrefix(prefix, s.unreadable)
+	limit := s.maxReadBytes
 	s.mu.Unlock()
 	if fails {
 		return quetzalpier.Changes{}, &quetzalpier.RefusedError{Call: "range", Reason: "unreadable"}
 	}
-	return s.MemoryKV.Range(ctx, prefix, stale)
+	found, err := s.MemoryKV.Range(ctx, prefix, stale)
+	size := 0
+	for _, entry := range found.Entries {
+		size += len(entry.Value)
+	}
+	if limit > 0 && size > limit {
+		return quetzalpier.Changes{}, &quetzalpier.OutcomeUnknownError{Call: "range", Reason: "no answer in time"}
+	}
+	return found, err
 }
 
 func (s *lossyKV) Commit(ctx context.Context, txn quetzalpier.Txn) (uint64, error) {
