link: Send nothing for a request that was canceled while connecting

A task's run whose job ended while its connection was being opened was sent all the same: the cancellation closed the connection in a goroutine that raced with the write (193 of 200 in the test). A request that was canceled after it was written was closed, so that the kernel went on delivering its bytes, for example when a partition healed.

The context is checked once the connection is open, and a request without a complete response resets its connection. TestCanceledRequest failed before. TestForward expected that the connection to the upstream is closed within its deadline when the client disconnects; it now expects that it is reset within that deadline.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -271,7 +272,7 @@
 		require.NoError(t, client.Close())
 		require.NoError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
 		_, err = io.Copy(io.Discard, conn)
-		require.NoError(t, err, "the connection must be closed before the read deadline")
+		require.ErrorIs(t, err, syscall.ECONNRESET, "the connection must be reset before the read deadline")
 	})
 	t.Run("a request with an ambiguous body length is not forwarded", func(t *testing.T) {
 		for name, header := range map[string]string{
--- a/link/conn.go
+++ b/link/conn.go
@@ -53,6 +53,15 @@
 	return c, nil
 }
 
+// abort resets the connection, so that bytes of the request that are still on their
+// way, or held up by a partition, are not delivered later.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
--- a/link/link.go
+++ b/link/link.go
@@ -57,7 +57,7 @@
 	complete   bool
 }
 
-// Do sends the request and reads the response header. Canceling ctx closes the
+// Do sends the request and reads the response header. Canceling ctx resets the
 // connection, also while the body is being read.
 func (l *Links) Do(ctx context.Context, call Call) (*Response, error) {
 	if ctx.Err() != nil {
@@ -67,7 +67,11 @@
 	if err != nil {
 		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Err: err}
 	}
-	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if ctx.Err() != nil {
+		c.abort()
+		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: true, Err: ctx.Err()}
+	}
+	stopCancel := context.AfterFunc(ctx, c.abort)
 	c.sent = 0
 	c.readTimeout = call.HeaderTimeout
 	err = call.Request.Write(c.writer)
@@ -107,7 +111,7 @@
 	return n, r.links.newError(r.ctx, r.addr, StageBody, r.conn, err)
 }
 
-// Close keeps the connection for reuse if the complete body was read, and closes
+// Close keeps the connection for reuse if the complete body was read, and resets
 // it otherwise.
 func (r *Response) Close() error {
 	if r.conn == nil {
@@ -122,7 +126,11 @@
 		r.links.release(r.addr, c)
 		return nil
 	}
-	return c.Close()
+	if r.complete {
+		return c.Close()
+	}
+	c.abort()
+	return nil
 }
 
 // IdleTime returns how long a connection may be idle and still be reused: the
@@ -146,7 +154,7 @@
 
 func (l *Links) closeFailed(ctx context.Context, addr string, c *conn, stopCancel func() bool, stage Stage, err error) *Error {
 	stopCancel()
-	_ = c.Close()
+	c.abort()
 	return l.newError(ctx, addr, stage, c, err)
 }
 
