relay, mirror: Read again what a watch through another node may have missed

When the store drops its history, watches report nothing for a moment and are closed; a direct watch that is closed is followed by a read of all keys. At a node that watches through another one, the failure was an unknown outcome, and the watch was repeated from its revision. An empty answer before had already moved that past the change, since it carries the store's revision: an end, a configuration or an upstream that left could stay unknown for good.

The relaying node reports a closed watch as a loss of history. An empty answer moves a mirror's position only as far as the answer before it, if that is at most 5 s old, so that the next watch lists the changes again.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -26,6 +26,9 @@
 	// history can miss a change, and an update must be applied within two seconds.
 	unreliablePeriod = 5 * time.Second
 	unreliableWatch  = time.Second
+	// maxReplay is the maximum age of the answer from whose revision a watch repeats
+	// the changes; the history of an older one may be gone.
+	maxReplay = 5 * time.Second
 )
 
 // Source is what a mirror reads from: the key-value service, or another node's
@@ -86,10 +89,13 @@
 	return State{m.lastContact, m.failing, m.recoveredAt, m.rev}
 }
 
-// cursor is the position of a mirror in the history of its prefix.
+// cursor is the position of a mirror in the history of its prefix. rev is the
+// revision after which the next watch lists changes, and latest that of the last
+// answer, received at answeredAt.
 type cursor struct {
-	rev    uint64
-	synced bool
+	rev, latest uint64
+	answeredAt  time.Time
+	synced      bool
 	// unreliableUntil is the end of the time in which watches may miss changes;
 	// zero if there is none.
 	unreliableUntil time.Time
@@ -144,10 +150,15 @@
 	cur.failures = 0
 	if !full {
 		cur.historyLosses = 0
-		if !cur.unreliableUntil.IsZero() && len(changes.Entries) == 0 {
-			// The next watch repeats this revision, as this one may have missed
-			// changes.
-			changes.Rev = cur.rev
+	}
+	latest := max(cur.latest, changes.Rev)
+	if !full && len(changes.Entries) == 0 {
+		// This watch may have missed changes, so the next one starts further back.
+		switch {
+		case !cur.unreliableUntil.IsZero():
+			changes.Rev, latest = cur.rev, cur.latest
+		case now.Sub(cur.answeredAt) <= maxReplay:
+			changes.Rev = cur.latest
 		}
 	}
 	m.applyMu.Lock()
@@ -156,7 +167,7 @@
 		m.Apply(updates, full, now)
 	}
 	m.applyMu.Unlock()
-	cur.synced, cur.rev = true, changes.Rev
+	cur.synced, cur.rev, cur.latest, cur.answeredAt = true, changes.Rev, latest, now
 }
 
 // recordFailure records a failed call and returns the pause before the next one.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -114,12 +114,7 @@
 func (k *KV) WatchPrefix(ctx context.Context, prefix string, rev uint64, wait time.Duration) (found quetzalpier.Changes, err error) {
 	message := &wire.Store{Follow: &wire.Follow{Prefix: prefix, Rev: rev, Wait: uint64(min(wait, maxRelayedWatch).Milliseconds())}}
 	err = k.do(ctx, wait+directTimeout, true, func(ctx context.Context) error {
-		found, err = k.Direct.WatchPrefix(ctx, prefix, rev, wait)
-		if isOutcomeUnknown(err) && ctx.Err() == nil {
-			// A healthy service may close a waiting watch. The caller reads the
-			// changes that the watch may have missed.
-			err = &quetzalpier.CompactedError{Prefix: prefix, Rev: rev, Cut: true}
-		}
+		found, err = k.watchDirect(ctx, prefix, rev, wait)
 		return err
 	}, message, func(s *wire.Stored) {
 		found = quetzalpier.Changes{Entries: wire.UnpackEntries(s.GetEntries()), Rev: s.GetRev()}
@@ -127,6 +122,16 @@
 	return found, err
 }
 
+// watchDirect makes a direct watch. A healthy service may close a waiting watch; the
+// caller then has to read the changes that the watch may have missed.
+func (k *KV) watchDirect(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
+	found, err := k.Direct.WatchPrefix(ctx, prefix, rev, wait)
+	if isOutcomeUnknown(err) && ctx.Err() == nil {
+		err = &quetzalpier.CompactedError{Prefix: prefix, Rev: rev, Cut: true}
+	}
+	return found, err
+}
+
 // Commit implements quetzalpier.KV.
 func (k *KV) Commit(ctx context.Context, txn quetzalpier.Txn) (uint64, error) {
 	return k.commit(ctx, 2*directTimeout, txn)
@@ -359,7 +364,7 @@
 	case message.GetFollow() != nil:
 		var found quetzalpier.Changes
 		follow := message.GetFollow()
-		found, err = k.Direct.WatchPrefix(ctx, follow.GetPrefix(), follow.GetRev(), time.Duration(follow.GetWait())*time.Millisecond)
+		found, err = k.watchDirect(ctx, follow.GetPrefix(), follow.GetRev(), time.Duration(follow.GetWait())*time.Millisecond)
 		stored.Entries, stored.Rev = wire.PackEntries(found.Entries), found.Rev
 	case message.GetRenew() != "":
 		err = k.Direct.Renew(ctx, message.GetRenew())
