runner, vault: Follow the ends of jobs apart from the jobs

Jobs and their ends were one prefix. An end also waited until all jobs of an earlier read were open, which includes reading their results.

Ends have a watch of their own, of a few bytes each. All ends are read before the jobs of an earlier owner are opened, and jobs are opened in the background.

--- a/runner/pool.go
+++ b/runner/pool.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/pool"
 
 	"quetzalpier"
 	"quetzalpier/board"
@@ -25,9 +24,9 @@
 	// historyMargin is added to the time for which results must stay readable,
 	// since the clocks of VMs differ.
 	historyMargin = 30 * time.Second
-	// maxConcurrentOpens limits how many jobs are read at a time after a
-	// takeover.
-	maxConcurrentOpens = 8
+	// maxConcurrentReads limits of how many jobs the results are read at a time after
+	// a takeover.
+	maxConcurrentReads = 8
 	// kvRetryBase and kvRetryMax bound the pause before a failed call to the
 	// key-value service is repeated.
 	kvRetryBase = 100 * time.Millisecond
@@ -72,6 +71,10 @@
 	engines       map[string]*engine
 	// cancels holds the functions that cancel the running tasks.
 	cancels map[*tasks.Task]context.CancelFunc
+	// opening are the jobs that are being opened, and readSlots holds an element for
+	// each read of a job's results.
+	opening   map[string]bool
+	readSlots chan struct{}
 	// endedJobs are the jobs that are known to have ended. The end of a job may
 	// arrive before the job itself.
 	endedJobs map[string]bool
@@ -103,7 +106,7 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: tasks.NewScheduler(), engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, lastSeen: map[string]seenVersion{}, uncertain: map[string]bool{}, reads: map[string]*storedRead{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, lastSeen: map[string]seenVersion{}, uncertain: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 }
 
@@ -133,8 +136,8 @@
 }
 
 func (p *poolRunner) run() {
-	jobWatch := &mirror.Mirror{KV: p.runner.KV, Prefix: vault.Jobs, WatchTimeout: p.runner.WatchTimeout, Log: p.runner.Log, Apply: p.applyChanges}
-	p.goroutines.Go(func() { jobWatch.Run(p.ctx) })
+	p.goroutines.Go(func() { p.newMirror(vault.Ends, p.applyEnds).Run(p.ctx) })
+	p.goroutines.Go(func() { p.newMirror(vault.Jobs, p.applyJobs).Run(p.ctx) })
 	p.goroutines.Go(func() { p.commitLoop(p.ctx) })
 	p.goroutines.Go(func() { p.rotationLoop(p.ctx) })
 	p.goroutines.Go(func() { p.reconcile(p.ctx) })
@@ -152,37 +155,69 @@
 	p.goroutines.Wait()
 }
 
-// applyChanges handles new jobs and the ends of jobs. allJobs reports whether
-// changed holds all keys, so that earlier owners may have worked on the jobs.
-func (p *poolRunner) applyChanges(changed []quetzalpier.Entry, allJobs bool, now time.Time) {
-	var jobs []*quetzalpier.Job
+func (p *poolRunner) newMirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
+	return &mirror.Mirror{KV: p.runner.KV, Prefix: prefix, WatchTimeout: p.runner.WatchTimeout, Log: p.runner.Log, Apply: apply}
+}
+
+// applyEnds handles the ends of jobs.
+func (p *poolRunner) applyEnds(changed []quetzalpier.Entry, _ bool, now time.Time) {
+	for _, entry := range changed {
+		if !entry.Deleted {
+			p.endJob(vault.EndedJob(entry), now)
+		}
+	}
+}
+
+// readEnds reads the ends of all jobs, until that succeeds or the runner stops.
+func (p *poolRunner) readEnds() {
+	for failures := 1; p.ctx.Err() == nil; failures++ {
+		found, err := p.runner.KV.Range(p.ctx, vault.Ends, false)
+		if err == nil {
+			p.applyEnds(found.Entries, true, time.Now())
+			return
+		}
+		p.runner.Log.Warn().Str("pool", p.pool).Err(err).Msg("failed to read the ends of jobs")
+		pauseKV(p.ctx, failures)
+	}
+}
+
+// applyJobs opens new jobs. allJobs reports whether changed holds all jobs, so that
+// earlier owners may have worked on them, and some have ended.
+func (p *poolRunner) applyJobs(changed []quetzalpier.Entry, allJobs bool, now time.Time) {
+	if allJobs {
+		p.readEnds()
+	}
 	for _, entry := range changed {
 		if entry.Deleted {
 			continue
 		}
-		change, err := vault.DecodeChange(entry)
+		job, err := vault.DecodeJob(entry)
 		if err != nil {
 			p.runner.Log.Error().Err(err).Msg("failed to decode job")
 			continue
 		}
-		if change.EndedJob != "" {
-			p.endJob(change.EndedJob, now)
-			continue
-		}
-		if change.Job.Pool == p.pool {
-			jobs = append(jobs, change.Job)
+		if job.Pool == p.pool {
+			p.openInBackground(job, allJobs, now)
 		}
 	}
-	// The ends are known by now. After a takeover the results of many jobs are
-	// read; the tasks of each job start as soon as its own results are.
-	opening := pool.New().WithMaxGoroutines(maxConcurrentOpens)
-	for _, job := range jobs {
-		opening.Go(func() {
-			p.openJob(job, allJobs, now)
-			signal(p.wake)
-		})
+}
+
+// openInBackground opens a job unless that is in progress. A job whose stored results
+// can't be read delays no other.
+func (p *poolRunner) openInBackground(job *quetzalpier.Job, mayHaveResults bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.opening[job.ID] {
+		return
 	}
-	opening.Wait()
+	p.opening[job.ID] = true
+	p.goroutines.Go(func() {
+		p.openJob(job, mayHaveResults, now)
+		p.mu.Lock()
+		delete(p.opening, job.ID)
+		p.mu.Unlock()
+		signal(p.wake)
+	})
 }
 
 // openJob adds a job to the scheduler. If an earlier owner may have worked on
@@ -236,6 +271,12 @@
 // readStored reads the results and partial texts that earlier owners stored for
 // a job.
 func (p *poolRunner) readStored(job string) ([]quetzalpier.Result, []vault.Part, error) {
+	select {
+	case p.readSlots <- struct{}{}:
+	case <-p.ctx.Done():
+		return nil, nil, p.ctx.Err()
+	}
+	defer func() { <-p.readSlots }()
 	stored, err := p.runner.Vault.Results(p.ctx, job)
 	if err != nil {
 		return nil, nil, err
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -17,10 +17,10 @@
 
 // Keys of jobs, ends, results and owners.
 const (
-	// Jobs is the prefix of the keys of jobs and of their ends.
-	Jobs           = "in/"
-	prefixJob      = "in/job/"
-	prefixEnd      = "in/end/"
+	// Jobs is the prefix of the keys of jobs, and Ends of those of their ends. Ends are
+	// small; a read of all jobs takes seconds.
+	Jobs           = "in/job/"
+	Ends           = "in/end/"
 	prefixResults  = "out/"
 	prefixPart     = "part/"
 	prefixOrdering = "last/"
@@ -35,7 +35,7 @@
 var purposes = []struct{ prefix, name string }{
 	{prefixResults, "results"},
 	{prefixPart, "parts"},
-	{prefixEnd, "ends"},
+	{Ends, "ends"},
 	{Jobs, "jobs"},
 	{prefixOrdering, "orders"},
 	{Owners, "owners"},
@@ -63,7 +63,7 @@
 	if err != nil {
 		return false, err
 	}
-	_, err = v.KV.CompareAndSwap(ctx, prefixJob+job.ID, data, 0, "")
+	_, err = v.KV.CompareAndSwap(ctx, Jobs+job.ID, data, 0, "")
 	var conflict *quetzalpier.RevisionError
 	if errors.As(err, &conflict) {
 		return true, nil
@@ -73,7 +73,7 @@
 
 // Get reads a job. It returns nil if the job does not exist.
 func (v *Vault) Get(ctx context.Context, id string) (*quetzalpier.Job, error) {
-	entry, err := v.KV.Get(ctx, prefixJob+id)
+	entry, err := v.KV.Get(ctx, Jobs+id)
 	if err != nil || entry.Rev == 0 {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 
 // End marks a job as ended. Repeated calls have no effect.
 func (v *Vault) End(ctx context.Context, id string) error {
-	_, err := v.KV.CompareAndSwap(ctx, prefixEnd+id, []byte("ended"), 0, "")
+	_, err := v.KV.CompareAndSwap(ctx, Ends+id, []byte("ended"), 0, "")
 	var conflict *quetzalpier.RevisionError
 	if errors.As(err, &conflict) {
 		return nil
@@ -90,22 +90,15 @@
 	return err
 }
 
-// Change is a decoded entry under Jobs: a new job, or the end of one.
-type Change struct {
-	Job *quetzalpier.Job
-	// EndedJob is the ID of a job that has ended.
-	EndedJob string
-}
-
-// DecodeChange decodes an entry under Jobs.
-func DecodeChange(entry quetzalpier.Entry) (Change, error) {
-	if id, ok := strings.CutPrefix(entry.Key, prefixEnd); ok {
-		return Change{EndedJob: id}, nil
-	}
+// DecodeJob decodes an entry under Jobs.
+func DecodeJob(entry quetzalpier.Entry) (*quetzalpier.Job, error) {
 	job, err := wire.DecodeJob(entry.Value)
-	return Change{Job: job}, errors.Wrap(err, entry.Key)
+	return job, errors.Wrap(err, entry.Key)
 }
 
+// EndedJob returns the ID of the job that an entry under Ends marks as ended.
+func EndedJob(entry quetzalpier.Entry) string { return strings.TrimPrefix(entry.Key, Ends) }
+
 // Results reads the results of a job in the order of their positions.
 func (v *Vault) Results(ctx context.Context, id string) ([]quetzalpier.Result, error) {
 	list, err := v.KV.Range(ctx, prefixResults+id+"/", false)
@@ -229,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	keys := []string{prefixJob + id, prefixEnd + id}
+	keys := []string{Jobs + id, Ends + id}
 	for _, entry := range list.Entries {
 		keys = append(keys, entry.Key)
 	}
