runner, tasks: Cancel the reward calls of an ended job

The end of a job canceled its runs only. A reward call that waited for its next attempt was made all the same, up to 2 s later plus the 3 s that it may wait for an upstream; the users' rule treats it as a task. A run that completed while the end was applied began one.

Reward calls have a context of their own, which the end of the job, its expiry and a result found in the store cancel. A case of TestRunner set the log of a runner that was running, which the race detector now met; it sets it before.

--- a/runner/pool.go
+++ b/runner/pool.go
@@ -69,7 +69,7 @@
 	fence         uint64
 	scheduler     *tasks.Scheduler
 	engines       map[string]*engine
-	// cancels holds the functions that cancel the running tasks.
+	// cancels holds the functions that cancel the runs and reward calls of tasks.
 	cancels map[*tasks.Task]context.CancelFunc
 	// opening are the jobs that are being opened, and readSlots holds an element for
 	// each read of a job's results.
@@ -299,9 +299,9 @@
 		Dur("age_ms", now.Sub(job.Spec.SubmittedAt)).Msg("job ended")
 }
 
-// cancelRuns cancels the runs of tasks. The caller holds the lock.
-func (p *poolRunner) cancelRuns(running []*tasks.Task) {
-	for _, task := range running {
+// cancelRuns cancels the runs and reward calls of tasks. The caller holds the lock.
+func (p *poolRunner) cancelRuns(active []*tasks.Task) {
+	for _, task := range active {
 		task.Canceled = true
 		if cancel := p.cancels[task]; cancel != nil {
 			cancel()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -266,9 +266,8 @@
 		require.Equal(t, eventText("j-0", 6), r.waitResults(t, "j", 1)["j-0"].Text)
 	})
 	t.Run("a reward call without a route is repeated with growing pauses and works once the route exists", func(t *testing.T) {
-		r := newFixture(t, 1)
 		var lines lineCounter
-		r.runner.Log = zerolog.New(&lines)
+		r := newFixture(t, 1, func(r *fixture) { r.runner.Log = zerolog.New(&lines) })
 		job := newJob("j", 1, 2)
 		job.Tasks[0].Reward.Path = "/new/r"
 		r.putJob(t, job)
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -198,7 +198,7 @@
 	delete(p.cancels, r.task)
 	r.engine.Running--
 	p.logRun(r, err, canceled, now)
-	if r.task.Phase != tasks.Running {
+	if r.task.Phase != tasks.Running || r.task.Job.Ended {
 		return
 	}
 	r.task.Phase = tasks.Waiting
@@ -274,16 +274,27 @@
 		signal(p.resultReady)
 		return
 	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	p.cancels[task] = cancel
 	p.goroutines.Go(func() {
-		for failures := 1; p.ctx.Err() == nil; failures++ {
-			if p.applyReward(task, p.callReward(task.Spec.Reward), time.Now()) {
-				return
-			}
-			sleep.For(p.ctx, sleep.Backoff(failures, rewardRetryBase, rewardRetryMax, rand.Float64()))
-		}
+		defer cancel()
+		p.fetchReward(ctx, task)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.cancels, task)
 	})
 }
 
+// fetchReward calls the reward of a task until there is an outcome or ctx ends.
+func (p *poolRunner) fetchReward(ctx context.Context, task *tasks.Task) {
+	for failures := 1; ctx.Err() == nil; failures++ {
+		if p.applyReward(task, p.callReward(ctx, task.Spec.Reward), time.Now()) {
+			return
+		}
+		sleep.For(ctx, sleep.Backoff(failures, rewardRetryBase, rewardRetryMax, rand.Float64()))
+	}
+}
+
 // rewardOutcome is the result of a reward call.
 type rewardOutcome struct {
 	Stamp  string
@@ -320,7 +331,7 @@
 }
 
 // callReward makes a reward call on the route of its host and path.
-func (p *poolRunner) callReward(reward *quetzalpier.Reward) rewardOutcome {
+func (p *poolRunner) callReward(ctx context.Context, reward *quetzalpier.Reward) rewardOutcome {
 	now := time.Now()
 	var route quetzalpier.Route
 	found := false
@@ -332,7 +343,7 @@
 	if route.Timeout > 0 {
 		deadline = now.Add(min(route.Timeout, rewardDeadline))
 	}
-	ctx, cancel := context.WithDeadline(p.ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	// The job has no queue deadline: a call that waits costs less than one that
 	// is repeated.
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -283,7 +283,7 @@
 }
 
 // End closes a job and discards its pending results. It returns the tasks
-// whose runs must be canceled.
+// whose runs and reward calls must be canceled.
 func (s *Scheduler) End(id string, now time.Time) []*Task {
 	job := s.Jobs[id]
 	if job == nil || job.Ended {
@@ -292,19 +292,22 @@
 	job.Ended = true
 	job.EndedAt = now
 	defer func() { job.Pending = nil }()
-	var running []*Task
+	var active []*Task
 	for _, task := range job.Tasks {
-		if task.Phase == Running {
+		if task.inProgress() {
 			task.Canceled = true
-			running = append(running, task)
+			active = append(active, task)
 		}
 		s.retain(task, now)
 		task.Text = Text{}
 	}
 	job.notifyReaders()
-	return running
+	return active
 }
 
+// inProgress reports whether the task has a run or a reward call.
+func (t *Task) inProgress() bool { return t.Phase == Running || t.Phase == Scoring }
+
 // retain keeps the text of a task if its group is unfinished, or finished so
 // recently that the trainer may not have read it.
 func (s *Scheduler) retain(task *Task, now time.Time) {
@@ -444,9 +447,9 @@
 func (j *Job) Satisfied() bool { return j.CompleteGroups >= j.Spec.WantGroups && j.Spec.WantGroups > 0 }
 
 // Expire fails the unfinished tasks of expired jobs. It returns those whose
-// runs must be canceled.
+// runs and reward calls must be canceled.
 func (s *Scheduler) Expire(now time.Time) []*Task {
-	var running []*Task
+	var active []*Task
 	for _, job := range s.Jobs {
 		if job.Ended || now.Before(job.Spec.ExpiresAt) {
 			continue
@@ -455,14 +458,14 @@
 			if task.Phase == Finished {
 				continue
 			}
-			if task.Phase == Running {
+			if task.inProgress() {
 				task.Canceled = true
-				running = append(running, task)
+				active = append(active, task)
 			}
 			s.Fail(task, now)
 		}
 	}
-	return running
+	return active
 }
 
 // Unfinished returns the number of tasks without a result.
@@ -542,7 +545,7 @@
 
 // Reconcile replaces the listed results of a job by the stored ones. Pending
 // results that turn out to be stored keep their stored position. It returns
-// the tasks whose runs must be canceled.
+// the tasks whose runs and reward calls must be canceled.
 func (s *Scheduler) Reconcile(id string, listed []quetzalpier.Result, now time.Time) []*Task {
 	job := s.Jobs[id]
 	if job == nil || len(listed) <= len(job.Listed) {
@@ -558,14 +561,14 @@
 			pending = append(pending, result)
 		}
 	}
-	var running []*Task
+	var active []*Task
 	for _, task := range job.Tasks {
 		if !stored[task.Spec.ID] || task.Phase == Finished {
 			continue
 		}
-		if task.Phase == Running {
+		if task.inProgress() {
 			task.Canceled = true
-			running = append(running, task)
+			active = append(active, task)
 		}
 		task.markFinished(now)
 	}
@@ -573,5 +576,5 @@
 	job.Pending = pending
 	job.PendingAt = now
 	job.notifyReaders()
-	return running
+	return active
 }
