entry: Store an end later whose client was refused

A client whose request to end a job could not be stored within 3 s was answered that the outcome is unknown, and the end was forgotten. Clients need not repeat it: by the users' rule it counts as acknowledged after some seconds without faults, so that the tasks that still ran broke the rule.

The front goes on storing the end, at most once a second, as long as results are kept.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,10 +69,15 @@
 	workers  conc.WaitGroup
 	inFlight atomic.Int64
 	draining atomic.Bool
-
-	mu        sync.Mutex
-	cache     map[string]*jobResults
-	records   map[string]jobRecord
+	// ctx ends when the Entry is closed.
+	ctx   context.Context
+	close context.CancelFunc
+
+	mu      sync.Mutex
+	cache   map[string]*jobResults
+	records map[string]jobRecord
+	// unstoredEnds are the jobs whose end is still to be stored.
+	unstoredEnds map[string]bool
 	seenNodes map[string]seenNode
 	// named holds the addresses of the last lookup answer by node.
 	named map[string]string
@@ -81,7 +86,11 @@
 // New returns an Entry. It serves nothing until one of its Serve methods is
 // called.
 func New(options Options) *Entry {
-	return &Entry{Options: options, cache: map[string]*jobResults{}, records: map[string]jobRecord{}, seenNodes: map[string]seenNode{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Entry{
+		Options: options, ctx: ctx, close: cancel,
+		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[string]bool{}, seenNodes: map[string]seenNode{},
+	}
 }
 
 // ServeFront starts serving clients' requests on addr.
@@ -137,6 +146,7 @@
 
 // Close stops the servers after the requests in flight, or when ctx ends.
 func (e *Entry) Close(ctx context.Context) {
+	defer e.close()
 	for _, server := range e.servers {
 		if err := server.ShutdownWithContext(ctx); err != nil {
 			e.Log.Warn().Err(err).Int("requests", e.InFlight()).Msg("HTTP server shutdown interrupted requests")
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -29,6 +29,8 @@
 	// store a job or its end.
 	storeRetryDelay  = 100 * time.Millisecond
 	storeRetryMax    = 400 * time.Millisecond
+	// laterEndRetryMax bounds the pause if nobody waits for the end.
+	laterEndRetryMax = time.Second
 	storeCallTimeout = 1200 * time.Millisecond
 	// keepCallTimeout limits a call that stores a job on nodes' disks. The pool's
 	// owner is called first and, until a call succeeds, at most otherKeepers other
@@ -129,7 +131,7 @@
 		cancel()
 		if err == nil {
 			if !existed {
-				e.notifyOwners(&wire.Keep{Job: data, Stored: true})
+				e.notifyOwners(&wire.Call{Kind: &wire.Call_Keep{Keep: &wire.Keep{Job: data, Stored: true}}})
 			}
 			return existed, nil
 		}
@@ -196,15 +198,16 @@
 	return peers
 }
 
-// notifyOwners sends a new job to the owners of pools. They also receive it
-// through their watch, but possibly late while the key-value service is unhealthy.
-func (e *Entry) notifyOwners(keep *wire.Keep) {
+// notifyOwners sends a new job, or the end of one, to the owners of pools. They also
+// receive it through their watch, but possibly late while the key-value service is
+// unhealthy.
+func (e *Entry) notifyOwners(call *wire.Call) {
 	for _, peer := range e.ownerPeers() {
 		e.workers.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), keepCallTimeout)
 			defer cancel()
-			if _, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: keep}}); err != nil {
-				e.Log.Warn().Str("peer", peer).Err(err).Msg("sending a new job to an owner failed")
+			if _, err := e.Call(ctx, peer, call); err != nil {
+				e.Log.Warn().Str("peer", peer).Err(err).Msg("notifying an owner of a new or ended job failed")
 			}
 		})
 	}
@@ -223,31 +226,64 @@
 	return peers
 }
 
-// endJob stores the end of a job. The owner stops running its tasks when it
-// receives the key.
+// endJob stores the end of a job. If that fails within endTimeout, the client is
+// refused, and the end is stored as soon as that is possible: the client may not
+// repeat it.
 func (e *Entry) endJob(c *fasthttp.RequestCtx, r *request, call platform.Call) {
 	if e.recordFor(call.Job).ended {
 		return
 	}
-	deadline := r.start.Add(endTimeout)
+	err := e.storeEnd(e.ctx, call.Job, r.start.Add(endTimeout), storePause)
+	if err == nil {
+		e.Log.Info().Str("job", call.Job).Dur("took_ms", time.Since(r.start)).Msg("job end stored")
+		return
+	}
+	e.refuse(c, r, quetzalpier.Unavailable("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.unstoredEnds[call.Job] {
+		return
+	}
+	e.unstoredEnds[call.Job] = true
+	e.workers.Go(func() { e.storeEndLater(call.Job, r.start) })
+}
+
+// storeEnd stores the end of a job until it succeeds, ctx ends or the deadline is too
+// close for another attempt, and notifies the owners of pools.
+func (e *Entry) storeEnd(ctx context.Context, job string, deadline time.Time, pause func(failures int) time.Duration) error {
 	for failures := 1; ; failures++ {
-		ctx, cancel := context.WithDeadline(context.Background(), sleep.Earlier(deadline, time.Now().Add(storeCallTimeout)))
-		err := e.Vault.End(ctx, call.Job)
+		callCtx, cancel := context.WithDeadline(ctx, sleep.Earlier(deadline, time.Now().Add(storeCallTimeout)))
+		err := e.Vault.End(callCtx, job)
 		cancel()
 		if err == nil {
-			e.recordStored(call.Job, true, r.start)
-			e.Log.Info().Str("job", call.Job).Dur("took_ms", time.Since(r.start)).Msg("job end stored")
-			return
+			e.recordStored(job, true, time.Now())
+			return nil
 		}
-		pause := storePause(failures)
-		if !time.Now().Add(pause).Before(deadline) {
-			e.refuse(c, r, quetzalpier.Unavailable("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
-			return
+		wait := pause(failures)
+		if !time.Now().Add(wait).Before(deadline) || !sleep.For(ctx, wait) {
+			return err
 		}
-		sleep.For(context.Background(), pause)
 	}
 }
 
+// storeEndLater stores an end whose client was refused, unless another node does so
+// first, while the job's results are kept.
+func (e *Entry) storeEndLater(job string, requestedAt time.Time) {
+	err := e.storeEnd(e.ctx, job, requestedAt.Add(e.Retention), laterEndPause)
+	e.mu.Lock()
+	delete(e.unstoredEnds, job)
+	e.mu.Unlock()
+	line := e.Log.Info()
+	if err != nil {
+		line = e.Log.Warn().Err(err)
+	}
+	line.Str("job", job).Bool("stored", err == nil).Dur("age_ms", time.Since(requestedAt)).Msg("end stored after its client was refused")
+}
+
+func laterEndPause(failures int) time.Duration {
+	return sleep.Backoff(failures, storeRetryMax, laterEndRetryMax, rand.Float64())
+}
+
 // readResults responds with a job's results from a position on.
 func (e *Entry) readResults(c *fasthttp.RequestCtx, r *request, call platform.Call) {
 	wait := time.Duration(0)
