entry, fleet, runner: Notify the owner of an end

The owner of a pool learned of ends from its watch alone, which fails for seconds while the store refuses the node. The front that stores an end now also sends it to the owner, as it does with new jobs.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -398,6 +398,26 @@
 		status, _ = get(t, r, platform.PathJobs+"j2")
 		require.Equal(t, http.StatusServiceUnavailable, status)
 	})
+	t.Run("the owner of a pool is notified of an end once it is stored", func(t *testing.T) {
+		r := newTestEntry(t)
+		r.setConfig()
+		r.board.Update(func(s *board.State) {
+			s.Owners["p"] = board.Owner{Node: "o"}
+			s.Members["o"] = board.Member{ID: "o", Peer: "o:1"}
+		})
+		notified := make(chan string, 1)
+		r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+			if ended := call.GetEnded(); ended != nil {
+				notified <- peer + " " + ended.GetJob()
+			}
+			return &wire.Reply{}, nil
+		}
+		submit(t, r, string(body))
+		resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, "o:1 j1", <-notified)
+	})
 	t.Run("an end that could not be stored in time is stored later", func(t *testing.T) {
 		r := newTestEntry(t)
 		r.setConfig()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -257,6 +257,7 @@
 		cancel()
 		if err == nil {
 			e.recordStored(job, true, time.Now())
+			e.notifyOwners(&wire.Call{Kind: &wire.Call_Ended{Ended: &wire.Ended{Job: job}}})
 			return nil
 		}
 		wait := pause(failures)
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -33,6 +33,10 @@
 	if message := call.GetKeep(); message != nil {
 		return n.acceptJob(ctx, message)
 	}
+	if ended := call.GetEnded(); ended != nil {
+		n.runner.EndJob(ended.GetJob(), time.Now())
+		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+	}
 	if store := call.GetStore(); store != nil {
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
 	}
--- a/runner/ended_test.go
+++ b/runner/ended_test.go
@@ -66,6 +66,17 @@
 		})
 		r.requireNoRunsAfterEnd(t, "j")
 	})
+	t.Run("front_notifies_owner", func(t *testing.T) {
+		t.Parallel()
+		r := newFixture(t, 1)
+		r.putJob(t, newJob("j", 1, manyTasks()...))
+		require.Eventually(t, func() bool { return len(r.engines[0].Runs()) > 8 }, waitTimeout, time.Millisecond)
+		r.runner.EndJob("j", time.Now())
+		time.Sleep(100 * time.Millisecond)
+		runs := len(r.engines[0].Runs())
+		time.Sleep(time.Second)
+		require.Equal(t, runs, len(r.engines[0].Runs()))
+	})
 	t.Run("reward_call_repeated", func(t *testing.T) {
 		t.Parallel()
 		var lines lineCounter
--- a/runner/read.go
+++ b/runner/read.go
@@ -134,3 +134,11 @@
 	p.openJob(job, false, now)
 	signal(p.wake)
 }
+
+// EndJob ends a job whose end a client has stored, on the pools that this node
+// processes.
+func (r *Runner) EndJob(job string, now time.Time) {
+	for _, p := range r.activeRunners() {
+		p.endJob(job, now)
+	}
+}
