--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,7 +78,7 @@
 	records map[string]jobRecord
 	// unstoredEnds are the jobs whose end is still to be stored.
 	unstoredEnds map[string]bool
-	seenNodes map[string]seenNode
+	seenNodes    map[string]seenNode
 	// named holds the addresses of the last lookup answer by node.
 	named map[string]string
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -27,8 +27,8 @@
 	endTimeout    = 3 * time.Second
 	// storeRetryDelay and storeRetryMax bound the pause between two attempts to
 	// store a job or its end.
-	storeRetryDelay  = 100 * time.Millisecond
-	storeRetryMax    = 400 * time.Millisecond
+	storeRetryDelay = 100 * time.Millisecond
+	storeRetryMax   = 400 * time.Millisecond
 	// laterEndRetryMax bounds the pause if nobody waits for the end.
 	laterEndRetryMax = time.Second
 	storeCallTimeout = 1200 * time.Millisecond
