relay, platform: Limit the time of a read by its pages, not as a whole

All keys of a prefix had to be read within 2.1 s directly, and within 0.3 s through another node, whatever their size. 12 MB of jobs took 0.92 s at a store VM with 0.48 of a core; at about 28 MB, or on a smaller VM, a new owner would never have finished, and through another node not even the results of one large job could be read.

Each page has 2.1 s; the whole read has 15 s, and 1.5 s at each of two nodes that relay it. The nodes asked are those that answer probes, so that a longer wait for one of them is rare. The case of TestRelay failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,11 +38,18 @@
 	// maxRelayedWatch bounds a relayed watch, so that this node soon returns to
 	// direct watches.
 	maxRelayedWatch = time.Second
+	// rangeTimeout is the timeout of a direct read of a prefix, whose size has no
+	// bound. The client of the service limits each of its pages.
+	rangeTimeout = 15 * time.Second
 	// relayTimeout is the timeout of a relayed call over all peers. peerTimeout is
 	// the timeout per peer if the call may be repeated, since a peer can be
 	// unreachable, too.
 	relayTimeout = 900 * time.Millisecond
 	peerTimeout  = 300 * time.Millisecond
+	// relayedRangeTimeout and peerRangeTimeout are the same for reads of a prefix,
+	// such as the results of a job, which can have several MB.
+	relayedRangeTimeout = 3 * time.Second
+	peerRangeTimeout    = 1500 * time.Millisecond
 	// maxRelayPeers is the maximum number of peers tried for one call.
 	maxRelayPeers = 3
 )
@@ -101,7 +108,7 @@
 
 // Range implements quetzalpier.KV.
 func (k *KV) Range(ctx context.Context, prefix string, stale bool) (found quetzalpier.Changes, err error) {
-	err = k.do(ctx, 3*directTimeout, true, func(ctx context.Context) error {
+	err = k.do(ctx, rangeTimeout, true, func(ctx context.Context) error {
 		found, err = k.Direct.Range(ctx, prefix, stale)
 		return err
 	}, &wire.Store{Range: prefix}, func(s *wire.Stored) {
@@ -261,13 +268,9 @@
 const probeKey = "sys/probe"
 
 func (k *KV) relay(ctx context.Context, message *wire.Store, idempotent bool, decode func(*wire.Stored)) error {
-	wait := time.Duration(message.GetFollow().GetWait()) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout+wait)
+	total, each := relayTimeouts(message, idempotent)
+	ctx, cancel := context.WithTimeout(ctx, total)
 	defer cancel()
-	each := relayTimeout + wait
-	if idempotent {
-		each = peerTimeout + wait
-	}
 	var err error = &quetzalpier.RefusedError{Call: "relay", Reason: "no other node can relay the call"}
 	for _, peer := range k.relayPeers() {
 		var stored *wire.Stored
@@ -285,6 +288,19 @@
 	return err
 }
 
+// relayTimeouts returns the timeouts of a relayed call over all peers and per peer.
+func relayTimeouts(message *wire.Store, idempotent bool) (total, each time.Duration) {
+	wait := time.Duration(message.GetFollow().GetWait()) * time.Millisecond
+	switch {
+	case message.GetRange() != "":
+		return relayedRangeTimeout, peerRangeTimeout
+	case idempotent:
+		return relayTimeout + wait, peerTimeout + wait
+	default:
+		return relayTimeout, relayTimeout
+	}
+}
+
 // callName names a relayed call in log lines.
 func callName(message *wire.Store) string {
 	switch {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -316,6 +316,24 @@
 			require.LessOrEqual(t, silentCalls, 1)
 		})
 	})
+	t.Run("a read of many keys may take longer than other calls", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			service := stand.NewMemoryKV()
+			_, err := service.CompareAndSwap(t.Context(), "k/1", nil, 0, "")
+			require.NoError(t, err)
+			a, b, directA, _ := relayPair(service)
+			a.Direct = slowRangeKV{service, 5 * time.Second}
+			found, err := a.Range(t.Context(), "k/", false)
+			require.NoError(t, err)
+			require.Len(t, found.Entries, 1)
+			directA.setFault(errRefused, false)
+			a.Direct = directA
+			b.Direct = slowRangeKV{service, time.Second}
+			found, err = a.Range(t.Context(), "k/", false)
+			require.NoError(t, err)
+			require.Len(t, found.Entries, 1)
+		})
+	})
 	t.Run("a write under a lease times out early", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			a, _, _, _ := relayPair(stand.NewMemoryKV())
@@ -337,3 +355,18 @@
 	<-ctx.Done()
 	return 0, errNoAnswer
 }
+
+// slowRangeKV is a service that takes some time for each read of a prefix.
+type slowRangeKV struct {
+	*stand.MemoryKV
+	delay time.Duration
+}
+
+func (kv slowRangeKV) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
+	select {
+	case <-time.After(kv.delay):
+		return kv.MemoryKV.Range(ctx, prefix, stale)
+	case <-ctx.Done():
+		return quetzalpier.Changes{}, errNoAnswer
+	}
+}
