runner, tasks: Hold back engines that crash, not the tasks that they ran

Callers saw a sound task wait for up to 32 s after the last crash although engines had room. Each engine lost during a task's runs counted against the task: from the third on it got no run on any engine for 2, 4, 8, 16, then 32 s, and nothing took the wait or the count back when the crashes were over.

The count is gone. An engine that breaks off a run, or accepts no connection, is held back by itself for 250 ms, doubled by each further failure up to 1 s (2 s before), and until a run completes there. A restarted engine is a new one and is not held back. The runs that an engine breaks off together count as one failure: a crash under eight runs held the engine back for 2 s at once.

What lets us give one up, status 422 or enough responses of status 500, is counted as before.

What limits the runs of one task: one run at a time; after a run that was broken off before any event a constant pause of 100 ms, as after status 500, so ten such runs a second however many engines there are; and per engine process its own delay, so about one a second on an engine that breaks off every run. A run that brought an event gets no pause, and the next one resumes after that event, so the text's length bounds these.

TestRunStorm passes before and after.

--- a/runner/stream.go
+++ b/runner/stream.go
@@ -26,15 +26,10 @@
 	// weights pauses for a second or two.
 	headerTimeout = 2500 * time.Millisecond
 	readTimeout   = 2500 * time.Millisecond
-	// refusedDelay and failedDelay are how long an engine gets no new run after
-	// it refused or broke off one; the latter doubles with each consecutive
-	// failure, up to maxFailedDelay.
-	refusedDelay   = 60 * time.Millisecond
-	failedDelay    = 250 * time.Millisecond
-	maxFailedDelay = 2 * time.Second
-	// crashLimit is how many engines may fail during a task's runs before the
-	// task itself is delayed on all engines.
-	crashLimit = 3
+	// refusedDelay is how long an engine gets no new run after it refused one, and
+	// replacedDelay after another engine responded at its address.
+	refusedDelay  = 60 * time.Millisecond
+	replacedDelay = 2 * time.Second
 	// rewardDeadline limits one reward call.
 	rewardDeadline = 3 * time.Second
 	// rewardRetryBase and rewardRetryMax bound the pause before a failed reward
@@ -42,7 +37,8 @@
 	rewardRetryBase = 100 * time.Millisecond
 	rewardRetryMax  = 2 * time.Second
 	// retryDelay is the delay before a task runs again whose run failed with
-	// status 500.
+	// status 500 or was broken off before any event. It doesn't grow with the
+	// number of failures.
 	retryDelay = 100 * time.Millisecond
 )
 
@@ -209,8 +205,7 @@
 	switch {
 	case canceled:
 	case err == nil:
-		r.engine.Failures = 0
-		r.engine.NotUntil = time.Time{}
+		r.engine.RecordSuccess()
 		p.scheduler.Complete(r.task, now)
 		p.continueTask(r.task)
 	default:
@@ -218,8 +213,9 @@
 	}
 }
 
-// handleRunError decides on retries and delays after a failed run. The caller
-// holds the lock.
+// handleRunError decides on retries and delays after a failed run. Each engine that
+// fails is held back by itself. Tasks are sound: the engines lost during the runs of
+// a task don't add up against it. The caller holds the lock.
 func (p *poolRunner) handleRunError(r *run, err error, now time.Time) {
 	var status *statusError
 	var linkErr *link.Error
@@ -228,7 +224,7 @@
 	switch {
 	case status != nil && status.OtherEngine:
 		r.engine.VM.State = quetzalpier.VMLeaving
-		r.engine.NotUntil = now.Add(maxFailedDelay)
+		r.engine.NotUntil = now.Add(replacedDelay)
 	case status != nil && status.NotRun:
 		r.engine.NotUntil = now.Add(refusedDelay)
 	case status != nil && status.Status == http.StatusUnprocessableEntity:
@@ -240,13 +236,10 @@
 			p.scheduler.Fail(r.task, now)
 		}
 	default:
-		r.engine.Failures++
-		r.engine.NotUntil = now.Add(min(maxFailedDelay, failedDelay<<min(r.engine.Failures-1, 4)))
-		if linkErr != nil && linkErr.Stage == link.StageConnect {
-			return
-		}
-		if r.task.EngineLosses++; r.task.EngineLosses >= crashLimit {
-			r.task.NotBefore = now.Add(maxFailedDelay << min(r.task.EngineLosses-crashLimit, 4))
+		r.engine.RecordFailure(r.startedAt, now)
+		connected := linkErr == nil || linkErr.Stage != link.StageConnect
+		if connected && r.lastEvent == r.firstEvent {
+			r.task.NotBefore = now.Add(retryDelay)
 		}
 	}
 }
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -36,6 +36,10 @@
 	// satisfiedSlack is added to the slack of tasks whose job is satisfied, so that
 	// they sort behind all others.
 	satisfiedSlack = time.Minute
+	// failedDelay is how long an engine gets no new run after a failure. It doubles
+	// with each consecutive failure, up to maxFailedDelay.
+	failedDelay    = 250 * time.Millisecond
+	maxFailedDelay = time.Second
 )
 
 // Engine is the planner's view of one engine.
@@ -53,6 +57,25 @@
 	// next run.
 	Failures int
 	NotUntil time.Time
+
+	failedAt time.Time
+}
+
+// RecordFailure holds the engine back after it broke off a run that began at
+// startedAt, or accepted no connection for it. Runs that began before the last
+// failure broke off with that one and don't count again.
+func (e *Engine) RecordFailure(startedAt, now time.Time) {
+	if e.Failures == 0 || startedAt.After(e.failedAt) {
+		e.Failures++
+		e.failedAt = now
+	}
+	e.NotUntil = now.Add(min(maxFailedDelay, failedDelay<<min(e.Failures-1, 2)))
+}
+
+// RecordSuccess ends the delay of an engine that completed a run.
+func (e *Engine) RecordSuccess() {
+	e.Failures = 0
+	e.NotUntil = time.Time{}
 }
 
 // ObserveEvent updates EventTime with the duration of one event.
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -70,12 +70,10 @@
 	Engine      string
 	StartedAt   time.Time
 	LastEventAt time.Time
-	// Failures counts the runs that ended with an error from the engine,
-	// RewardFailures the failed calls of the reward service, and EngineLosses the
-	// engines lost during a run.
+	// Failures counts the runs that ended with an error from the engine, and
+	// RewardFailures the failed calls of the reward service.
 	Failures       int
 	RewardFailures int
-	EngineLosses   int
 	// NotBefore is the earliest time of the next run.
 	NotBefore time.Time
 	// SavedEvents is how many events are stored durably and survive the loss of the
