runner: Don't hold back engines for responses that concern one task

An engine that answered a run with an unexpected status below 500, or that loaded new weights, as ordered, during the run of a task that needs a single version, was held back for all tasks like one that had crashed. A single task with such runs could hold back engine after engine. Other statuses from 500 on, invalid streams and versions below the task's minimum still count as failures of the engine.

TestEnginesOfRefusedTask failed before in both cases.

--- a/runner/burst_test.go
+++ b/runner/burst_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -164,3 +165,26 @@
 		require.LessOrEqual(t, storm(t, 1, func(*burst, *run) {}), seconds+3)
 	})
 }
+
+// Engines were held back for responses that concerned one task, and for a weight
+// version that they had been ordered to load.
+func TestEnginesOfRefusedTask(t *testing.T) {
+	cases := map[string]error{
+		"status 404": &statusError{Engine: "e0", Status: http.StatusNotFound},
+		"a second version of a task that needs one": &versionError{Engine: "e0", Version: 2},
+	}
+	for name, err := range cases {
+		t.Run("other tasks run on engines whose runs of one task end with "+name, func(t *testing.T) {
+			b := newBurst(t, 2, 8, 1)
+			for range 12 {
+				runs, _ := b.place(t)
+				b.now = b.now.Add(50 * time.Millisecond)
+				b.pool.finishRun(runs[0], err, false, b.now)
+			}
+			b.now = b.now.Add(refusedDelay)
+			for _, e := range b.pool.engineList() {
+				require.True(t, e.HasRoom(&quetzalpier.Job{Model: "m"}, b.now), "engine %s", e.VM.ID)
+			}
+		})
+	}
+}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -57,6 +57,18 @@
 	return "engine " + e.Engine + " responded with status " + strconv.Itoa(e.Status)
 }
 
+// versionError reports an event that was generated with a weight version that the
+// task does not accept.
+type versionError struct {
+	Engine  string
+	Version quetzalpier.Version
+}
+
+// Error implements error.
+func (e *versionError) Error() string {
+	return "engine " + e.Engine + " generated with weight version " + strconv.FormatUint(uint64(e.Version), 10) + ", which the task does not accept"
+}
+
 // run is one run of a task on an engine.
 type run struct {
 	parent *poolRunner
@@ -163,7 +175,7 @@
 		}
 		r.lastEvent++
 		if !r.addEvent(event.Data, version, time.Now()) {
-			return errors.Errorf("engine %s generated with weight version %d, which the task does not accept", r.vm.ID, version)
+			return &versionError{Engine: r.vm.ID, Version: version}
 		}
 	}
 }
@@ -218,8 +230,10 @@
 // a task don't add up against it. The caller holds the lock.
 func (p *poolRunner) handleRunError(r *run, err error, now time.Time) {
 	var status *statusError
+	var version *versionError
 	var linkErr *link.Error
 	errors.As(err, &status)
+	errors.As(err, &version)
 	errors.As(err, &linkErr)
 	switch {
 	case status != nil && status.OtherEngine:
@@ -235,6 +249,14 @@
 		if r.task.Failures >= r.task.Job.Spec.MaxAttempts {
 			p.scheduler.Fail(r.task, now)
 		}
+	case status != nil && status.Status < http.StatusInternalServerError:
+		// The engine works, and may accept other tasks.
+		r.engine.NotUntil = now.Add(refusedDelay)
+		r.task.NotBefore = now.Add(retryDelay)
+	case version != nil && version.Version >= r.task.Job.Spec.MinVersion:
+		// The engine loaded new weights during the run of a task that needs a
+		// single version.
+		r.task.NotBefore = now.Add(retryDelay)
 	default:
 		r.engine.RecordFailure(r.startedAt, now)
 		connected := linkErr == nil || linkErr.Stage != link.StageConnect
