tasks: Don't let long tasks wait for engines that are held back after a failure

A long task gets no slow engine if a faster one is expected to have a free slot soon. Engines that were held back because their runs failed counted as such, so that a task was passed over while they crashed and slow engines were idle. They no longer count while they are held back. The test "no task waits for engines whose runs fail" of TestSlow failed before.

--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -72,6 +72,9 @@
 	e.NotUntil = now.Add(min(maxFailedDelay, failedDelay<<min(e.Failures-1, 2)))
 }
 
+// failing reports whether the engine is held back after a failure.
+func (e *Engine) failing(now time.Time) bool { return e.Failures > 0 && now.Before(e.NotUntil) }
+
 // RecordSuccess ends the delay of an engine that completed a run.
 func (e *Engine) RecordSuccess() {
 	e.Failures = 0
@@ -255,7 +258,7 @@
 
 // chooseEngine returns the engine that is expected to finish the task first, or
 // nil if the task should wait. A slow engine gets no task that would finish
-// earlier after a wait for a faster one.
+// earlier after a wait for a faster one, unless that is held back after a failure.
 //
 // Load pattern: a fifth of the engines become several times slower in the middle
 // of a step. A long task started there finishes late, although the other engines
@@ -268,7 +271,7 @@
 		if tooSlow(engine, task, pace) {
 			continue
 		}
-		anyEligible = anyEligible || engine.eligible(task.Job.Spec)
+		anyEligible = anyEligible || (engine.eligible(task.Job.Spec) && !engine.failing(now))
 		if !engine.HasRoom(task.Job.Spec, now) {
 			continue
 		}
--- a/tasks/plan_test.go
+++ b/tasks/plan_test.go
@@ -95,6 +95,16 @@
 		}
 		require.Equal(t, map[string]string{"j-0": "a", "j-1": "b", "j-3": "slow"}, placed)
 	})
+	// Long tasks waited for engines that were crashing while slow ones were idle.
+	t.Run("no task waits for engines whose runs fail", func(t *testing.T) {
+		scheduler, engines := setup(100)
+		for _, e := range engines[:2] {
+			e.RecordFailure(start, start)
+		}
+		launches := scheduler.Plan(engines, start)
+		require.Len(t, launches, 1)
+		require.Equal(t, "slow", launches[0].Engine.VM.ID)
+	})
 	t.Run("no task waits if all engines are slow", func(t *testing.T) {
 		scheduler, engines := setup(100)
 		require.Len(t, scheduler.Plan(engines[2:], start), 1)
