--- a/tasks/retain_test.go
+++ b/tasks/retain_test.go
@@ -1,10 +1,12 @@
 package tasks_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"quetzalpier"
 	"quetzalpier/tasks"
@@ -56,6 +58,14 @@
 		require.Equal(t, "ours", task.Text.Join())
 		require.Empty(t, task.Job.Pending)
 	})
+	t.Run("a text of a run that the found result stopped is resumed, not scored", func(t *testing.T) {
+		task := laterJob(func(_ *tasks.Scheduler, task *tasks.Task) {
+			task.Phase = tasks.Running
+			task.Text.Add("ours", 3)
+		})
+		require.Equal(t, tasks.Waiting, task.Phase)
+		require.Equal(t, "ours", task.Text.Join())
+	})
 	t.Run("a scored text keeps its own score", func(t *testing.T) {
 		task := laterJob(func(s *tasks.Scheduler, task *tasks.Task) {
 			complete(s, task)
@@ -75,3 +85,94 @@
 		requireOwnScores(t, task.Job)
 	})
 }
+
+func TestTextOfFailedTask(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		reward *quetzalpier.Reward
+		fail   func(*tasks.Scheduler, *tasks.Task)
+	}{
+		{"failed", &quetzalpier.Reward{ID: "r"}, func(s *tasks.Scheduler, task *tasks.Task) { s.Fail(task, start) }},
+		{"failed, without a reward", nil, func(s *tasks.Scheduler, task *tasks.Task) { s.Fail(task, start) }},
+		{"expired", &quetzalpier.Reward{ID: "r"}, func(s *tasks.Scheduler, task *tasks.Task) { s.Expire(task.Job.Spec.ExpiresAt) }},
+	} {
+		t.Run(c.name+": an incomplete text is resumed in a later job", func(t *testing.T) {
+			scheduler := tasks.NewScheduler()
+			spec := newScoredSpec("a", 2)
+			spec.Tasks[0].Reward = c.reward
+			task := scheduler.Add(spec, nil, start).Tasks[0]
+			task.Text.Add("one", 2)
+			c.fail(scheduler, task)
+			scheduler.End("a", start.Add(40*time.Second))
+			later := newScoredSpec("b", 2)
+			later.Tasks[0].Reward = c.reward
+			later.ExpiresAt = start.Add(80 * time.Second)
+			task = scheduler.Add(later, nil, start.Add(41*time.Second)).Tasks[0]
+			require.Equal(t, tasks.Waiting, task.Phase)
+			require.Equal(t, "one", task.Text.Join())
+			require.Empty(t, task.Job.Pending)
+		})
+	}
+	t.Run("a complete text whose reward calls failed is scored in a later job", func(t *testing.T) {
+		scheduler := tasks.NewScheduler()
+		task := scheduler.Add(newScoredSpec("a", 2), nil, start).Tasks[0]
+		task.Text.Add("one", 2)
+		scheduler.Complete(task, start)
+		scheduler.Fail(task, start)
+		scheduler.End("a", start)
+		require.Equal(t, tasks.Scoring, scheduler.Add(newScoredSpec("b", 2), nil, start).Tasks[0].Phase)
+	})
+}
+
+// TestTextsOfTwoOwners checks that each listed text is complete and has its own
+// score, while two owners work on a series of jobs that hold the same tasks.
+func TestTextsOfTwoOwners(t *testing.T) {
+	const size, last = 3, "last"
+	spec := func(n int) *quetzalpier.Job { return newScoredSpec(string(rune('a'+n)), size) }
+	rapid.Check(t, func(t *rapid.T) {
+		scheduler := tasks.NewScheduler()
+		now, jobs, generated := start, 0, 0
+		job := scheduler.Add(spec(jobs), nil, now)
+		newEvent := func() string {
+			generated++
+			return string(rune('A'+generated/26)) + string(rune('a'+generated%26))
+		}
+		theirs := func(task *tasks.Task) quetzalpier.Result {
+			text := newEvent() + "\n" + last
+			return quetzalpier.Result{ID: task.Spec.ID, Done: true, Text: text, Versions: []quetzalpier.Version{2}, Score: scoreOf(text)}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(100 * time.Millisecond)
+			task := job.Tasks[rapid.IntRange(0, size-1).Draw(t, "task")]
+			switch step := rapid.SampledFrom([]string{"event", "event", "event", "complete", "score", "score", "fail", "store", "found", "saved", "end"}).Draw(t, "step"); {
+			case step == "event" && task.Phase <= tasks.Running:
+				task.Phase = tasks.Running
+				task.Text.Add(newEvent(), 2)
+			case step == "complete" && task.Phase == tasks.Running:
+				task.Text.Add(last, 2)
+				scheduler.Complete(task, now)
+			case step == "score" && task.Phase == tasks.Scoring:
+				scheduler.Finish(task, scoreOf(task.Text.Join()), now)
+			case step == "fail" && task.Phase != tasks.Finished:
+				scheduler.Fail(task, now)
+			case step == "store" && len(job.Pending) > 0:
+				job.MarkStored(job.Pending, now)
+			case step == "found":
+				// The other owner stored results of tasks that none is listed for.
+				if found := append([]quetzalpier.Result(nil), job.Listed...); !strings.Contains(strings.Join(ids(found), " "), task.Spec.ID) {
+					scheduler.Reconcile(job.Spec.ID, append(found, theirs(task)), now)
+				}
+			case step == "saved":
+				scheduler.Restore(task, tasks.Text{Events: []string{newEvent(), newEvent(), newEvent()}, Versions: []quetzalpier.Version{2}})
+			case step == "end":
+				scheduler.End(job.Spec.ID, now)
+				jobs++
+				job = scheduler.Add(spec(jobs), nil, now)
+			}
+			requireOwnScores(t, job)
+			for _, result := range append(append([]quetzalpier.Result(nil), job.Listed...), job.Pending...) {
+				require.True(t, !result.Done || strings.HasSuffix(result.Text, last), "task %s is listed with the incomplete text %q", result.ID, result.Text)
+			}
+		}
+	})
+}
