entry: Store a job that arrives after its end

Cause: recordStored took a stored end as evidence that the job is stored, too. The node then answered 202 without creating the job's key.

Change: the two keys are recorded apart. A submission costs one more call to the store if its node has seen only the end of the job.

Red before, green after: entry TestJobs (a job that arrives after its end is stored).

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -367,6 +367,18 @@
 		}
 		require.EqualValues(t, 1, r.kv.Counts().Writes)
 	})
+	t.Run("a job that arrives after its end is stored", func(t *testing.T) {
+		r := newTestEntry(t)
+		r.setConfig()
+		resp, text, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode, text)
+		status, text := submit(t, r, string(body))
+		require.Equal(t, http.StatusAccepted, status, text)
+		status, text = get(t, r, platform.PathJobs+"j1?after=0")
+		require.Equal(t, http.StatusOK, status, text)
+		require.JSONEq(t, `{"total":1,"nextToken":0,"results":[]}`, text)
+	})
 	t.Run("the refusal of an invalid job names the field", func(t *testing.T) {
 		r := newTestEntry(t)
 		r.setConfig()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -69,13 +69,15 @@
 	return e.records[job]
 }
 
-// recordStored records that a job, and its end if ended is set, is stored. It
-// drops expired records.
-func (e *Entry) recordStored(job string, ended bool, now time.Time) {
+// record adds what is known to be stored of a job to its record. The end of a job
+// may be stored without the job: it says nothing about the job's own key. It drops
+// expired records.
+func (e *Entry) record(job string, known jobRecord) {
+	now := known.updatedAt
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	known := e.records[job]
-	e.records[job] = jobRecord{stored: true, ended: known.ended || ended, updatedAt: now}
+	earlier := e.records[job]
+	e.records[job] = jobRecord{stored: earlier.stored || known.stored, ended: earlier.ended || known.ended, updatedAt: now}
 	for id, old := range e.records {
 		if now.Sub(old.updatedAt) > e.Retention {
 			delete(e.records, id)
@@ -106,7 +108,7 @@
 		e.refuse(c, r, err)
 		return
 	}
-	e.recordStored(job.ID, false, r.start)
+	e.record(job.ID, jobRecord{stored: true, updatedAt: r.start})
 	c.SetStatusCode(http.StatusAccepted)
 	e.Log.Info().Str("job", job.ID).Str("route", route.Name).Int("step", job.Step).Str("model", job.Model).
 		Uint64("floor", uint64(job.MinVersion)).Int("tasks", len(job.Tasks)).Bool("again", existed).
@@ -256,7 +258,7 @@
 		err := e.Vault.End(callCtx, job)
 		cancel()
 		if err == nil {
-			e.recordStored(job, true, time.Now())
+			e.record(job, jobRecord{ended: true, updatedAt: time.Now()})
 			e.notifyOwners(&wire.Call{Kind: &wire.Call_Ended{Ended: &wire.Ended{Job: job}}})
 			return nil
 		}
