runner: Return no results of a job after a takeover until they were compared

Found by reading: the state in which the stand-in of the issue is between its takeover and Reconcile. While the store answers slowly, as after an outage, that lasts until the read of the stored results succeeds.

Cause: a node that processes a pool and acquires a new lease (a stand-in, or an owner whose lease ended) compared its jobs with the store only after it held the lease. Until then it answered reads, and tried to store results, from what it knew itself.

Change: updateFence marks all jobs as uncertain, which holds back reads and writes until they have been compared; meanwhile an entry reads the store. Reads also need the fencing token that updateFence applied, since the lease is acquired a moment before. A page stored under the earlier token no longer clears the mark: only the comparison does. Ended jobs that are uncertain are compared as well, so that their reads don't go to the store for a minute.

Red before, green after: runner TestStandIn (after the takeover no read lacks results that another owner stored).

--- a/runner/commit.go
+++ b/runner/commit.go
@@ -111,7 +111,6 @@
 		if job == nil || len(job.Listed) != page.From {
 			continue
 		}
-		delete(p.uncertain, page.Job)
 		waited := now.Sub(job.PendingAt)
 		job.MarkStored(page.Results, now)
 		p.runner.Log.Info().Str("job", page.Job).Int("from", page.From).Int("results", len(page.Results)).
@@ -119,17 +118,22 @@
 	}
 }
 
-// markUncertain records that the key-value service may hold more results of the
-// jobs than the scheduler. Until they have been reconciled, no results of these
-// jobs are stored or returned to readers.
+// markUncertain marks the jobs of the pages as uncertain.
 func (p *poolRunner) markUncertain(pages []vault.Page) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, page := range pages {
-		p.uncertain[page.Job] = true
-		if read := p.reads[page.Job]; read != nil {
-			read.outdated = true
-		}
+		p.setUncertain(page.Job)
+	}
+}
+
+// setUncertain records that the key-value service may hold more results of a job
+// than the scheduler. Until they have been reconciled, no results of the job are
+// stored or returned to readers. The caller holds the lock.
+func (p *poolRunner) setUncertain(job string) {
+	p.uncertain[job] = true
+	if read := p.reads[job]; read != nil {
+		read.outdated = true
 	}
 }
 
@@ -163,7 +167,7 @@
 		case <-p.reconcileDue:
 		}
 		p.mu.Lock()
-		for _, id := range p.openJobs() {
+		for _, id := range p.jobsToReconcile() {
 			if read := p.reads[id]; read != nil {
 				read.outdated = true
 				continue
@@ -222,12 +226,12 @@
 	return true
 }
 
-// openJobs returns the IDs of the jobs that have not ended. The caller holds the
-// lock.
-func (p *poolRunner) openJobs() []string {
+// jobsToReconcile returns the IDs of the jobs that have not ended or are uncertain.
+// The caller holds the lock.
+func (p *poolRunner) jobsToReconcile() []string {
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(p.scheduler.Jobs)) {
-		if !p.scheduler.Jobs[id].Ended {
+		if !p.scheduler.Jobs[id].Ended || p.uncertain[id] {
 			ids = append(ids, id)
 		}
 	}
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -110,12 +110,18 @@
 	}
 }
 
-// updateFence applies the fencing token of a lease that was acquired anew.
+// updateFence applies the fencing token of a lease that was acquired anew. Another
+// node may have owned the pool in between and have stored results.
 func (p *poolRunner) updateFence(fence uint64) {
 	p.mu.Lock()
 	isNew := fence > p.fence
 	p.fence = max(p.fence, fence)
 	p.standInFor = nil
+	if isNew {
+		for id := range p.scheduler.Jobs {
+			p.setUncertain(id)
+		}
+	}
 	p.mu.Unlock()
 	if isNew {
 		signal(p.reconcileDue)
--- a/runner/read.go
+++ b/runner/read.go
@@ -62,10 +62,11 @@
 func (r *Runner) pollResults(read *wire.Read, now time.Time) (*wire.Results, chan struct{}) {
 	for _, p := range r.activeRunners() {
 		// Without a valid lease, another owner may have stored more results.
-		if _, ok := p.validFence(now); !ok {
+		fence, ok := p.validFence(now)
+		if !ok {
 			continue
 		}
-		if reply, more := p.pollResults(read); reply.GetKnown() {
+		if reply, more := p.pollResults(read, fence); reply.GetKnown() {
 			return reply, more
 		}
 	}
@@ -82,11 +83,13 @@
 	return runners
 }
 
-func (p *poolRunner) pollResults(read *wire.Read) (*wire.Results, chan struct{}) {
+// pollResults returns the results of one pool's job. It knows none while the lease
+// was acquired under a fencing token that updateFence has not applied yet.
+func (p *poolRunner) pollResults(read *wire.Read, fence uint64) (*wire.Results, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	job := p.scheduler.Jobs[read.GetJob()]
-	if job == nil || p.uncertain[read.GetJob()] {
+	if job == nil || fence != p.fence || p.uncertain[read.GetJob()] {
 		return &wire.Results{}, nil
 	}
 	reply := &wire.Results{Known: true, Total: uint64(len(job.Tasks)), Open: !job.Ended}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -193,6 +193,13 @@
 	return n
 }
 
+// setUnreadable makes reads of a prefix fail; empty for none.
+func (r *fixture) setUnreadable(prefix string) {
+	r.kv.mu.Lock()
+	defer r.kv.mu.Unlock()
+	r.kv.unreadable = prefix
+}
+
 func (r *fixture) putJob(t *testing.T, job *quetzalpier.Job) {
 	t.Helper()
 	_, err := r.vault.Put(t.Context(), job)
--- a/runner/standin_test.go
+++ b/runner/standin_test.go
@@ -76,6 +76,27 @@
 		require.Eventually(t, func() bool { return r.engines[0].Streaming() == 0 }, waitTimeout, 10*time.Millisecond)
 		require.Empty(t, r.lease.Names())
 	})
+	t.Run("after the takeover no read lacks results that another owner stored", func(t *testing.T) {
+		r := outage(t)
+		job := newJob("j", 1, 5, 5, 100000)
+		startStandIn(t, r, job)
+		require.Eventually(t, func() bool { return len(r.scorer.Runs()) == 2 }, waitTimeout, time.Millisecond)
+		r.putJob(t, job)
+		fence, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"lm", nil, 0, "")
+		require.NoError(t, err)
+		earlier := []quetzalpier.Result{{ID: "j-0", Done: true, Text: "text", Score: "score"}, {ID: "j-1"}}
+		require.NoError(t, r.vault.AppendResults(t.Context(), "lm", fence, []vault.Page{{Job: "j", Results: earlier}}))
+		require.NoError(t, r.kv.Delete(t.Context(), vault.Owners+"lm", fence))
+		r.setUnreadable("out/j/")
+		r.kvFailed.Store(false)
+		r.board.Update(func(s *board.State) { delete(s.Owners, "lm") })
+		require.Eventually(t, func() bool { _, held := r.lease.Fence("lm", time.Now()); return held }, waitTimeout, time.Millisecond)
+		read := func() *wire.Results { return r.runner.Read(context.Background(), &wire.Read{Job: "j"}) }
+		lacks := func() bool { reply := read(); return reply.GetKnown() && len(reply.GetResults()) < len(earlier) }
+		require.Never(t, lacks, 300*time.Millisecond, time.Millisecond)
+		r.setUnreadable("")
+		require.Eventually(t, func() bool { return len(read().GetResults()) == len(earlier) }, waitTimeout, time.Millisecond)
+	})
 	t.Run("results stored by another owner before the takeover are kept", func(t *testing.T) {
 		r := outage(t)
 		job := newJob("j", 1, 5, 5, 5)
