runner: Compare a job with the store that arrives before the stored jobs

Cause: a job that a front passes on is taken for a new one, of which nothing is stored. A node that has just taken over a pool may get such a call late, after the earlier owner has stored results of the job. Likewise results that were read before the node acquired its present lease may be too few.

Change: a job is uncertain, and compared with the store at once, if it comes from a front before the owner has read the stored jobs for the first time, or if the lease was acquired anew while its results were read. Its tasks start without delay as before.

Red before, green after: runner TestRunner (a new owner that receives a job before it has read the stored ones lacks no results). The second case, a lease acquired during the read, has no test of its own.

--- a/runner/pool.go
+++ b/runner/pool.go
@@ -67,12 +67,16 @@
 	standInFor    *board.Owner
 	kvRecoveredAt time.Time
 	fence         uint64
-	scheduler     *tasks.Scheduler
-	engines       map[string]*engine
+	// jobsRead is set once the jobs in the key-value service have been read. A job
+	// that arrives before may be one that an earlier owner has worked on.
+	jobsRead  bool
+	scheduler *tasks.Scheduler
+	engines   map[string]*engine
 	// cancels holds the functions that cancel the runs and reward calls of tasks.
 	cancels map[*tasks.Task]context.CancelFunc
-	// opening are the jobs that are being opened, and readSlots holds an element for
-	// each read of a job's results.
+	// opening holds the jobs that are being opened, and whether an earlier owner may
+	// have stored results of them. readSlots holds an element for each read of a job's
+	// results.
 	opening   map[string]bool
 	readSlots chan struct{}
 	// endedJobs are the jobs that are known to have ended. The end of a job may
@@ -206,6 +210,9 @@
 			p.openInBackground(job, allJobs, now)
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.jobsRead = true
 }
 
 // openInBackground opens a job unless that is in progress. A job whose stored results
@@ -213,10 +220,10 @@
 func (p *poolRunner) openInBackground(job *quetzalpier.Job, mayHaveResults bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.opening[job.ID] {
+	if _, present := p.opening[job.ID]; present {
 		return
 	}
-	p.opening[job.ID] = true
+	p.opening[job.ID] = mayHaveResults
 	p.goroutines.Go(func() {
 		p.openJob(job, mayHaveResults, now)
 		p.mu.Lock()
@@ -231,6 +238,7 @@
 func (p *poolRunner) openJob(job *quetzalpier.Job, mayHaveResults bool, now time.Time) {
 	p.mu.Lock()
 	known := p.knownJob(job)
+	fence := p.fence
 	p.mu.Unlock()
 	if known {
 		return
@@ -254,6 +262,12 @@
 		return
 	}
 	opened := p.scheduler.Add(job, stored, now)
+	// The jobs of a stand-in become uncertain when it takes over the pool.
+	unread := !mayHaveResults && (!p.jobsRead || p.opening[job.ID])
+	if p.fence != fence || unread && p.standInFor == nil {
+		p.setUncertain(job.ID)
+		signal(p.reconcileDue)
+	}
 	p.restoreParts(opened, parts)
 	for _, task := range opened.Tasks {
 		if task.Phase >= tasks.Scoring {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -362,6 +362,24 @@
 		}
 		require.Eventually(t, func() bool { return len(r.runner.Read(context.Background(), &wire.Read{Job: "j"}).GetResults()) == 3 }, waitTimeout, time.Millisecond)
 	})
+	t.Run("a new owner that receives a job before it has read the stored ones lacks no results", func(t *testing.T) {
+		earlier := []quetzalpier.Result{{ID: "j-0", Done: true, Text: "text", Score: "score"}}
+		job := newJob("j", 1, 2, 100000)
+		r := newFixture(t, 1, func(r *fixture) {
+			r.setUnreadable(vault.Jobs)
+			fence, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"earlier", nil, 0, "")
+			require.NoError(t, err)
+			require.NoError(t, r.vault.AppendResults(t.Context(), "earlier", fence, []vault.Page{{Job: "j", Results: earlier}}))
+			r.putJob(t, job)
+		})
+		require.Eventually(t, func() bool {
+			r.runner.OpenJob(job, time.Now())
+			return len(r.engines[0].Runs()) > 0
+		}, waitTimeout, time.Millisecond)
+		read := func() *wire.Results { return r.runner.Read(context.Background(), &wire.Read{Job: "j"}) }
+		require.Never(t, func() bool { reply := read(); return reply.GetKnown() && len(reply.GetResults()) == 0 }, 300*time.Millisecond, time.Millisecond)
+		require.Eventually(t, func() bool { return len(read().GetResults()) == len(earlier) }, waitTimeout, time.Millisecond)
+	})
 	t.Run("a job that ended with uncertain results does not block others", func(t *testing.T) {
 		r := newFixture(t, 1)
 		r.kv.mu.Lock()
