tasks, runner: Count saved events only for the text that was saved

Callers would see: a long task of a single-version route starts over after the loss of the owner although it ran for long.

Cause: saveParts writes a text and, once that succeeded, sets the task's number of saved events. If the run generated an event under a second version meanwhile, finishRun discarded the text. The number of the discarded text then counted for the new one, which was not saved until it was longer by the least number of events of a save. No wrong text could come of it: a saved text is restored with its own versions and only if these fit.

Change: Task.MarkSaved compares the saved text with the present one.

Red before, green after: tasks TestMarkSaved (three of four subtests fail with the plain assignment of before).

--- a/runner/save.go
+++ b/runner/save.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"quetzalpier"
 	"quetzalpier/sleep"
 	"quetzalpier/tasks"
 	"quetzalpier/vault"
@@ -38,17 +38,16 @@
 	}
 	p.mu.Lock()
 	var parts []vault.Part
-	savedEvents := map[*tasks.Task]int{}
+	saved := map[*tasks.Task]tasks.Text{}
 	size := 0
 	for _, task := range p.scheduler.Unsaved(minEvents, maxSaveTasks, now) {
 		if size += textSize(task.Text); size > maxSaveBytes && len(parts) > 0 {
 			break
 		}
-		parts = append(parts, vault.Part{
-			Job: task.Job.Spec.ID, Task: task.Spec.ID,
-			Events: task.Text.Events[:len(task.Text.Events):len(task.Text.Events)], Versions: append([]quetzalpier.Version(nil), task.Text.Versions...),
-		})
-		savedEvents[task] = len(task.Text.Events)
+		text := task.Text
+		text.Events, text.Versions = slices.Clip(text.Events), slices.Clone(text.Versions)
+		parts = append(parts, vault.Part{Job: task.Job.Spec.ID, Task: task.Spec.ID, Events: text.Events, Versions: text.Versions})
+		saved[task] = text
 	}
 	p.mu.Unlock()
 	if len(parts) == 0 {
@@ -60,8 +59,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for task, events := range savedEvents {
-		task.SavedEvents = events
+	for task, text := range saved {
+		task.MarkSaved(text)
 	}
 }
 
--- a/tasks/retain_test.go
+++ b/tasks/retain_test.go
@@ -176,3 +176,30 @@
 		}
 	})
 }
+
+func TestMarkSaved(t *testing.T) {
+	text := func(version quetzalpier.Version, events ...string) tasks.Text {
+		var text tasks.Text
+		for _, event := range events {
+			text.Add(event, version)
+		}
+		return text
+	}
+	for _, c := range []struct {
+		name           string
+		present, saved tasks.Text
+		events         int
+	}{
+		{"the text grew while it was saved", text(2, "a", "b", "c"), text(2, "a", "b"), 2},
+		{"the text was discarded", tasks.Text{}, text(2, "a", "b"), 0},
+		{"the text was replaced by another one", text(2, "a", "x", "c"), text(2, "a", "b"), 0},
+		{"the text was generated again by other weights", text(3, "a", "b", "c"), text(2, "a", "b"), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			task := tasks.NewScheduler().Add(newScoredSpec("a", 1), nil, start).Tasks[0]
+			task.Text = c.present
+			task.MarkSaved(c.saved)
+			require.Equal(t, c.events, task.SavedEvents)
+		})
+	}
+}
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -3,6 +3,7 @@
 package tasks
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -526,6 +527,20 @@
 	task.SavedEvents = len(text.Events)
 }
 
+// MarkSaved records that a text was saved for the task. It has no effect if the
+// task's text has been replaced by another one meanwhile.
+func (t *Task) MarkSaved(saved Text) {
+	if t.Text.extends(saved) {
+		t.SavedEvents = len(saved.Events)
+	}
+}
+
+// extends reports whether the text begins with an earlier one.
+func (t Text) extends(earlier Text) bool {
+	return len(t.Events) >= len(earlier.Events) && slices.Equal(t.Events[:len(earlier.Events)], earlier.Events) &&
+		len(t.Versions) >= len(earlier.Versions) && slices.Equal(t.Versions[:len(earlier.Versions)], earlier.Versions)
+}
+
 // lastTasks is the number of unfinished tasks at or below which the results of a job
 // without a number of wanted groups are listed at once: the last ones come one by
 // one.
