runner: Don't open an expired job again that is no longer in memory

Cause: a job that expired without an end is dropped from memory after a minute. If it arrives again (a repeated submission that another node stores on behalf of its front, or a full read of the jobs), only ends were remembered, so it was opened again, in the first case as a job of which nothing is stored.

Change: jobs that were dropped count as known until they are deleted from the store. Their reads go there as before.

Red before, green after: runner TestRunner (an expired job that is no longer in memory is not opened again without its results).

--- a/runner/pool.go
+++ b/runner/pool.go
@@ -278,14 +278,15 @@
 		Int("tasks", len(job.Tasks)).Dur("objective_ms", job.DueAt.Sub(job.SubmittedAt)).Int("listed", len(stored)).Int("whole", opened.CompleteGroups).Int("resumed", len(parts)).Dur("age_ms", now.Sub(job.SubmittedAt)).Msg("job opened")
 }
 
-// knownJob reports whether a job is open here or has ended. The caller holds
-// the lock.
+// knownJob reports whether a job is open here, or has ended or expired. The caller
+// holds the lock.
 func (p *poolRunner) knownJob(job *quetzalpier.Job) bool {
 	if p.endedJobs[job.ID] {
 		p.dropped[job.ID] = job.SubmittedAt
 		return true
 	}
-	return p.scheduler.Jobs[job.ID] != nil
+	_, dropped := p.dropped[job.ID]
+	return dropped || p.scheduler.Jobs[job.ID] != nil
 }
 
 // readStored reads the results and partial texts that earlier owners stored for
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -380,6 +380,25 @@
 		require.Never(t, func() bool { reply := read(); return reply.GetKnown() && len(reply.GetResults()) == 0 }, 300*time.Millisecond, time.Millisecond)
 		require.Eventually(t, func() bool { return len(read().GetResults()) == len(earlier) }, waitTimeout, time.Millisecond)
 	})
+	t.Run("an expired job that is no longer in memory is not opened again without its results", func(t *testing.T) {
+		earlier := []quetzalpier.Result{{ID: "j-0", Done: true, Text: "text", Score: "score"}}
+		job := newJob("j", 1, 2)
+		job.ExpiresAt = job.ExpiresAt.Add(-2 * time.Hour)
+		var lines lineCounter
+		r := newFixture(t, 1, func(r *fixture) {
+			r.runner.Log = zerolog.New(&lines)
+			fence, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"earlier", nil, 0, "")
+			require.NoError(t, err)
+			require.NoError(t, r.vault.AppendResults(t.Context(), "earlier", fence, []vault.Page{{Job: "j", Results: earlier}}))
+			r.putJob(t, job)
+		})
+		require.Eventually(t, func() bool { return lines.count("job opened") == 1 }, waitTimeout, time.Millisecond)
+		read := func() *wire.Results { return r.runner.Read(context.Background(), &wire.Read{Job: "j"}) }
+		require.Eventually(t, func() bool { return !read().GetKnown() }, waitTimeout, time.Millisecond)
+		r.runner.OpenJob(job, time.Now())
+		require.Never(t, func() bool { return read().GetKnown() }, 200*time.Millisecond, time.Millisecond)
+		require.Equal(t, 1, lines.count("job opened"))
+	})
 	t.Run("a job that ended with uncertain results does not block others", func(t *testing.T) {
 		r := newFixture(t, 1)
 		r.kv.mu.Lock()
