tasks: Don't score a text that is complete only after its job ended

Callers would see: a reward call for a job that has ended.

Cause: if a run's stream ends just before its job does, finishRun handles it just after. End has discarded the text by then, but Complete made the task wait for a score, and the runner called the reward service.

Change: Complete ignores tasks of ended jobs.

Red before, green after: tasks TestTextCompletedAfterEnd (with a reward; a task without one was not listed before either).

--- a/tasks/retain_test.go
+++ b/tasks/retain_test.go
@@ -86,6 +86,24 @@
 	})
 }
 
+func TestTextCompletedAfterEnd(t *testing.T) {
+	for name, reward := range map[string]*quetzalpier.Reward{"with a reward": {ID: "r"}, "without a reward": nil} {
+		t.Run(name+": a run that ends after its job is neither scored nor listed", func(t *testing.T) {
+			scheduler := tasks.NewScheduler()
+			spec := newScoredSpec("a", 2)
+			spec.Tasks[0].Reward = reward
+			task := scheduler.Add(spec, nil, start).Tasks[0]
+			task.Phase = tasks.Running
+			task.Text.Add("one", 2)
+			scheduler.End("a", start)
+			task.Phase = tasks.Waiting
+			scheduler.Complete(task, start)
+			require.Equal(t, tasks.Waiting, task.Phase)
+			require.Empty(t, task.Job.Pending)
+		})
+	}
+}
+
 func TestTextOfFailedTask(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -278,8 +278,12 @@
 }
 
 // Complete records that a task's text is complete. A task without a reward, or
-// whose text has the score of its reward, is finished; others wait for a score.
+// whose text has the score of its reward, is finished; others wait for a score. A
+// run may end just after its job, whose texts are discarded.
 func (s *Scheduler) Complete(task *Task, now time.Time) {
+	if task.Job.Ended {
+		return
+	}
 	task.Text.Complete = true
 	reward, score := task.Spec.Reward, task.Text.Score
 	switch {
