runner: Test the score of a text across a stand-in, its takeover and a later job

The whole path of the issue at one node: a stand-in runs and scores a task that another owner has listed, takes over the pool, finds that result, the job ends, and a later job holds the same task.

--- a/runner/standin_test.go
+++ b/runner/standin_test.go
@@ -97,6 +97,30 @@
 		r.setUnreadable("")
 		require.Eventually(t, func() bool { return len(read().GetResults()) == len(earlier) }, waitTimeout, time.Millisecond)
 	})
+	t.Run("a later job lists no text with the score of another owner's text", func(t *testing.T) {
+		r := outage(t)
+		job := newJob("j", 1, 5, 100000)
+		startStandIn(t, r, job)
+		require.Eventually(t, func() bool { return len(r.scorer.Runs()) == 1 }, waitTimeout, time.Millisecond)
+		r.putJob(t, job)
+		fence, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"lm", nil, 0, "")
+		require.NoError(t, err)
+		theirs := quetzalpier.Result{ID: "j-0", Done: true, Text: "theirs", Versions: []quetzalpier.Version{1}, Score: "score of theirs"}
+		require.NoError(t, r.vault.AppendResults(t.Context(), "lm", fence, []vault.Page{{Job: "j", Results: []quetzalpier.Result{theirs}}}))
+		require.NoError(t, r.kv.Delete(t.Context(), vault.Owners+"lm", fence))
+		r.kvFailed.Store(false)
+		r.board.Update(func(s *board.State) { delete(s.Owners, "lm") })
+		require.Eventually(t, func() bool {
+			return len(r.runner.Read(context.Background(), &wire.Read{Job: "j"}).GetResults()) == 1
+		}, waitTimeout, time.Millisecond)
+		require.NoError(t, r.vault.End(t.Context(), "j"))
+		later := newJob("k", 1, 5)
+		later.Tasks[0] = job.Tasks[0]
+		r.putJob(t, later)
+		result := r.waitResults(t, "k", 1)["j-0"]
+		require.Equal(t, eventText("j-0", 5), result.Text)
+		require.Equal(t, "s.rj-0", result.Score)
+	})
 	t.Run("results stored by another owner before the takeover are kept", func(t *testing.T) {
 		r := outage(t)
 		job := newJob("j", 1, 5, 5, 5)
