--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -40,17 +40,35 @@
 	// maxReadBytes is the size beyond which a read gets no answer in time; zero for
 	// none.
 	maxReadBytes int
+	// heldRead holds back the reply to the next read of a prefix; nil for none.
+	heldRead *heldRead
+}
+
+// heldRead is a read whose reply is held back from began until release is closed.
+type heldRead struct {
+	prefix         string
+	began, release chan struct{}
 }
 
 func (s *lossyKV) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
 	s.mu.Lock()
 	fails := s.unreadable != "" && strings.HasPrefix(prefix, s.unreadable)
 	limit := s.maxReadBytes
+	held := s.heldRead
+	if held != nil && strings.HasPrefix(prefix, held.prefix) {
+		s.heldRead = nil
+	} else {
+		held = nil
+	}
 	s.mu.Unlock()
 	if fails {
 		return quetzalpier.Changes{}, &quetzalpier.RefusedError{Call: "range", Reason: "unreadable"}
 	}
 	found, err := s.MemoryKV.Range(ctx, prefix, stale)
+	if held != nil {
+		close(held.began)
+		<-held.release
+	}
 	size := 0
 	for _, entry := range found.Entries {
 		size += len(entry.Value)
@@ -380,6 +398,31 @@
 		require.Never(t, func() bool { reply := read(); return reply.GetKnown() && len(reply.GetResults()) == 0 }, 300*time.Millisecond, time.Millisecond)
 		require.Eventually(t, func() bool { return len(read().GetResults()) == len(earlier) }, waitTimeout, time.Millisecond)
 	})
+	t.Run("results that were read before the lease was acquired anew are compared again", func(t *testing.T) {
+		earlier := []quetzalpier.Result{{ID: "j-0", Done: true, Text: "text", Score: "score"}}
+		held := &heldRead{prefix: "out/j/", began: make(chan struct{}), release: make(chan struct{})}
+		r := newFixture(t, 1, func(r *fixture) {
+			r.kv.heldRead = held
+			r.putJob(t, newJob("j", 1, 2, 100000))
+		})
+		release := sync.OnceFunc(func() { close(held.release) })
+		t.Cleanup(release)
+		<-held.began
+		before, _ := r.lease.Fence("lm", time.Now())
+		r.kv.ForceDelete(vault.Owners + "lm")
+		// As the owner does when a write is refused for its fencing token.
+		r.lease.Forget("lm")
+		require.Eventually(t, func() bool { fence, ok := r.lease.Fence("lm", time.Now()); return ok && fence > before }, waitTimeout, time.Millisecond)
+		fence, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"earlier", nil, 0, "")
+		require.NoError(t, err)
+		require.NoError(t, r.vault.AppendResults(t.Context(), "earlier", fence, []vault.Page{{Job: "j", Results: earlier}}))
+		// The runner applies the new fencing token at its next check of the owner.
+		time.Sleep(300 * time.Millisecond)
+		release()
+		read := func() *wire.Results { return r.runner.Read(context.Background(), &wire.Read{Job: "j"}) }
+		require.Never(t, func() bool { reply := read(); return reply.GetKnown() && len(reply.GetResults()) == 0 }, 300*time.Millisecond, time.Millisecond)
+		require.Eventually(t, func() bool { return len(read().GetResults()) == len(earlier) }, waitTimeout, time.Millisecond)
+	})
 	t.Run("an expired job that is no longer in memory is not opened again without its results", func(t *testing.T) {
 		earlier := []quetzalpier.Result{{ID: "j-0", Done: true, Text: "text", Score: "score"}}
 		job := newJob("j", 1, 2)
