--- a/link/conn.go
+++ b/link/conn.go
@@ -53,8 +53,8 @@
 	return c, nil
 }
 
-// abort resets the connection, so that bytes of the request that are still on their
-// way, or held up by a partition, are not delivered later.
+// abort resets the connection, so that bytes of the request that have not reached the
+// upstream's VM, for example in a partition, are not delivered later.
 func (c *conn) abort() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -27,6 +27,9 @@
 	// maxConcurrentReads limits of how many jobs the results are read at a time after
 	// a takeover.
 	maxConcurrentReads = 8
+	// maxEndsWatch is how long a watch of ends waits at most. One that gets no answer
+	// is noticed soon after, within the three seconds in which an end must be known.
+	maxEndsWatch = 2 * time.Second
 	// kvRetryBase and kvRetryMax bound the pause before a failed call to the
 	// key-value service is repeated.
 	kvRetryBase = 100 * time.Millisecond
@@ -146,8 +149,10 @@
 }
 
 func (p *poolRunner) run() {
-	p.goroutines.Go(func() { p.newMirror(vault.Ends, p.applyEnds).Run(p.ctx) })
-	p.goroutines.Go(func() { p.newMirror(vault.Jobs, p.applyJobs).Run(p.ctx) })
+	p.goroutines.Go(func() {
+		p.newMirror(vault.Ends, min(p.runner.WatchTimeout, maxEndsWatch), p.applyEnds).Run(p.ctx)
+	})
+	p.goroutines.Go(func() { p.newMirror(vault.Jobs, p.runner.WatchTimeout, p.applyJobs).Run(p.ctx) })
 	p.goroutines.Go(func() { p.commitLoop(p.ctx) })
 	p.goroutines.Go(func() { p.rotationLoop(p.ctx) })
 	p.goroutines.Go(func() { p.reconcile(p.ctx) })
@@ -165,8 +170,8 @@
 	p.goroutines.Wait()
 }
 
-func (p *poolRunner) newMirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
-	return &mirror.Mirror{KV: p.runner.KV, Prefix: prefix, WatchTimeout: p.runner.WatchTimeout, Log: p.runner.Log, Apply: apply}
+func (p *poolRunner) newMirror(prefix string, watchTimeout time.Duration, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
+	return &mirror.Mirror{KV: p.runner.KV, Prefix: prefix, WatchTimeout: watchTimeout, Log: p.runner.Log, Apply: apply}
 }
 
 // applyEnds handles the ends of jobs.
