relay: Ask another node before a read of many keys fails, and reset hung watches once

Now the next node is asked after 0.3 s while the first one goes on. In an outage that began with a refusal, later calls without an answer did not close the direct connections, so that a watch from before waited for 17.7 s. Both cases of TestRelay failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,10 +46,9 @@
 	// unreachable, too.
 	relayTimeout = 900 * time.Millisecond
 	peerTimeout  = 300 * time.Millisecond
-	// relayedRangeTimeout and peerRangeTimeout are the same for reads of a prefix,
-	// such as the results of a job, which can have several MB.
+	// relayedRangeTimeout is the timeout of a relayed read of a prefix. The results of
+	// a job can have several MB.
 	relayedRangeTimeout = 3 * time.Second
-	peerRangeTimeout    = 1500 * time.Millisecond
 	// maxRelayPeers is the maximum number of peers tried for one call.
 	maxRelayPeers = 3
 )
@@ -72,6 +71,9 @@
 	mu           sync.Mutex
 	directFailed bool
 	recoveredAt  time.Time
+	// resetDone is set once the direct connections were closed during the present
+	// outage.
+	resetDone bool
 	// lastRelay is the address of the node that relayed the last call.
 	lastRelay string
 }
@@ -235,12 +237,14 @@
 	if changed && !failed {
 		k.recoveredAt = time.Now()
 	}
+	// Watches that wait on connections of before the outage may get no answer.
+	reset := isOutcomeUnknown(err) && !k.resetDone
+	k.resetDone = failed && (k.resetDone || reset)
 	k.mu.Unlock()
-	if !changed {
-		return
+	if changed {
+		k.Log.Warn().Bool("lost", failed).AnErr("cause", err).Msg("direct access to the key-value service was lost or restored")
 	}
-	k.Log.Warn().Bool("lost", failed).AnErr("cause", err).Msg("direct access to the key-value service was lost or restored")
-	if isOutcomeUnknown(err) {
+	if reset {
 		k.Reset()
 	}
 }
@@ -271,16 +275,22 @@
 	total, each := relayTimeouts(message, idempotent)
 	ctx, cancel := context.WithTimeout(ctx, total)
 	defer cancel()
-	var err error = &quetzalpier.RefusedError{Call: "relay", Reason: "no other node can relay the call"}
-	for _, peer := range k.relayPeers() {
+	peers := k.relayPeers()
+	if message.GetRange() != "" {
+		stored, err := k.relayRange(ctx, peers, each, message)
+		if err == nil {
+			decode(stored)
+		}
+		return err
+	}
+	err := errNoRelay
+	for _, peer := range peers {
 		var stored *wire.Stored
-		start := time.Now()
 		stored, err = k.relayVia(ctx, peer, each, message)
 		if err == nil {
 			decode(stored)
 			return nil
 		}
-		k.Log.Warn().Str("peer", peer).Str("call", callName(message)).Err(err).Dur("took_ms", time.Since(start)).Msg("call through another node failed")
 		if !isRefused(err) && !(idempotent && isOutcomeUnknown(err)) {
 			return err
 		}
@@ -288,12 +298,53 @@
 	return err
 }
 
+// errNoRelay is the outcome of a call for which there is no other node.
+var errNoRelay error = &quetzalpier.RefusedError{Call: "relay", Reason: "no other node can relay the call"}
+
+// relayRange reads a prefix through other nodes. A large one takes long and a silent
+// node never answers, so another node is asked as well after peerTimeout.
+func (k *KV) relayRange(ctx context.Context, peers []string, timeout time.Duration, message *wire.Store) (*wire.Stored, error) {
+	type outcome struct {
+		stored *wire.Stored
+		err    error
+	}
+	outcomes := make(chan outcome, len(peers))
+	asked, answered := 0, 0
+	err := errNoRelay
+	for {
+		if asked < len(peers) {
+			peer := peers[asked]
+			asked++
+			go func() {
+				stored, err := k.relayVia(ctx, peer, timeout, message)
+				outcomes <- outcome{stored, err}
+			}()
+		}
+		if answered == asked {
+			return nil, err
+		}
+		var next <-chan time.Time
+		if asked < len(peers) {
+			next = time.After(peerTimeout)
+		}
+		select {
+		case o := <-outcomes:
+			if o.err == nil {
+				return o.stored, nil
+			}
+			answered++
+			err = o.err
+		case <-next:
+		}
+	}
+}
+
 // relayTimeouts returns the timeouts of a relayed call over all peers and per peer.
 func relayTimeouts(message *wire.Store, idempotent bool) (total, each time.Duration) {
 	wait := time.Duration(message.GetFollow().GetWait()) * time.Millisecond
 	switch {
 	case message.GetRange() != "":
-		return relayedRangeTimeout, peerRangeTimeout
+		return relayedRangeTimeout, relayedRangeTimeout
 	case idempotent:
 		return relayTimeout + wait, peerTimeout + wait
 	default:
@@ -334,9 +385,14 @@
 
 // relayVia makes a call through one peer.
 func (k *KV) relayVia(ctx context.Context, peer string, timeout time.Duration, message *wire.Store) (*wire.Stored, error) {
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := k.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Store{Store: message}})
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// Another node has answered, or the caller has given up.
+		return nil, &quetzalpier.OutcomeUnknownError{Call: "relay by " + peer, Reason: ctx.Err().Error()}
+	}
 	served := err == nil && !isRefused(wire.UnpackFailure(peer, reply.GetStored().GetFailure()))
 	k.mu.Lock()
 	switch {
@@ -346,6 +402,9 @@
 		k.lastRelay = ""
 	}
 	k.mu.Unlock()
+	if err != nil {
+		k.Log.Warn().Str("peer", peer).Str("call", callName(message)).Err(err).Dur("took_ms", time.Since(start)).Msg("call through another node failed")
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		// The peer's process is not running, so nothing was sent.
 		return nil, &quetzalpier.RefusedError{Call: "relay by " + peer, Reason: err.Error()}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -334,6 +334,64 @@
 			require.Len(t, found.Entries, 1)
 		})
 	})
+	t.Run("a read of many keys does not wait for silent peers", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			for range 20 {
+				service := stand.NewMemoryKV()
+				a, b, directA, _ := relayPair(service)
+				directA.setFault(errRefused, false)
+				a.Peers = func() []string { return []string{"silent", "silent too", "b"} }
+				a.Call = func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
+					if addr != "b" {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					return &wire.Reply{Kind: &wire.Reply_Stored{Stored: b.Serve(ctx, call.GetStore())}}, nil
+				}
+				start := time.Now()
+				_, err := a.Range(t.Context(), "k/", false)
+				require.NoError(t, err)
+				require.Less(t, time.Since(start), 900*time.Millisecond)
+			}
+		})
+	})
+	t.Run("a watch from before an outage does not wait on after it", func(t *testing.T) {
+		for name, faults := range map[string][]error{"silent": {errNoAnswer}, "refused, then silent": {errRefused, errNoAnswer}} {
+			t.Run(name, func(t *testing.T) {
+				service := stand.NewMemoryKV()
+				a, _, directA, _ := relayPair(service)
+				a.Peers = func() []string { return nil }
+				closed := make(chan struct{})
+				directA.cutWatches, directA.cutAfter = 1, closed
+				a.Reset = sync.OnceFunc(func() { close(closed) })
+				watched := make(chan error, 1)
+				go func() {
+					_, err := a.WatchPrefix(t.Context(), "k/", 0, time.Hour)
+					watched <- err
+				}()
+				require.Eventually(t, func() bool { return directA.waitingWatches() == 1 }, time.Second, time.Millisecond)
+				for _, fault := range faults {
+					directA.setFault(fault, false)
+					if a.DirectFailed() {
+						ctx, cancel := context.WithCancel(t.Context())
+						var probing conc.WaitGroup
+						probing.Go(func() { a.Run(ctx) })
+						time.Sleep(time.Second)
+						cancel()
+						probing.Wait()
+						continue
+					}
+					_, _ = a.Get(t.Context(), "k")
+				}
+				select {
+				case err := <-watched:
+					require.Error(t, err)
+				case <-time.After(3 * time.Second):
+					require.Fail(t, "the watch still waits")
+				}
+			})
+		}
+	})
 	t.Run("a write under a lease times out early", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			a, _, _, _ := relayPair(stand.NewMemoryKV())
