--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -418,8 +418,12 @@
 			s.Members["o"] = board.Member{ID: "o", Peer: "o:1"}
 		})
 		notified := make(chan string, 1)
+		var calls atomic.Int32
 		r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
 			if ended := call.GetEnded(); ended != nil {
+				if calls.Add(1) == 1 {
+					return nil, errors.New("no answer")
+				}
 				notified <- peer + " " + ended.GetJob()
 			}
 			return &wire.Reply{}, nil
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
@@ -37,6 +39,8 @@
 	// nodes.
 	keepCallTimeout = 1200 * time.Millisecond
 	otherKeepers    = 2
+	// maxNotices is how often an owner is notified of a job until it accepts.
+	maxNotices = 5
 	// maxReadWait limits how long a read waits for new results.
 	maxReadWait = time.Second
 	// ownerReplyMargin is added to the wait of a read for the timeout of the call
@@ -202,17 +206,44 @@
 
 // notifyOwners sends a new job, or the end of one, to the owners of pools. They also
 // receive it through their watch, but possibly late while the key-value service is
-// unhealthy.
+// unhealthy. It is repeated while an owner, or a new one, has not received it.
 func (e *Entry) notifyOwners(call *wire.Call) {
+	e.workers.Go(func() {
+		notified := map[string]bool{}
+		for failures := 1; failures <= maxNotices; failures++ {
+			if e.notifyOnce(call, notified) || !sleep.For(e.ctx, storePause(failures)) {
+				return
+			}
+		}
+	})
+}
+
+// notifyOnce sends a call to the present owners that are not among the notified ones,
+// and adds those that accept it. It reports whether all have.
+func (e *Entry) notifyOnce(call *wire.Call, notified map[string]bool) bool {
+	var mu sync.Mutex
+	var calls conc.WaitGroup
+	all := true
 	for _, peer := range e.ownerPeers() {
-		e.workers.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), keepCallTimeout)
+		if notified[peer] {
+			continue
+		}
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(e.ctx, keepCallTimeout)
 			defer cancel()
-			if _, err := e.Call(ctx, peer, call); err != nil {
-				e.Log.Warn().Str("peer", peer).Err(err).Msg("notifying an owner of a new or ended job failed")
+			_, err := e.Call(ctx, peer, call)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				notified[peer] = true
+				return
 			}
+			all = false
+			e.Log.Warn().Str("peer", peer).Err(err).Msg("notifying an owner of a new or ended job failed")
 		})
 	}
+	calls.Wait()
+	return all
 }
 
 // ownerPeers returns the addresses of all pools' owners.
