--- a/stand/kv.go
+++ b/stand/kv.go
@@ -21,15 +21,29 @@
 	// LoseAnswers is the number of further writes whose answer is dropped after they
 	// took effect.
 	LoseAnswers int `json:"lose"`
+	// RefusalStatus is the status that every call gets without any effect, unless it
+	// is zero.
+	RefusalStatus int `json:"refuse"`
+	// Reset makes every call reset its connection, and Silent leaves calls without
+	// an answer, both without any effect.
+	Reset  bool `json:"reset"`
+	Silent bool `json:"silent"`
 }
 
+// maxSilentTime is how long a call may wait for the end of Silent.
+const maxSilentTime = 10 * time.Second
+
 // KV is the stand-in for the platform's key-value service, over HTTP.
 type KV struct {
 	*Server
 	*MemoryKV
 
+	// shared is the service whose faults apply here, too; nil for the first address.
+	shared *KV
 	mu     sync.Mutex
 	faults KVFaults
+	// faultChanges counts the calls to SetFaults.
+	faultChanges int
 }
 
 // NewKV starts an empty key-value service on addr.
@@ -43,11 +57,31 @@
 	return k, nil
 }
 
+// Share serves the same keys at another address, which has faults of its own beside
+// those of k.
+func (k *KV) Share(addr string) (*KV, error) {
+	other := &KV{MemoryKV: k.MemoryKV, shared: k}
+	server, err := Serve(addr, 0, other.handle)
+	if err != nil {
+		return nil, err
+	}
+	other.Server = server
+	return other, nil
+}
+
 // SetFaults replaces the injected faults.
 func (k *KV) SetFaults(f KVFaults) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.faults = f
+	k.faultChanges++
+}
+
+// Faults returns the injected faults and how often they were set.
+func (k *KV) Faults() (faults KVFaults, changes int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.faults, k.faultChanges
 }
 
 func (k *KV) handle(c *fasthttp.RequestCtx) {
@@ -68,20 +102,48 @@
 }
 
 func (k *KV) handleCall(c *fasthttp.RequestCtx) {
-	k.mu.Lock()
-	faults := k.faults
-	k.mu.Unlock()
-	time.Sleep(time.Duration(faults.DelayMs) * time.Millisecond)
-	if faults.Unavailable {
-		c.Error("key-value service is unavailable", http.StatusInternalServerError)
+	if k.failCall(c) || (k.shared != nil && k.shared.failCall(c)) {
 		return
 	}
 	platform.HandleKV(k.MemoryKV, c)
-	if !c.IsGet() && c.Response.StatusCode() == http.StatusOK && k.takeLostAnswer() {
+	if c.IsGet() || c.Response.StatusCode() != http.StatusOK {
+		return
+	}
+	if k.takeLostAnswer() || (k.shared != nil && k.shared.takeLostAnswer()) {
 		_ = c.Conn().Close()
 	}
 }
 
+// failCall injects the faults that concern a call before it takes effect, and reports
+// whether the call failed.
+func (k *KV) failCall(c *fasthttp.RequestCtx) bool {
+	faults, _ := k.Faults()
+	time.Sleep(time.Duration(faults.DelayMs) * time.Millisecond)
+	switch {
+	case faults.Unavailable:
+		c.Error("key-value service is unavailable", http.StatusInternalServerError)
+	case faults.RefusalStatus != 0:
+		c.Error("the caller is refused", faults.RefusalStatus)
+	case faults.Reset:
+		_ = c.Conn().Close()
+	case faults.Silent:
+		k.waitSilent()
+		_ = c.Conn().Close()
+	default:
+		return false
+	}
+	return true
+}
+
+// waitSilent waits for the end of Silent.
+func (k *KV) waitSilent() {
+	for end := time.Now().Add(maxSilentTime); time.Now().Before(end); time.Sleep(watchPollInterval) {
+		if faults, _ := k.Faults(); !faults.Silent {
+			return
+		}
+	}
+}
+
 // takeLostAnswer reports whether to drop the answer to a write that took effect,
 // and if so, decrements LoseAnswers.
 func (k *KV) takeLostAnswer() bool {
--- a/stand/listen.go
+++ b/stand/listen.go
@@ -4,6 +4,8 @@
 package stand
 
 import (
+	"io"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -140,6 +142,8 @@
 			NoDefaultServerHeader: true,
 			CloseOnShutdown:       true,
 			MaxRequestBodySize:    8 << 20,
+			// Injected faults make the server fail to write its answers.
+			Logger: log.New(io.Discard, "", 0),
 		},
 	}
 	s.workers.Go(func() { _ = s.server.Serve(listener) })
--- a/stand/memory.go
+++ b/stand/memory.go
@@ -33,6 +33,12 @@
 	// history holds every change after revision compactedRev.
 	history      []quetzalpier.Entry
 	compactedRev uint64
+	// watchesHeld makes watches of prefixes wait, also if there are changes, and
+	// watchCuts counts how often the waiting ones were cut.
+	watchesHeld bool
+	watchCuts   int
+	// interventions counts the calls that inject faults.
+	interventions int
 }
 
 type memoryEntry struct {
@@ -152,19 +158,30 @@
 	deadline := time.Now().Add(wait)
 	m.countWaiting(1)
 	defer m.countWaiting(-1)
+	_, cutsBefore := m.watchState()
 	for {
+		held, cuts := m.watchState()
+		if cuts != cutsBefore {
+			return quetzalpier.Changes{}, &quetzalpier.OutcomeUnknownError{Call: "watch prefix", Reason: "the watch was cut"}
+		}
 		changes, err := m.changesSince(prefix, rev, time.Now())
-		if err != nil || len(changes.Entries) > 0 || !time.Now().Before(deadline) {
+		if !held && (err != nil || len(changes.Entries) > 0 || !time.Now().Before(deadline)) {
 			return changes, err
 		}
 		select {
 		case <-ctx.Done():
 			return changes, &quetzalpier.RefusedError{Call: "watch prefix", Reason: ctx.Err().Error()}
-		case <-time.After(min(watchPollInterval, time.Until(deadline))):
+		case <-time.After(watchPollInterval):
 		}
 	}
 }
 
+func (m *MemoryKV) watchState() (held bool, cuts int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watchesHeld, m.watchCuts
+}
+
 func (m *MemoryKV) changesSince(prefix string, rev uint64, now time.Time) (quetzalpier.Changes, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -186,15 +203,43 @@
 func (m *MemoryKV) Compact() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.interventions++
 	m.history = nil
 	m.compactedRev = m.rev
 }
 
+// HoldWatches makes watches of prefixes return nothing until CutWatches.
+func (m *MemoryKV) HoldWatches() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.interventions++
+	m.watchesHeld = true
+}
+
+// CutWatches ends HoldWatches: it discards the history and closes the connections of
+// the watches that wait.
+func (m *MemoryKV) CutWatches() {
+	m.Compact()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watchesHeld = false
+	m.watchCuts++
+}
+
+// Interventions returns the number of calls that injected faults, and whether one of
+// them lasts.
+func (m *MemoryKV) Interventions() (count int, lasts bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.interventions, m.watchesHeld
+}
+
 // ForceDelete deletes a key regardless of its revision, as the expiry of its lease
 // does.
 func (m *MemoryKV) ForceDelete(key string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.interventions++
 	if m.keys[key] != nil {
 		m.rev++
 		m.deleteKey(key)
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	SwapDuration  time.Duration
 	// IgnoreFences makes an engine accept orders with an outdated fencing token.
 	IgnoreFences bool
+	// TagRuns makes the data of events and the stamps of answers differ between the
+	// runs of one request, so that MadeAt tells when they were made.
+	TagRuns bool
 }
 
 // Worker is the stand-in for an upstream on the users' platform: a model engine
@@ -47,6 +51,9 @@
 	runs     []WorkerRun
 	faults   WorkerFaults
 	orderLog []receivedOrder
+	// madeAt is when each tagged event was made, or the call with a tagged stamp
+	// arrived.
+	madeAt map[string]time.Time
 	// streaming is the number of streams in progress.
 	streaming int
 }
@@ -108,7 +115,7 @@
 
 // NewWorker starts a worker on addr.
 func NewWorker(addr string, options WorkerOptions) (*Worker, error) {
-	w := &Worker{WorkerOptions: options, models: map[string]quetzalpier.Version{}}
+	w := &Worker{WorkerOptions: options, models: map[string]quetzalpier.Version{}, madeAt: map[string]time.Time{}}
 	for model, version := range options.Models {
 		w.models[model] = version
 	}
@@ -149,6 +156,23 @@
 	return append([]WorkerRun(nil), w.runs...)
 }
 
+// MadeAt returns when the worker made the tagged event with this data, or received the
+// call that it gave this stamp.
+func (w *Worker) MadeAt(dataOrStamp string) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.madeAt[dataOrStamp]
+	return at, ok
+}
+
+func (w *Worker) recordMade(dataOrStamp string, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.TagRuns {
+		w.madeAt[dataOrStamp] = at
+	}
+}
+
 // Streaming returns the number of streams in progress.
 func (w *Worker) Streaming() int {
 	w.mu.Lock()
@@ -247,30 +271,38 @@
 	if faults.StatusCount > 0 {
 		w.faults.StatusCount--
 	}
-	w.runs = append(w.runs, WorkerRun{ID: id, LastEvent: lastEvent, StartedAt: time.Now()})
+	startedAt := time.Now()
+	w.runs = append(w.runs, WorkerRun{ID: id, LastEvent: lastEvent, StartedAt: startedAt})
+	tag := w.ID
+	if w.TagRuns {
+		tag = fmt.Sprintf("%s.%d", w.ID, len(w.runs))
+	}
 	w.mu.Unlock()
 	if faults.StatusCount > 0 {
 		c.SetStatusCode(faults.Status)
 		return
 	}
-	c.Response.Header.Set(platform.HeaderStamp, w.ID+"."+id)
+	stamp := tag + "." + id
+	w.recordMade(stamp, startedAt)
+	c.Response.Header.Set(platform.HeaderStamp, stamp)
 	model := string(c.Request.Header.Peek(platform.HeaderModel))
 	if model == "" {
 		time.Sleep(w.EventInterval)
 		c.SetBodyString("served " + id)
 		return
 	}
-	length, _ := strconv.Atoi(string(c.Request.Body()))
+	first, _, _ := strings.Cut(string(c.Request.Body()), " ")
+	length, _ := strconv.Atoi(first)
 	version, _ := w.Version(model)
 	if lastEvent < length {
 		c.Response.Header.Set(platform.HeaderWeightVersion, strconv.FormatUint(uint64(version), 10))
 	}
 	c.SetContentType("text/event-stream")
-	c.SetBodyStreamWriter(func(out *bufio.Writer) { w.writeStream(out, id, model, lastEvent, length, faults) })
+	c.SetBodyStreamWriter(func(out *bufio.Writer) { w.writeStream(out, id, tag, model, lastEvent, length, faults) })
 }
 
 // writeStream writes the events lastEvent+1 to length.
-func (w *Worker) writeStream(out *bufio.Writer, id, model string, lastEvent, length int, faults WorkerFaults) {
+func (w *Worker) writeStream(out *bufio.Writer, id, tag, model string, lastEvent, length int, faults WorkerFaults) {
 	w.addStreaming(1)
 	defer w.addStreaming(-1)
 	current, _ := w.Version(model)
@@ -290,7 +322,12 @@
 			w.FaultListener.CloseConns()
 			return
 		}
-		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s-%d\n\n", event, id, event)
+		data := fmt.Sprintf("%s-%d", id, event)
+		if w.TagRuns {
+			data += "." + tag
+		}
+		w.recordMade(data, time.Now())
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", event, data)
 		if out.Flush() != nil {
 			return
 		}
