soak: Check ended jobs and scores, and refuse some nodes

The soak ended a job only after all its results were read, compared no run with the end of its job and no score with its text, and its faults of the key-value service concerned all nodes at once.

A second trainer ends two of three jobs up to 4 s after their acceptance, repeats ends and submissions, sends an end without an acknowledgment again, and submits some incomplete groups again with its next job. A run or a reward call that begins later than 3 s after the acknowledged end of each job that holds its task breaks a guarantee if its sender, known from the nodes' logs, and the key-value service had no fault for 4 s; if the sender is unknown, no node may have had one. A score must be given after the last event of its text was made.

New faults: the service refuses some nodes (503, 429, reset, no answer), holds watches and drops its history, answers slowly, each alone, overlapping, and with the loss of the pool's owner.

A refused job's task that another job holds may run now; the check of refused jobs looks at all jobs with the task.

--- /dev/null
+++ b/soak/checks_test.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/platform"
+	"quetzalpier/stand"
+)
+
+// newCheckedRig returns a deployment of one engine and one reward service, without
+// nodes.
+func newCheckedRig(t *testing.T) *Rig {
+	t.Helper()
+	r := &Rig{Options: Options{Dir: t.TempDir()}, faults: newFaultHistory()}
+	for name, started := range map[string]*[]*stand.Worker{poolLM: &r.Engines, poolApp: &r.Plains} {
+		w, err := stand.NewWorker("127.0.0.1:0", stand.WorkerOptions{ID: name, Pool: name, TagRuns: true})
+		require.NoError(t, err)
+		t.Cleanup(w.Close)
+		*started = append(*started, w)
+	}
+	return r
+}
+
+// call sends a request to a worker and returns its stamp and the data of its events.
+func call(t *testing.T, w *stand.Worker, id, body string) (stamp string, events []string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+w.Addr+"/", strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set(platform.HeaderAttempt, id)
+	if w.Pool == poolLM {
+		req.Header.Set(platform.HeaderModel, modelName)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	for line := range strings.Lines(string(text)) {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			events = append(events, strings.TrimSpace(data))
+		}
+	}
+	return resp.Header.Get(platform.HeaderStamp), events
+}
+
+func oneTaskJob() quetzalpier.Job {
+	return quetzalpier.Job{ID: "j", Tasks: []quetzalpier.Task{{ID: "t", Body: []byte("3 prompt"), Reward: &quetzalpier.Reward{ID: rewardPrefix + "t"}}}}
+}
+
+func TestCheckEnded(t *testing.T) {
+	ago := func(d time.Duration) time.Time { return time.Now().Add(-d) }
+	const long = 20 * time.Second
+	for name, c := range map[string]struct {
+		ends []time.Time
+		// storeFault is when the key-value service had a fault.
+		storeFault time.Time
+		violations int
+		excused    int
+	}{
+		"an open job":                        {ends: []time.Time{{}}},
+		"a job that ended just now":          {ends: []time.Time{ago(cancelTime - time.Second)}},
+		"a job that ended long ago":          {ends: []time.Time{ago(long)}, violations: 2},
+		"a fault long before the run":        {ends: []time.Time{ago(long)}, storeFault: ago(contactTime + time.Second), violations: 2},
+		"a fault shortly before the run":     {ends: []time.Time{ago(long)}, storeFault: ago(contactTime - time.Second), excused: 2},
+		"another job with the task is open":  {ends: []time.Time{ago(long), {}}},
+		"both jobs with the task have ended": {ends: []time.Time{ago(long), ago(cancelTime + time.Second)}, violations: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, ledger := newCheckedRig(t), newLedger()
+			for i, endedAt := range c.ends {
+				ledger.jobs[fmt.Sprint(i)] = &jobRecord{job: oneTaskJob(), submittedAt: ago(2 * long), endedAt: endedAt}
+			}
+			if !c.storeFault.IsZero() {
+				r.faults.sample(storeTarget, c.storeFault, true, 0)
+			}
+			call(t, r.Engines[0], "t", "3")
+			call(t, r.Plains[0], rewardPrefix+"t", "")
+			r.checkEnded(ledger)
+			require.Len(t, ledger.Violations, c.violations, "%v", ledger.Violations)
+			require.Equal(t, c.excused, ledger.ExcusedRuns)
+		})
+	}
+}
+
+func TestSenders(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	engine := &stand.Worker{WorkerOptions: stand.WorkerOptions{ID: "engine-0", Pool: poolLM}}
+	plain := &stand.Worker{WorkerOptions: stand.WorkerOptions{ID: "plain-0", Pool: poolApp}}
+	lines := []sentRun{
+		{Message: "run ended", Engine: "engine-0", Time: start, TookMs: 2000, node: "early"},
+		{Message: "run ended", Engine: "engine-0", Time: start.Add(12 * time.Second), TookMs: 2000, node: "late"},
+		{Message: "run ended", Engine: "engine-1", Time: start.Add(12 * time.Second), TookMs: 2000, node: "other engine"},
+		{Message: "task scored", Time: start.Add(13 * time.Second), node: "scorer"},
+	}
+	require.Equal(t, []string{"late"}, senders(lines, engine, start.Add(10*time.Second)))
+	require.Equal(t, []string{"scorer"}, senders(lines, plain, start.Add(12*time.Second)))
+	require.Empty(t, senders(lines, engine, start.Add(5*time.Second)))
+}
+
+func TestCheckScores(t *testing.T) {
+	list := func(r *Rig, text []string, score string) []string {
+		ledger := newLedger()
+		result := quetzalpier.Result{ID: "t", Done: true, Text: strings.Join(text, "\n"), Score: score}
+		ledger.jobs["j"] = &jobRecord{job: oneTaskJob(), results: []quetzalpier.Result{result}}
+		r.checkScores(ledger)
+		return ledger.Violations
+	}
+	r := newCheckedRig(t)
+	early, _ := call(t, r.Plains[0], rewardPrefix+"t", "")
+	_, first := call(t, r.Engines[0], "t", "3")
+	between, _ := call(t, r.Plains[0], rewardPrefix+"t", "")
+	_, second := call(t, r.Engines[0], "t", "3")
+	require.Empty(t, list(r, first, between))
+	require.Len(t, list(r, first, early), 1, "the score was given before any event")
+	require.Len(t, list(r, second, between), 1, "the score was given for another text")
+	require.Len(t, list(r, append(first[:2:2], second[2]), between), 1, "the last event was made after the score was given")
+	require.Len(t, list(r, first, "plain-9."+rewardPrefix+"t"), 1, "the score was never given")
+}
+
+func TestHasExpectedText(t *testing.T) {
+	task := oneTaskJob().Tasks[0]
+	require.True(t, hasExpectedText(&task, "t-1.a\nt-2.a\nt-3.b"))
+	for _, text := range []string{"", "t-1.a\nt-2.a", "t-1.a\nt-3.a\nt-2.a", "t-1.a\nt-2.a\nt-3.a\nt-4.a", "t-1.a\nt-2.a\nt-2.b", "t-1.a\nt-2.a\nt-30.a"} {
+		require.False(t, hasExpectedText(&task, text), text)
+	}
+}
--- /dev/null
+++ b/soak/outage.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"time"
+
+	"quetzalpier/lease"
+	"quetzalpier/sleep"
+	"quetzalpier/stand"
+	"quetzalpier/vault"
+)
+
+const (
+	// minRefusalTime and maxRefusalTime bound how long the key-value service refuses
+	// nodes, and minCalm and maxCalm the pauses between its faults: some are long
+	// enough for the nodes to be in touch again.
+	minRefusalTime = 2 * time.Second
+	maxRefusalTime = 6 * time.Second
+	minCalm        = 500 * time.Millisecond
+	maxCalm        = 7 * time.Second
+	// heldWatchTime is how long watches hear nothing before they are cut.
+	heldWatchTime = time.Second
+	// usualAnswerTime is the time of the key-value service for an answer. Slow answers
+	// take 50 to 200 times as long.
+	usualAnswerTime = 2 * time.Millisecond
+)
+
+// runStoreFaults injects faults of the key-value service that concern only some nodes
+// or only what they watch, also while the owner of a pool is lost.
+func (f *faultInjector) runStoreFaults(ctx context.Context, total time.Duration) {
+	both := func(ctx context.Context) { f.refuseNodes(ctx); f.dropHistory(ctx) }
+	kinds := []func(context.Context){
+		f.refuseNodes, f.dropHistory, f.slowAnswers, both,
+		func(ctx context.Context) { f.refuseNodes(ctx); f.loseOwner(ctx) },
+		func(ctx context.Context) { f.loseOwner(ctx); both(ctx) },
+	}
+	for end := time.Now().Add(total); time.Now().Before(end) && ctx.Err() == nil; {
+		kinds[f.rnd.IntN(len(kinds))](ctx)
+		sleep.For(ctx, f.draw(minCalm, maxCalm))
+	}
+	f.pending.Wait()
+}
+
+func (f *faultInjector) draw(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.rnd.Int64N(int64(most-least)))
+}
+
+// refuseNodes makes the key-value service refuse some of the nodes, but not all.
+func (f *faultInjector) refuseNodes(ctx context.Context) {
+	nodes := f.rig.nodes()
+	f.rnd.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	kinds := []struct {
+		name   string
+		faults stand.KVFaults
+	}{
+		{"503", stand.KVFaults{RefusalStatus: http.StatusServiceUnavailable}},
+		{"429", stand.KVFaults{RefusalStatus: http.StatusTooManyRequests}},
+		{"reset", stand.KVFaults{Reset: true}},
+		{"silent", stand.KVFaults{Silent: true}},
+	}
+	kind := kinds[f.rnd.IntN(len(kinds))]
+	duration := f.draw(minRefusalTime, maxRefusalTime)
+	for _, n := range nodes[:1+f.rnd.IntN(len(nodes)-1)] {
+		f.logFault("refuse "+kind.name, n.Settings.Name, duration)
+		n.KV.SetFaults(kind.faults)
+		if kind.faults.Reset {
+			n.KV.FaultListener.CloseConns()
+		}
+		f.revertAfter(ctx, duration, func() { n.KV.SetFaults(stand.KVFaults{}) })
+	}
+}
+
+// dropHistory makes watches hear nothing for a time, then discards the history and
+// cuts them.
+func (f *faultInjector) dropHistory(ctx context.Context) {
+	f.logFault("drop history", storeTarget, heldWatchTime)
+	f.rig.KV.HoldWatches()
+	f.revertAfter(ctx, heldWatchTime, f.rig.KV.CutWatches)
+}
+
+// slowAnswers delays all answers of the key-value service.
+func (f *faultInjector) slowAnswers(ctx context.Context) {
+	duration := f.draw(minRefusalTime, maxRefusalTime)
+	delay := f.draw(50*usualAnswerTime, 200*usualAnswerTime)
+	f.logFault("slow answers", storeTarget, duration)
+	for _, n := range f.rig.nodes() {
+		n.KV.SetFaults(stand.KVFaults{DelayMs: int(delay.Milliseconds())})
+		f.revertAfter(ctx, duration, func() { n.KV.SetFaults(stand.KVFaults{}) })
+	}
+}
+
+// loseOwner kills or pauses the node that owns the pool of engines.
+func (f *faultInjector) loseOwner(ctx context.Context) {
+	entry, err := f.rig.KV.Get(ctx, vault.Owners+poolLM)
+	if err != nil {
+		return
+	}
+	owner := lease.Owner(entry.Value)
+	for _, n := range f.rig.nodes() {
+		if n.Settings.Name != owner || !n.disturbed.CompareAndSwap(false, true) {
+			continue
+		}
+		duration := f.draw(minFaultTime, maxRefusalTime)
+		if f.rnd.IntN(2) == 0 {
+			f.logFault("kill owner", owner, duration)
+			n.Kill()
+			f.revertAfter(ctx, duration, func() { f.restart(n) })
+			continue
+		}
+		f.logFault("pause owner", owner, duration)
+		n.Signal(syscall.SIGSTOP)
+		f.revertAfter(ctx, duration, func() {
+			n.Signal(syscall.SIGCONT)
+			n.disturbed.Store(false)
+		})
+	}
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -41,6 +41,7 @@
 	goroutines conc.WaitGroup
 	mu         sync.Mutex
 	mode       Mode
+	changes    int
 	open       map[*connPair]struct{}
 }
 
@@ -65,6 +66,7 @@
 func (p *Proxy) SetMode(mode Mode) {
 	p.mu.Lock()
 	p.mode = mode
+	p.changes++
 	if mode == Silence {
 		p.mode = Pass
 	}
@@ -83,6 +85,13 @@
 	}
 }
 
+// Mode returns the mode and how often it was set.
+func (p *Proxy) Mode() (mode Mode, changes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.changes
+}
+
 // Close stops the proxy and closes all its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -60,7 +60,9 @@
 // Node is a node of the service in a process of its own.
 type Node struct {
 	Settings setup.Serve
-	// KVProxy connects the node to the key-value service.
+	// KV is the node's own address of the key-value service, and KVProxy connects the
+	// node to it.
+	KV      *stand.KV
 	KVProxy *Proxy
 
 	rig     *Rig
@@ -88,6 +90,8 @@
 	Fronts    []*Node
 	Stores    []*Node
 	config    quetzalpier.Config
+	version   atomic.Uint64
+	faults    *faultHistory
 	processes conc.WaitGroup
 }
 
@@ -97,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{Options: options, KV: kv}
+	r := &Rig{Options: options, KV: kv, faults: newFaultHistory()}
 	if err := r.start(); err != nil {
 		r.Close()
 		return nil, err
@@ -137,9 +141,24 @@
 	return nil
 }
 
+func (r *Rig) nodes() []*Node { return append(append([]*Node(nil), r.Fronts...), r.Stores...) }
+
+func (r *Rig) nodeNames() []string {
+	var names []string
+	for _, n := range r.nodes() {
+		names = append(names, n.Settings.Name)
+	}
+	return names
+}
+
+func (r *Rig) workers() []*stand.Worker {
+	return append(append([]*stand.Worker(nil), r.Engines...), r.Plains...)
+}
+
 func domain(i int) string { return fmt.Sprintf("domain-%d", i%3) }
 
 func (r *Rig) startWorker(started *[]*stand.Worker, options stand.WorkerOptions) error {
+	options.TagRuns = true
 	w, err := stand.NewWorker("127.0.0.1:0", options)
 	if err != nil {
 		return err
@@ -189,6 +208,7 @@
 	if err != nil {
 		return err
 	}
+	r.version.Store(uint64(version))
 	return r.commit(write)
 }
 
@@ -198,8 +218,13 @@
 }
 
 func (r *Rig) startNode(started *[]*Node, name, class string, i int) error {
-	proxy, err := NewProxy(r.KV.Addr)
+	kv, err := r.KV.Share("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	proxy, err := NewProxy(kv.Addr)
 	if err != nil {
+		kv.Close()
 		return err
 	}
 	settings := setup.ServeDefaults()
@@ -216,7 +241,7 @@
 			return err
 		}
 	}
-	n := &Node{Settings: settings, KVProxy: proxy, rig: r}
+	n := &Node{Settings: settings, KV: kv, KVProxy: proxy, rig: r}
 	*started = append(*started, n)
 	return n.Start()
 }
@@ -376,14 +401,16 @@
 
 // Close stops all nodes, upstreams and the key-value service.
 func (r *Rig) Close() {
-	for _, n := range append(append([]*Node(nil), r.Fronts...), r.Stores...) {
+	for _, n := range r.nodes() {
 		if n.exited != nil {
 			n.Signal(syscall.SIGCONT)
 			n.Kill()
 		}
 		n.KVProxy.Close()
+		n.KV.SetFaults(stand.KVFaults{})
+		n.KV.Close()
 	}
-	for _, w := range append(append([]*stand.Worker(nil), r.Engines...), r.Plains...) {
+	for _, w := range r.workers() {
 		w.Close()
 	}
 	r.KV.Close()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -39,7 +40,13 @@
 	// LoseFronts also kills or pauses fronts for longer than lookups may name them,
 	// beside the other faults, and checks the answers of lookups.
 	LoseFronts bool
-	Log        zerolog.Logger
+	// StoreFaults also injects faults of the key-value service that concern only some
+	// nodes or their watches.
+	StoreFaults bool
+	// NoProcessFaults leaves out the faults of processes, links, engines and the whole
+	// key-value service.
+	NoProcessFaults bool
+	Log             zerolog.Logger
 }
 
 // Run injects random faults, drawn from the seed, for the given time, lets the
@@ -49,15 +56,21 @@
 	f := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 2)), log: plan.Log}
 	r.runCallers(ctx, ledger, plan.Seed, plan.FaultDuration+settleTime, func() {
 		var injectors conc.WaitGroup
+		defer injectors.Wait()
+		if plan.StoreFaults {
+			storeFaults := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 5)), log: plan.Log}
+			injectors.Go(func() { storeFaults.runStoreFaults(ctx, plan.FaultDuration) })
+		}
 		if plan.LoseFronts {
 			checkCtx, stopCheck := context.WithCancel(ctx)
 			defer stopCheck()
 			injectors.Go(func() { r.checkLookups(checkCtx, ledger, plan.Seed) })
-			defer injectors.Wait()
 			losses := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 3)), log: plan.Log}
 			injectors.Go(func() { losses.loseFronts(ctx, plan.FaultDuration); stopCheck() })
 		}
-		f.run(ctx, plan.FaultDuration)
+		if !plan.NoProcessFaults {
+			f.run(ctx, plan.FaultDuration)
+		}
 	})
 	return ledger
 }
@@ -78,8 +91,14 @@
 	}
 	callerCtx, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
+	sampleCtx, stopSampling := context.WithCancel(ctx)
+	var sampler conc.WaitGroup
+	sampler.Go(func() { r.sampleFaults(sampleCtx) })
+	defer sampler.Wait()
+	defer stopSampling()
 	var callers conc.WaitGroup
 	callers.Go(func() { newTrainer(r, ledger, seed).run(callerCtx) })
+	callers.Go(func() { newTrainer(r, ledger, seed+2).runEnding(callerCtx) })
 	callers.Go(func() { newTrainer(r, ledger, seed+1).sendRequests(callerCtx) })
 	inject()
 	callers.Wait()
@@ -141,7 +160,9 @@
 			l.recordViolation("%s", violation)
 		}
 	}
-	for _, n := range append(append([]*Node(nil), r.Fronts...), r.Stores...) {
+	r.checkEnded(l)
+	r.checkScores(l)
+	for _, n := range r.nodes() {
 		if n.exitedUnexpectedly.Load() {
 			l.recordViolation("%s ended by itself", n.Settings.Name)
 		}
@@ -152,9 +173,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	jobs := l.jobsByRequest()
 	for id, record := range l.jobs {
 		for _, task := range record.job.Tasks {
-			if !record.accepted && record.onlyRefused && ran[task.ID] {
+			mayRun := slices.ContainsFunc(jobs[task.ID], func(holder *jobRecord) bool { return holder.accepted || !holder.onlyRefused })
+			if !mayRun && ran[task.ID] {
 				l.Violations = append(l.Violations, fmt.Sprintf("job %s was refused at every attempt, and task %s has run", id, task.ID))
 			}
 		}
@@ -368,8 +391,8 @@
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text := fmt.Sprintf("%d steps whole, %d late; %d requests, %d failed; %d lookups; at most %d warnings a second; %d promises broken",
-		l.Steps, l.LateSteps, l.Requests, l.FailedRequests, l.Lookups, l.PeakWarnings, len(l.Violations))
+	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d lookups; at most %d warnings a second; %d promises broken",
+		l.Steps, l.LateSteps, l.EndedJobs, l.ExcusedRuns, l.Requests, l.FailedRequests, l.Lookups, l.PeakWarnings, len(l.Violations))
 	if len(l.Violations) > 0 {
 		text += ":\n  " + strings.Join(l.Violations, "\n  ")
 	}
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -30,6 +30,14 @@
 	readTimeout   = 25 * time.Second
 	pollInterval  = 150 * time.Millisecond
 	stepPause     = 400 * time.Millisecond
+	// minVersionLag is by how much the oldest version that may generate the tokens of
+	// a job is below the newest one.
+	minVersionLag = 2
+	// The sizes of the prompts make the stored jobs take several pages of a range.
+	minPromptBytes = 1 << 10
+	maxPromptBytes = 12 << 10
+	// rewardPrefix and the ID of a task are the ID of its reward call.
+	rewardPrefix = "r"
 )
 
 // Ledger records what the callers of a run observed and which guarantees of the
@@ -45,6 +53,11 @@
 	LateSteps      int
 	Requests       int
 	FailedRequests int
+	// EndedJobs counts the jobs whose end was acknowledged, and ExcusedRuns the runs
+	// and reward calls that began too late after it, sent by nodes that were not in
+	// touch.
+	EndedJobs   int
+	ExcusedRuns int
 	// Lookups counts the answers to lookups that were checked.
 	Lookups int
 	// CutRequests counts plain requests that were sent on an open connection, which
@@ -62,6 +75,10 @@
 	// status that guarantees that nothing runs.
 	onlyRefused bool
 	results     []quetzalpier.Result
+	submittedAt time.Time
+	// endSent is set before the end is sent; endedAt is when it was acknowledged.
+	endSent bool
+	endedAt time.Time
 }
 
 func (l *Ledger) recordLookup() {
@@ -84,12 +101,14 @@
 	rig    *Rig
 	ledger *Ledger
 	rnd    *rand.Rand
+	// sizes draws the sizes of the bodies.
+	sizes  *rand.Rand
 	client *http.Client
 }
 
 func newTrainer(r *Rig, l *Ledger, seed uint64) *trainer {
 	return &trainer{
-		rig: r, ledger: l, rnd: rand.New(rand.NewPCG(seed, 1)),
+		rig: r, ledger: l, rnd: rand.New(rand.NewPCG(seed, 1)), sizes: rand.New(rand.NewPCG(seed, 6)),
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 }
@@ -114,7 +133,7 @@
 func (t *trainer) newJob(step int) quetzalpier.Job {
 	job := quetzalpier.Job{
 		ID: fmt.Sprintf("job%d%08x", step, t.rnd.Uint32()), Step: step, Model: modelName,
-		MinVersion: quetzalpier.Version(max(1, step)), WantGroups: groupsPerJob,
+		MinVersion: max(minVersionLag+1, quetzalpier.Version(t.rig.version.Load())) - minVersionLag, WantGroups: groupsPerJob,
 	}
 	for i := range tasksPerJob {
 		id := fmt.Sprintf("t%02d%s", i, job.ID)
@@ -123,21 +142,30 @@
 			length *= 5
 		}
 		job.Tasks = append(job.Tasks, quetzalpier.Task{
-			ID: id, Group: fmt.Sprintf("g%d", i%groupsPerJob), Path: batchPath + id, MaxTokens: 100,
-			Headers: map[string]string{platform.HeaderModel: modelName}, Body: []byte(strconv.Itoa(length)),
+			ID: id, Group: fmt.Sprintf("g%d%s", i%groupsPerJob, job.ID), Path: batchPath + id, MaxTokens: 100,
+			Headers: map[string]string{platform.HeaderModel: modelName}, Body: t.body(length),
 			Reward: reward(step, i, id),
 		})
 	}
 	return job
 }
 
+// body returns the body of a task with the given number of events.
+func (t *trainer) body(length int) []byte {
+	prompt := make([]byte, minPromptBytes+t.sizes.IntN(maxPromptBytes-minPromptBytes))
+	for i := range prompt {
+		prompt[i] = 'a' + byte(t.sizes.IntN(26))
+	}
+	return append([]byte(strconv.Itoa(length)+" "), prompt...)
+}
+
 // reward returns the reward of the task at an index of a step. The steps take turns:
 // every task has a reward, none has, every second one has.
 func reward(step, index int, id string) *quetzalpier.Reward {
 	if step%3 == 1 || (step%3 == 2 && index%2 == 1) {
 		return nil
 	}
-	return &quetzalpier.Reward{ID: "r" + id, Host: Host, Path: scorePath + id, Body: []byte("score")}
+	return &quetzalpier.Reward{ID: rewardPrefix + id, Host: Host, Path: scorePath + id, Body: []byte("score")}
 }
 
 func (t *trainer) randomFront() string {
@@ -173,12 +201,12 @@
 		t.ledger.recordViolation("job not encoded: %v", err)
 		return false
 	}
-	record := &jobRecord{job: job, onlyRefused: true}
+	record := &jobRecord{job: job, onlyRefused: true, submittedAt: time.Now()}
 	t.ledger.mu.Lock()
 	t.ledger.jobs[job.ID] = record
 	t.ledger.mu.Unlock()
 	for end := time.Now().Add(submitTimeout); time.Now().Before(end) && ctx.Err() == nil; {
-		status, responseBody := t.call(http.MethodPost, batchPath+job.ID, map[string]string{platform.HeaderAttempt: job.ID}, body)
+		status, responseBody := t.post(job.ID, body)
 		t.ledger.mu.Lock()
 		record.accepted = record.accepted || status == http.StatusAccepted
 		record.onlyRefused = record.onlyRefused && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
@@ -186,7 +214,7 @@
 		if status == http.StatusAccepted {
 			return true
 		}
-		if status >= 400 && status < 500 && status != http.StatusTooManyRequests {
+		if refusesForGood(status) {
 			t.ledger.recordViolation("job %s refused with %d: %s", job.ID, status, responseBody)
 			return false
 		}
@@ -195,6 +223,16 @@
 	return false
 }
 
+// post sends an encoded job through a random front.
+func (t *trainer) post(id string, body []byte) (status int, responseBody []byte) {
+	return t.call(http.MethodPost, batchPath+id, map[string]string{platform.HeaderAttempt: id}, body)
+}
+
+// refusesForGood reports whether a status refuses a call as invalid.
+func refusesForGood(status int) bool {
+	return status >= 400 && status < 500 && status != http.StatusTooManyRequests
+}
+
 // pollResults polls the results until they are complete or readTimeout is over,
 // then deletes the job.
 func (t *trainer) pollResults(ctx context.Context, job quetzalpier.Job) {
@@ -210,7 +248,7 @@
 		t.ledger.LateSteps++
 	}
 	t.ledger.mu.Unlock()
-	t.call(http.MethodDelete, platform.PathJobs+job.ID, nil, nil)
+	t.end(ctx, job.ID)
 }
 
 // readResults reads from the end of the known results or, at random, from an
@@ -285,11 +323,16 @@
 		return
 	}
 	if !result.Done {
-		l.recordViolation("task %s was given up", result.ID)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if record.endSent {
+			return
+		}
+		l.Violations = append(l.Violations, fmt.Sprintf("task %s was given up", result.ID))
 		return
 	}
-	if want := expectedText(task); result.Text != want {
-		l.recordViolation("task %s has %d bytes of text, not %d", result.ID, len(result.Text), len(want))
+	if !hasExpectedText(task, result.Text) {
+		l.recordViolation("task %s has the text %q", result.ID, result.Text)
 	}
 	if !hasExpectedScore(task, result) {
 		l.recordViolation("task %s has the score %q", result.ID, result.Score)
@@ -311,13 +354,18 @@
 	return strings.HasSuffix(result.Score, "."+task.Reward.ID)
 }
 
-func expectedText(task *quetzalpier.Task) string {
-	length, _ := strconv.Atoi(string(task.Body))
-	events := make([]string, 0, length)
-	for i := 1; i <= length; i++ {
-		events = append(events, fmt.Sprintf("%s-%d", task.ID, i))
+// hasExpectedText reports whether a text has all events of a task, each once and in
+// order, whichever runs made them.
+func hasExpectedText(task *quetzalpier.Task, text string) bool {
+	first, _, _ := strings.Cut(string(task.Body), " ")
+	length, _ := strconv.Atoi(first)
+	events := strings.Split(text, "\n")
+	for i, event := range events {
+		if !strings.HasPrefix(event, fmt.Sprintf("%s-%d.", task.ID, i+1)) {
+			return false
+		}
 	}
-	return strings.Join(events, "\n")
+	return len(events) == length
 }
 
 // sendRequests sends plain requests over keep-alive connections until ctx ends.
