soak: End jobs with queued tasks, and fail rewards and connections

A refusal without an answer also silences the open connections for good, and the reward services fail for some seconds while jobs end. Late requests are reported once for each job.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -55,6 +56,8 @@
 	l.mu.Lock()
 	jobs := l.jobsByRequest()
 	l.mu.Unlock()
+	first := map[string]string{}
+	count := map[string]int{}
 	for _, w := range r.workers() {
 		for _, run := range w.Runs() {
 			ended := lastEnded(jobs[run.ID], run.StartedAt)
@@ -71,8 +74,15 @@
 				l.recordExcusedRun()
 				continue
 			}
-			l.recordViolation("%s began at %s at %s, %s after the end of job %s was acknowledged at %s; sent by %q",
-				run.ID, w.ID, clock(run.StartedAt), run.StartedAt.Sub(ended.endedAt), ended.job.ID, clock(ended.endedAt), nodes)
+			if count[ended.job.ID]++; count[ended.job.ID] == 1 {
+				first[ended.job.ID] = fmt.Sprintf("%s at %s at %s, %s after the acknowledgment, sent by %q",
+					run.ID, w.ID, clock(run.StartedAt), run.StartedAt.Sub(ended.endedAt), nodes)
+			}
+		}
+	}
+	for _, record := range l.jobs {
+		if id := record.job.ID; count[id] > 0 {
+			l.recordViolation("%d requests of job %s, whose end was acknowledged at %s, began too late: %s", count[id], id, clock(record.endedAt), first[id])
 		}
 	}
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -51,8 +51,8 @@
 	return resp.Header.Get(platform.HeaderStamp), events
 }
 
-func oneTaskJob() quetzalpier.Job {
-	return quetzalpier.Job{ID: "j", Tasks: []quetzalpier.Task{{ID: "t", Body: []byte("3 prompt"), Reward: &quetzalpier.Reward{ID: rewardPrefix + "t"}}}}
+func oneTaskJob(id string) quetzalpier.Job {
+	return quetzalpier.Job{ID: id, Tasks: []quetzalpier.Task{{ID: "t", Body: []byte("3 prompt"), Reward: &quetzalpier.Reward{ID: rewardPrefix + "t"}}}}
 }
 
 func TestCheckEnded(t *testing.T) {
@@ -62,21 +62,21 @@
 		ends []time.Time
 		// storeFault is when the key-value service had a fault.
 		storeFault time.Time
-		violations int
+		late       int
 		excused    int
 	}{
 		"an open job":                        {ends: []time.Time{{}}},
 		"a job that ended just now":          {ends: []time.Time{ago(cancelTime - time.Second)}},
-		"a job that ended long ago":          {ends: []time.Time{ago(long)}, violations: 2},
-		"a fault long before the run":        {ends: []time.Time{ago(long)}, storeFault: ago(contactTime + time.Second), violations: 2},
+		"a job that ended long ago":          {ends: []time.Time{ago(long)}, late: 2},
+		"a fault long before the run":        {ends: []time.Time{ago(long)}, storeFault: ago(contactTime + time.Second), late: 2},
 		"a fault shortly before the run":     {ends: []time.Time{ago(long)}, storeFault: ago(contactTime - time.Second), excused: 2},
 		"another job with the task is open":  {ends: []time.Time{ago(long), {}}},
-		"both jobs with the task have ended": {ends: []time.Time{ago(long), ago(cancelTime + time.Second)}, violations: 2},
+		"both jobs with the task have ended": {ends: []time.Time{ago(long), ago(cancelTime + time.Second)}, late: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, ledger := newCheckedRig(t), newLedger()
 			for i, endedAt := range c.ends {
-				ledger.jobs[fmt.Sprint(i)] = &jobRecord{job: oneTaskJob(), submittedAt: ago(2 * long), endedAt: endedAt}
+				ledger.jobs[fmt.Sprint(i)] = &jobRecord{job: oneTaskJob(fmt.Sprint(i)), submittedAt: ago(2 * long), endedAt: endedAt}
 			}
 			if !c.storeFault.IsZero() {
 				r.faults.sample(storeTarget, c.storeFault, true, 0)
@@ -84,7 +84,12 @@
 			call(t, r.Engines[0], "t", "3")
 			call(t, r.Plains[0], rewardPrefix+"t", "")
 			r.checkEnded(ledger)
-			require.Len(t, ledger.Violations, c.violations, "%v", ledger.Violations)
+			if c.late == 0 {
+				require.Empty(t, ledger.Violations)
+			} else {
+				require.Len(t, ledger.Violations, 1)
+				require.Contains(t, ledger.Violations[0], fmt.Sprintf("%d requests of job %d", c.late, len(c.ends)-1))
+			}
 			require.Equal(t, c.excused, ledger.ExcusedRuns)
 		})
 	}
@@ -109,7 +114,7 @@
 	list := func(r *Rig, text []string, score string) []string {
 		ledger := newLedger()
 		result := quetzalpier.Result{ID: "t", Done: true, Text: strings.Join(text, "\n"), Score: score}
-		ledger.jobs["j"] = &jobRecord{job: oneTaskJob(), results: []quetzalpier.Result{result}}
+		ledger.jobs["j"] = &jobRecord{job: oneTaskJob("j"), results: []quetzalpier.Result{result}}
 		r.checkScores(ledger)
 		return ledger.Violations
 	}
@@ -126,7 +131,7 @@
 }
 
 func TestHasExpectedText(t *testing.T) {
-	task := oneTaskJob().Tasks[0]
+	task := oneTaskJob("j").Tasks[0]
 	require.True(t, hasExpectedText(&task, "t-1.a\nt-2.a\nt-3.b"))
 	for _, text := range []string{"", "t-1.a\nt-2.a", "t-1.a\nt-3.a\nt-2.a", "t-1.a\nt-2.a\nt-3.a\nt-4.a", "t-1.a\nt-2.a\nt-2.b", "t-1.a\nt-2.a\nt-30.a"} {
 		require.False(t, hasExpectedText(&task, text), text)
--- a/soak/ending.go
+++ b/soak/ending.go
@@ -16,9 +16,15 @@
 	// end, and endTimeout limits the attempts to end a job.
 	maxEarlyEnd = 4 * time.Second
 	endTimeout  = 10 * time.Second
+	// earlyEndTasks is the number of tasks of a job that is ended early, and
+	// minEarlyEndEvents and maxEarlyEndEvents bound their lengths: the engines need
+	// longer for them than maxEarlyEnd and cancelTime, so that some would begin after.
+	earlyEndTasks     = 96
+	minEarlyEndEvents = 40
+	maxEarlyEndEvents = 100
 	// maxCarriedGroups is the number of groups of an ended job that may appear in
-	// the next one again: half of those that the trainer waits for.
-	maxCarriedGroups = groupsPerJob / 2
+	// the next one again: at most half of those that the trainer waits for.
+	maxCarriedGroups = tasksPerJob / tasksPerGroup / 2
 )
 
 // runEnding submits jobs until ctx ends. It ends two of three soon after their
@@ -26,15 +32,20 @@
 func (t *trainer) runEnding(ctx context.Context) {
 	var carried []quetzalpier.Task
 	for step := 0; ctx.Err() == nil; step++ {
-		job := t.newJob(step)
+		early, taskCount, drawLength := t.rnd.IntN(3) != 0, tasksPerJob, t.drawLength
+		if early {
+			taskCount = earlyEndTasks
+			drawLength = func() int { return minEarlyEndEvents + t.rnd.IntN(maxEarlyEndEvents-minEarlyEndEvents) }
+		}
+		job := t.newJob(step, taskCount, drawLength)
 		job.Tasks = append(carried, withoutGroups(job, len(groupsOf(carried)))...)
 		carried = nil
 		if t.submit(ctx, job) {
-			if t.rnd.IntN(3) == 0 {
-				t.pollResults(ctx, job)
-			} else {
+			if early {
 				t.endEarly(ctx, job)
 				carried = t.incompleteGroups(job)
+			} else {
+				t.pollResults(ctx, job)
 			}
 		}
 		sleep.For(ctx, stepPause)
--- a/soak/outage.go
+++ b/soak/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"syscall"
 	"time"
@@ -32,7 +33,7 @@
 func (f *faultInjector) runStoreFaults(ctx context.Context, total time.Duration) {
 	both := func(ctx context.Context) { f.refuseNodes(ctx); f.dropHistory(ctx) }
 	kinds := []func(context.Context){
-		f.refuseNodes, f.dropHistory, f.slowAnswers, both,
+		f.refuseNodes, f.dropHistory, f.slowAnswers, f.failRewards, both,
 		func(ctx context.Context) { f.refuseNodes(ctx); f.loseOwner(ctx) },
 		func(ctx context.Context) { f.loseOwner(ctx); both(ctx) },
 	}
@@ -65,8 +66,12 @@
 	for _, n := range nodes[:1+f.rnd.IntN(len(nodes)-1)] {
 		f.logFault("refuse "+kind.name, n.Settings.Name, duration)
 		n.KV.SetFaults(kind.faults)
-		if kind.faults.Reset {
+		switch {
+		case kind.faults.Reset:
 			n.KV.FaultListener.CloseConns()
+		case kind.faults.Silent:
+			// A connection on which an answer is lost returns nothing more, also later.
+			n.KV.FaultListener.Silence()
 		}
 		f.revertAfter(ctx, duration, func() { n.KV.SetFaults(stand.KVFaults{}) })
 	}
@@ -91,6 +96,17 @@
 	}
 }
 
+// failRewards makes the reward services answer with an error, so that jobs end while
+// their tasks wait for scores. No node is out of touch for that.
+func (f *faultInjector) failRewards(ctx context.Context) {
+	duration := f.draw(minRefusalTime, maxRefusalTime)
+	for _, w := range f.rig.Plains {
+		f.logFault("fail rewards", w.ID, duration)
+		w.SetFaults(stand.WorkerFaults{Status: http.StatusBadGateway, StatusCount: math.MaxInt})
+		f.revertAfter(ctx, duration, func() { w.SetFaults(stand.WorkerFaults{}) })
+	}
+}
+
 // loseOwner kills or pauses the node that owns the pool of engines.
 func (f *faultInjector) loseOwner(ctx context.Context) {
 	entry, err := f.rig.KV.Get(ctx, vault.Owners+poolLM)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -90,6 +91,22 @@
 	}
 }
 
+// TestSoakStoreFaults injects faults of the key-value service that concern only some
+// nodes or their watches.
+func TestSoakStoreFaults(t *testing.T) {
+	for _, seed := range []uint64{8101, 8102} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			r := openRig(t)
+			plan := soak.Plan{Seed: seed, FaultDuration: 8 * time.Second, StoreFaults: true, NoProcessFaults: true, Log: zerolog.Nop()}
+			ledger := soak.Run(context.Background(), r, plan)
+			t.Log(ledger.Summary())
+			require.Empty(t, ledger.Violations)
+			require.Positive(t, ledger.EndedJobs)
+		})
+	}
+}
+
 // runSteps runs a deployment while inject injects the faults of one test. It
 // requires that no guarantee is broken and that a step completes.
 func runSteps(t *testing.T, inject func(r *soak.Rig)) *soak.Ledger {
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	groupsPerJob = 4
-	tasksPerJob  = 12
+	tasksPerJob   = 12
+	tasksPerGroup = 3
 	// callTimeout limits one HTTP call; submitTimeout and readTimeout limit the
 	// attempts to submit a step and to read its results.
 	callTimeout   = 4 * time.Second
@@ -120,7 +120,7 @@
 			t.ledger.recordViolation("version %d not named: %v", step+2, err)
 			return
 		}
-		job := t.newJob(step)
+		job := t.newJob(step, tasksPerJob, t.drawLength)
 		if t.submit(ctx, job) {
 			t.pollResults(ctx, job)
 		}
@@ -128,22 +128,28 @@
 	}
 }
 
-// newJob returns a job with random tasks: most are short, about one in eight is
-// five times as long.
-func (t *trainer) newJob(step int) quetzalpier.Job {
+// drawLength returns a number of events: most are small, about one in eight is five
+// times as large.
+func (t *trainer) drawLength() int {
+	length := 3 + t.rnd.IntN(12)
+	if t.rnd.IntN(8) == 0 {
+		length *= 5
+	}
+	return length
+}
+
+// newJob returns a job with tasks of random lengths.
+func (t *trainer) newJob(step, taskCount int, drawLength func() int) quetzalpier.Job {
+	groups := taskCount / tasksPerGroup
 	job := quetzalpier.Job{
 		ID: fmt.Sprintf("job%d%08x", step, t.rnd.Uint32()), Step: step, Model: modelName,
-		MinVersion: max(minVersionLag+1, quetzalpier.Version(t.rig.version.Load())) - minVersionLag, WantGroups: groupsPerJob,
+		MinVersion: max(minVersionLag+1, quetzalpier.Version(t.rig.version.Load())) - minVersionLag, WantGroups: groups,
 	}
-	for i := range tasksPerJob {
+	for i := range taskCount {
 		id := fmt.Sprintf("t%02d%s", i, job.ID)
-		length := 3 + t.rnd.IntN(12)
-		if t.rnd.IntN(8) == 0 {
-			length *= 5
-		}
 		job.Tasks = append(job.Tasks, quetzalpier.Task{
-			ID: id, Group: fmt.Sprintf("g%d%s", i%groupsPerJob, job.ID), Path: batchPath + id, MaxTokens: 100,
-			Headers: map[string]string{platform.HeaderModel: modelName}, Body: t.body(length),
+			ID: id, Group: fmt.Sprintf("g%d%s", i%groups, job.ID), Path: batchPath + id, MaxTokens: 100,
+			Headers: map[string]string{platform.HeaderModel: modelName}, Body: t.body(drawLength()),
 			Reward: reward(step, i, id),
 		})
 	}
