soak: Pause the nodes through which a refused owner calls the store

A watch that the owner has relayed through another node stays there after the store serves the owner again.

--- a/soak/outage.go
+++ b/soak/outage.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -33,7 +34,7 @@
 func (f *faultInjector) runStoreFaults(ctx context.Context, total time.Duration) {
 	both := func(ctx context.Context) { f.refuseNodes(ctx); f.dropHistory(ctx) }
 	kinds := []func(context.Context){
-		f.refuseNodes, f.dropHistory, f.slowAnswers, f.failRewards, both,
+		f.refuseNodes, f.dropHistory, f.slowAnswers, f.failRewards, f.pausePeers, both,
 		func(ctx context.Context) { f.refuseNodes(ctx); f.loseOwner(ctx) },
 		func(ctx context.Context) { f.loseOwner(ctx); both(ctx) },
 	}
@@ -48,10 +49,39 @@
 	return least + time.Duration(f.rnd.Int64N(int64(most-least)))
 }
 
+// drawNodes returns some of the nodes, but not all, with the first ones given.
+func (f *faultInjector) drawNodes(first ...*Node) (drawn, others []*Node) {
+	nodes := slices.DeleteFunc(f.rig.nodes(), func(n *Node) bool { return slices.Contains(first, n) })
+	f.rnd.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	nodes = append(slices.Clone(first), nodes...)
+	count := max(1, len(first)) + f.rnd.IntN(len(nodes)-max(1, len(first)))
+	return nodes[:count], nodes[count:]
+}
+
 // refuseNodes makes the key-value service refuse some of the nodes, but not all.
 func (f *faultInjector) refuseNodes(ctx context.Context) {
-	nodes := f.rig.nodes()
-	f.rnd.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	refused, _ := f.drawNodes()
+	f.refuse(ctx, refused)
+}
+
+// pausePeers makes the key-value service refuse the owner of the engines, and pauses
+// some nodes through which it may call the service meanwhile for longer.
+func (f *faultInjector) pausePeers(ctx context.Context) {
+	owner := f.rig.owner(ctx)
+	if owner == nil {
+		return
+	}
+	refused, others := f.drawNodes(owner)
+	f.refuse(ctx, refused)
+	sleep.For(ctx, minRefusalTime/2)
+	for _, n := range others[:1+f.rnd.IntN(len(others))] {
+		if n.disturbed.CompareAndSwap(false, true) {
+			f.pause(ctx, n, f.draw(maxRefusalTime, maxRefusalTime+contactTime))
+		}
+	}
+}
+
+func (f *faultInjector) refuse(ctx context.Context, nodes []*Node) {
 	kinds := []struct {
 		name   string
 		faults stand.KVFaults
@@ -63,7 +93,7 @@
 	}
 	kind := kinds[f.rnd.IntN(len(kinds))]
 	duration := f.draw(minRefusalTime, maxRefusalTime)
-	for _, n := range nodes[:1+f.rnd.IntN(len(nodes)-1)] {
+	for _, n := range nodes {
 		f.logFault("refuse "+kind.name, n.Settings.Name, duration)
 		n.KV.SetFaults(kind.faults)
 		switch {
@@ -109,27 +139,40 @@
 
 // loseOwner kills or pauses the node that owns the pool of engines.
 func (f *faultInjector) loseOwner(ctx context.Context) {
-	entry, err := f.rig.KV.Get(ctx, vault.Owners+poolLM)
-	if err != nil {
+	owner := f.rig.owner(ctx)
+	duration := f.draw(minFaultTime, maxRefusalTime)
+	if owner == nil || !owner.disturbed.CompareAndSwap(false, true) {
 		return
 	}
-	owner := lease.Owner(entry.Value)
-	for _, n := range f.rig.nodes() {
-		if n.Settings.Name != owner || !n.disturbed.CompareAndSwap(false, true) {
-			continue
-		}
-		duration := f.draw(minFaultTime, maxRefusalTime)
-		if f.rnd.IntN(2) == 0 {
-			f.logFault("kill owner", owner, duration)
-			n.Kill()
-			f.revertAfter(ctx, duration, func() { f.restart(n) })
-			continue
+	if f.rnd.IntN(2) == 0 {
+		f.pause(ctx, owner, duration)
+		return
+	}
+	f.logFault("kill", owner.Settings.Name, duration)
+	owner.Kill()
+	f.revertAfter(ctx, duration, func() { f.restart(owner) })
+}
+
+// owner returns the node that owns the pool of engines, or nil if there is none.
+func (r *Rig) owner(ctx context.Context) *Node {
+	entry, err := r.KV.Get(ctx, vault.Owners+poolLM)
+	if err != nil {
+		return nil
+	}
+	for _, n := range r.nodes() {
+		if n.Settings.Name == lease.Owner(entry.Value) {
+			return n
 		}
-		f.logFault("pause owner", owner, duration)
-		n.Signal(syscall.SIGSTOP)
-		f.revertAfter(ctx, duration, func() {
-			n.Signal(syscall.SIGCONT)
-			n.disturbed.Store(false)
-		})
 	}
+	return nil
+}
+
+// pause pauses a node for a time. The caller has marked it as disturbed.
+func (f *faultInjector) pause(ctx context.Context, n *Node, duration time.Duration) {
+	f.logFault("pause", n.Settings.Name, duration)
+	n.Signal(syscall.SIGSTOP)
+	f.revertAfter(ctx, duration, func() {
+		n.Signal(syscall.SIGCONT)
+		n.disturbed.Store(false)
+	})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -259,12 +259,7 @@
 			f.restart(n)
 		})
 	default:
-		f.logFault("pause", n.Settings.Name, duration)
-		n.Signal(syscall.SIGSTOP)
-		f.revertAfter(ctx, duration, func() {
-			n.Signal(syscall.SIGCONT)
-			n.disturbed.Store(false)
-		})
+		f.pause(ctx, n, duration)
 	}
 }
 
