--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -307,11 +307,11 @@
 	e.mu.Lock()
 	delete(e.unstoredEnds, job)
 	e.mu.Unlock()
-	line := e.Log.Info()
 	if err != nil {
-		line = e.Log.Warn().Err(err)
+		e.Log.Error().Str("job", job).Err(err).Msg("the end of a job, whose client was refused, could not be stored")
+		return
 	}
-	line.Str("job", job).Bool("stored", err == nil).Dur("age_ms", time.Since(requestedAt)).Msg("end stored after its client was refused")
+	e.Log.Info().Str("job", job).Dur("age_ms", time.Since(requestedAt)).Msg("end stored after its client was refused")
 }
 
 func laterEndPause(failures int) time.Duration {
