relay, runner: Read less through other nodes and after an outage

Relayed reads have their earlier limits again, one node after the other: nothing that is needed in time is read that way any more. Ended jobs are not compared with the store after a takeover; their results are read from it.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,9 +46,6 @@
 	// unreachable, too.
 	relayTimeout = 900 * time.Millisecond
 	peerTimeout  = 300 * time.Millisecond
-	// relayedRangeTimeout is the timeout of a relayed read of a prefix. The results of
-	// a job can have several MB.
-	relayedRangeTimeout = 3 * time.Second
 	// maxRelayPeers is the maximum number of peers tried for one call.
 	maxRelayPeers = 3
 )
@@ -272,19 +269,15 @@
 const probeKey = "sys/probe"
 
 func (k *KV) relay(ctx context.Context, message *wire.Store, idempotent bool, decode func(*wire.Stored)) error {
-	total, each := relayTimeouts(message, idempotent)
-	ctx, cancel := context.WithTimeout(ctx, total)
+	wait := time.Duration(message.GetFollow().GetWait()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout+wait)
 	defer cancel()
-	peers := k.relayPeers()
-	if message.GetRange() != "" {
-		stored, err := k.relayRange(ctx, peers, each, message)
-		if err == nil {
-			decode(stored)
-		}
-		return err
+	each := relayTimeout + wait
+	if idempotent {
+		each = peerTimeout + wait
 	}
-	err := errNoRelay
-	for _, peer := range peers {
+	var err error = &quetzalpier.RefusedError{Call: "relay", Reason: "no other node can relay the call"}
+	for _, peer := range k.relayPeers() {
 		var stored *wire.Stored
 		stored, err = k.relayVia(ctx, peer, each, message)
 		if err == nil {
@@ -298,60 +291,6 @@
 	return err
 }
 
-// errNoRelay is the outcome of a call for which there is no other node.
-var errNoRelay error = &quetzalpier.RefusedError{Call: "relay", Reason: "no other node can relay the call"}
-
-// relayRange reads a prefix through other nodes. A large one takes long and a silent
-// node never answers, so another node is asked as well after peerTimeout.
-func (k *KV) relayRange(ctx context.Context, peers []string, timeout time.Duration, message *wire.Store) (*wire.Stored, error) {
-	type outcome struct {
-		stored *wire.Stored
-		err    error
-	}
-	outcomes := make(chan outcome, len(peers))
-	asked, answered := 0, 0
-	err := errNoRelay
-	for {
-		if asked < len(peers) {
-			peer := peers[asked]
-			asked++
-			go func() {
-				stored, err := k.relayVia(ctx, peer, timeout, message)
-				outcomes <- outcome{stored, err}
-			}()
-		}
-		if answered == asked {
-			return nil, err
-		}
-		var next <-chan time.Time
-		if asked < len(peers) {
-			next = time.After(peerTimeout)
-		}
-		select {
-		case o := <-outcomes:
-			if o.err == nil {
-				return o.stored, nil
-			}
-			answered++
-			err = o.err
-		case <-next:
-		}
-	}
-}
-
-// relayTimeouts returns the timeouts of a relayed call over all peers and per peer.
-func relayTimeouts(message *wire.Store, idempotent bool) (total, each time.Duration) {
-	wait := time.Duration(message.GetFollow().GetWait()) * time.Millisecond
-	switch {
-	case message.GetRange() != "":
-		return relayedRangeTimeout, relayedRangeTimeout
-	case idempotent:
-		return relayTimeout + wait, peerTimeout + wait
-	default:
-		return relayTimeout, relayTimeout
-	}
-}
-
 // callName names a relayed call in log lines.
 func callName(message *wire.Store) string {
 	switch {
@@ -389,10 +328,6 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := k.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Store{Store: message}})
-	if errors.Is(ctx.Err(), context.Canceled) {
-		// Another node has answered, or the caller has given up.
-		return nil, &quetzalpier.OutcomeUnknownError{Call: "relay by " + peer, Reason: ctx.Err().Error()}
-	}
 	served := err == nil && !isRefused(wire.UnpackFailure(peer, reply.GetStored().GetFailure()))
 	k.mu.Lock()
 	switch {
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -226,12 +226,14 @@
 	return true
 }
 
-// jobsToReconcile returns the IDs of the jobs that have not ended or are uncertain.
-// The caller holds the lock.
+// jobsToReconcile returns the IDs of the jobs that have not ended. The results of
+// ended ones that are uncertain are left to readers of the key-value service: after an
+// outage, reading them all would delay the results for which trainers wait. The caller
+// holds the lock.
 func (p *poolRunner) jobsToReconcile() []string {
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(p.scheduler.Jobs)) {
-		if !p.scheduler.Jobs[id].Ended || p.uncertain[id] {
+		if !p.scheduler.Jobs[id].Ended {
 			ids = append(ids, id)
 		}
 	}
