runner: Store results after a new lease before the earlier ones are read

Only readers have to wait: a position can be written once, so that storing results is safe.

The case of TestRunner failed before.

--- a/runner/commit.go
+++ b/runner/commit.go
@@ -132,6 +132,20 @@
 // stored or returned to readers. The caller holds the lock.
 func (p *poolRunner) setUncertain(job string) {
 	p.uncertain[job] = true
+	p.repeatRead(job)
+}
+
+// setUnread records that another owner may have stored results of a job. Until they
+// have been read, no results of the job are returned to readers. The caller holds the
+// lock.
+func (p *poolRunner) setUnread(job string) {
+	p.unread[job] = true
+	p.repeatRead(job)
+}
+
+// repeatRead makes a read of a job's results in progress start again. The caller holds
+// the lock.
+func (p *poolRunner) repeatRead(job string) {
 	if read := p.reads[job]; read != nil {
 		read.outdated = true
 	}
@@ -221,13 +235,14 @@
 		return false
 	}
 	delete(p.uncertain, id)
+	delete(p.unread, id)
 	delete(p.reads, id)
 	signal(p.resultReady)
 	return true
 }
 
 // jobsToReconcile returns the IDs of the jobs that have not ended. The results of
-// ended ones that are uncertain are left to readers of the key-value service: after an
+// ended ones that are uncertain or unread are left to readers of the key-value service: after an
 // outage, reading them all would delay the results for which trainers wait. The caller
 // holds the lock.
 func (p *poolRunner) jobsToReconcile() []string {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -86,8 +86,12 @@
 	// arrive before the job itself.
 	endedJobs map[string]bool
 	// uncertain are the jobs of which the key-value service may hold more
-	// results than the scheduler.
+	// results than the scheduler, since a write of theirs had no known outcome.
 	uncertain map[string]bool
+	// unread are the jobs of which another owner may have stored results that this
+	// node has not read. Results can be stored, since a position is written once only,
+	// but readers could miss some.
+	unread map[string]bool
 	// reads are the reads of stored results in progress, by job.
 	reads map[string]*storedRead
 	// dropped are the jobs that are no longer in memory and are to be deleted
@@ -113,7 +117,7 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: tasks.NewScheduler(), engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, lastSeen: map[string]seenVersion{}, uncertain: map[string]bool{}, reads: map[string]*storedRead{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, lastSeen: map[string]seenVersion{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 }
 
@@ -126,7 +130,7 @@
 	p.standInFor = nil
 	if isNew {
 		for id := range p.scheduler.Jobs {
-			p.setUncertain(id)
+			p.setUnread(id)
 		}
 	}
 	p.mu.Unlock()
@@ -267,10 +271,10 @@
 		return
 	}
 	opened := p.scheduler.Add(job, stored, now)
-	// The jobs of a stand-in become uncertain when it takes over the pool.
+	// The jobs of a stand-in become unread when it takes over the pool.
 	unread := !mayHaveResults && (!p.jobsRead || p.opening[job.ID])
 	if p.fence != fence || unread && p.standInFor == nil {
-		p.setUncertain(job.ID)
+		p.setUnread(job.ID)
 		signal(p.reconcileDue)
 	}
 	p.restoreParts(opened, parts)
--- a/runner/read.go
+++ b/runner/read.go
@@ -89,7 +89,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	job := p.scheduler.Jobs[read.GetJob()]
-	if job == nil || fence != p.fence || p.uncertain[read.GetJob()] {
+	if job == nil || fence != p.fence || p.uncertain[read.GetJob()] || p.unread[read.GetJob()] {
 		return &wire.Results{}, nil
 	}
 	reply := &wire.Results{Known: true, Total: uint64(len(job.Tasks)), Open: !job.Ended}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -479,6 +479,19 @@
 			return len(r.runner.Read(context.Background(), &wire.Read{Job: "c"}).GetResults()) == 3
 		}, 2*time.Second, time.Millisecond)
 	})
+	t.Run("results are stored after a new lease although earlier ones can't be read", func(t *testing.T) {
+		r := newFixture(t, 1)
+		r.putJob(t, newJob("j", 1, 2, 800))
+		r.waitResults(t, "j", 1)
+		r.setUnreadable("out/")
+		r.kv.ForceDelete(vault.Owners + "lm")
+		// The results of this job find that the lease is lost.
+		r.putJob(t, newJob("k", 1, 2))
+		require.Eventually(t, func() bool {
+			stored, err := r.kv.MemoryKV.Range(context.Background(), "out/j/", false)
+			return err == nil && len(stored.Entries) == 2
+		}, waitTimeout, time.Millisecond)
+	})
 	t.Run("a revoked ownership key is acquired again, and no event or result is duplicated", func(t *testing.T) {
 		r := newFixture(t, 1)
 		r.putJob(t, newJob("j", 1, 100, 2, 2))
