platform, limit: Read and log the limits that upstreams name

All requests to upstreams go through platform.Upstreams, so that none is missed. No decision depends on a limit yet.

--- a/board/board.go
+++ b/board/board.go
@@ -41,6 +41,18 @@
 	// received from the upstream, and TokenAt when it arrived.
 	TokenVersion quetzalpier.Version
 	TokenAt      time.Time
+	// Limit is maintained by the limit package.
+	Limit Limit
+}
+
+// Limit is what a node knows of an upstream's limit.
+type Limit struct {
+	quetzalpier.Limit
+	// At is when the upstream was last known to name the limit, or not to name one.
+	At time.Time
+	// Sent counts the requests that this node sent since WindowAt, for the log.
+	Sent     int
+	WindowAt time.Time
 }
 
 const (
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,7 +20,6 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
-	"quetzalpier/link"
 	"quetzalpier/meter"
 	"quetzalpier/platform"
 	"quetzalpier/send"
@@ -41,12 +40,12 @@
 
 // Options configure an Entry.
 type Options struct {
-	Board  *board.Board
-	Sender *send.Sender
-	Links  *link.Links
-	Vault  *vault.Vault
-	Meter  *meter.Meter
-	Log    zerolog.Logger
+	Board     *board.Board
+	Sender    *send.Sender
+	Upstreams *platform.Upstreams
+	Vault     *vault.Vault
+	Meter     *meter.Meter
+	Log       zerolog.Logger
 	// Call sends a call to another node.
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
 	// LookupTTL is the time for which clients may cache a lookup answer.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -34,7 +34,7 @@
 		defer e.inFlight.Add(-1)
 		defer cancel()
 		err := e.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
-			return platform.Stream(ctx, e.Links, a.VM, req, r.deadline, func(head *platform.Answer) {
+			return e.Upstreams.Stream(ctx, a.VM, req, r.deadline, func(head *platform.Answer) {
 				select {
 				case firstHead <- head:
 				default:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"quetzalpier/hash"
 	"quetzalpier/keep"
 	"quetzalpier/lease"
+	"quetzalpier/limit"
 	"quetzalpier/link"
 	"quetzalpier/logcap"
 	"quetzalpier/meter"
@@ -106,6 +107,7 @@
 	versions  *mirror.Mirror
 	retired   *mirror.Mirror
 	upstreams *upstreamList
+	limits    *limit.Keeper
 	views     *viewSharer
 
 	startedAt  time.Time
@@ -155,17 +157,19 @@
 	n.links.OnDial = n.countDial
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.OnStrikes = n.sendStrikes
+	n.limits = &limit.Keeper{Board: n.Board, Log: n.Log}
+	upstreams := &platform.Upstreams{Links: n.links, Limits: n.limits}
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log}
 	n.openMirrors()
 	n.views = &viewSharer{node: n, lapsed: map[string]lapsedMember{}}
 	n.vault = &vault.Vault{KV: n.kv}
 	jobVault := n.vault
 	n.runner = &runner.Runner{
-		Board: n.Board, KV: n.kv, Vault: jobVault, Lease: n.lease, Links: n.links, Sender: n.sender,
+		Board: n.Board, KV: n.kv, Vault: jobVault, Lease: n.lease, Upstreams: upstreams, Sender: n.sender,
 		KVFailed: n.kv.DirectFailed, Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
 	}
 	n.entry = entry.New(entry.Options{
-		Board: n.Board, Sender: n.sender, Links: n.links, Vault: jobVault, Meter: n.Meter, Log: n.Log,
+		Board: n.Board, Sender: n.sender, Upstreams: upstreams, Vault: jobVault, Meter: n.Meter, Log: n.Log,
 		Call: n.callPeer, LookupTTL: n.Settings.LookupTTL.D(), Retention: n.Settings.Retention.D(), KVStable: n.kvStable, KVFailed: n.kv.DirectFailed,
 	})
 	if n.Settings.DataDir != "" {
--- /dev/null
+++ b/limits.go
@@ -0,0 +1,39 @@
+package quetzalpier
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+)
+
+// Limit is the rate of requests that an upstream accepts from all nodes together, as
+// it names it in its answers. The zero value is an upstream that names none.
+type Limit struct {
+	Named bool
+	// PerSecond is in requests per second; zero if not Named.
+	PerSecond float64
+}
+
+// maxLimit is the highest valid rate, in requests per second: more than the nodes of
+// any deployment send to one upstream.
+const maxLimit = 1e6
+
+// Validate validates the limit and returns the first error found.
+func (l Limit) Validate() error {
+	if math.IsNaN(l.PerSecond) || l.PerSecond < 0 || l.PerSecond > maxLimit {
+		return &FieldError{"limit", fmt.Sprintf("must be from 0 to %g requests a second, not %g", float64(maxLimit), l.PerSecond)}
+	}
+	return nil
+}
+
+// Limits keeps the nodes together within the limits that upstreams name.
+type Limits interface {
+	// Admit is called before a request is sent to an upstream.
+	Admit(ctx context.Context, vm VM, now time.Time) error
+	// Observe records what an upstream named in its answer to a request that was sent
+	// at sentAt and answered now.
+	Observe(vm VM, limit Limit, sentAt, now time.Time)
+	// Invalid records that an upstream named a limit that can't be decoded.
+	Invalid(vm VM, err error)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,7 +16,6 @@
 	"quetzalpier/board"
 	"quetzalpier/hash"
 	"quetzalpier/lease"
-	"quetzalpier/link"
 	"quetzalpier/meter"
 	"quetzalpier/platform"
 	"quetzalpier/send"
@@ -44,15 +43,15 @@
 
 // Runner processes the jobs of the pools that this node owns.
 type Runner struct {
-	Board   *board.Board
-	KV      quetzalpier.KV
-	Vault   *vault.Vault
-	Lease   *lease.Holder
-	Links   *link.Links
-	Sender  *send.Sender
-	Engines *platform.Engines
-	Meter   *meter.Meter
-	Log     zerolog.Logger
+	Board     *board.Board
+	KV        quetzalpier.KV
+	Vault     *vault.Vault
+	Lease     *lease.Holder
+	Upstreams *platform.Upstreams
+	Sender    *send.Sender
+	Engines   *platform.Engines
+	Meter     *meter.Meter
+	Log       zerolog.Logger
 	// Call makes a call to another node.
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
 	// MinOrderInterval is the least time between orders to one engine from two
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -105,8 +105,8 @@
 // stream runs the task on the engine, starting after the last event that it
 // has.
 func (r *run) stream(ctx context.Context) error {
-	resp, err := r.parent.runner.Links.Do(ctx, link.Call{
-		Addr: r.vm.Addr, Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+	resp, err := r.parent.runner.Upstreams.Send(ctx, r.vm, link.Call{
+		Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
 	})
 	if err != nil {
 		return err
@@ -144,7 +144,6 @@
 		req.Header.Set(name, value)
 	}
 	req.Header.Set(platform.HeaderAttempt, spec.ID)
-	req.Header.Set(platform.HeaderExpectWorker, r.vm.ID)
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(max(1, job.ExpiresAt.Sub(now).Milliseconds()), 10))
 	if r.lastEvent > 0 {
 		req.Header.Set(platform.HeaderLastEventID, strconv.Itoa(r.lastEvent))
@@ -373,7 +372,7 @@
 		req.Header.SetHost(reward.Host)
 		req.Header.Set(platform.HeaderAttempt, reward.ID)
 		req.SetBodyRaw(reward.Body)
-		resp, err := platform.Forward(ctx, p.runner.Links, a.VM, a.Fresh, link.PurposeReward, req, deadline)
+		resp, err := p.runner.Upstreams.Forward(ctx, a.VM, a.Fresh, link.PurposeReward, req, deadline)
 		if err != nil {
 			return err
 		}
