soak: Add the failing test of upstreams that name a limit

Whole nodes as processes; an engine, all engines, the plain services, or all while the owner changes name 1 request a second.

--- a/stand/worker.go
+++ b/stand/worker.go
@@ -56,6 +56,14 @@
 	madeAt map[string]time.Time
 	// streaming is the number of streams in progress.
 	streaming int
+	// limits are the limits that the worker has named, in order of time.
+	limits []namedLimit
+}
+
+// namedLimit is a limit from a time on.
+type namedLimit struct {
+	quetzalpier.Limit
+	at time.Time
 }
 
 // receivedOrder is an order whose fencing token was not outdated, recorded for
@@ -149,6 +157,68 @@
 	w.faults = f
 }
 
+// SetLimit sets the limit that the worker names in its answers from now on.
+func (w *Worker) SetLimit(limit quetzalpier.Limit) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits = append(w.limits, namedLimit{limit, time.Now()})
+}
+
+// limit returns the limit that the worker names now. The caller holds the lock.
+func (w *Worker) limit() quetzalpier.Limit {
+	if len(w.limits) == 0 {
+		return quetzalpier.Limit{}
+	}
+	return w.limits[len(w.limits)-1].Limit
+}
+
+const (
+	// limitWindow is the time over which requests are compared with the limit.
+	// limitFactor and limitBurst are what may exceed it there.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitBurst  = 5
+)
+
+// LimitViolations returns the spans of limitWindow in which more requests arrived than
+// the limit allows. They begin no earlier than settle after the first limit was named,
+// and excused leaves out those that may hold requests which need not keep it.
+func (w *Worker) LimitViolations(settle time.Duration, excused func(from, to time.Time) bool) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var violations []string
+	for i, limit := range w.limits {
+		if !limit.Named {
+			continue
+		}
+		first, end := limit.at.Add(settle), time.Now()
+		if i > 0 && w.limits[i-1].Named {
+			first = limit.at
+		}
+		if i+1 < len(w.limits) {
+			end = w.limits[i+1].at
+		}
+		allowed := int(limitFactor*limit.PerSecond*limitWindow.Seconds()) + limitBurst
+		for j, run := range w.runs {
+			from, to := run.StartedAt, run.StartedAt.Add(limitWindow)
+			if from.Before(first) || to.After(end) || excused(from, to) {
+				continue
+			}
+			count := 0
+			for _, later := range w.runs[j:] {
+				if later.StartedAt.Before(to) {
+					count++
+				}
+			}
+			if count > allowed {
+				violations = append(violations, fmt.Sprintf("%s with a limit of %g a second got %d requests in %s, at most %d are allowed", w.ID, limit.PerSecond, count, limitWindow, allowed))
+				break
+			}
+		}
+	}
+	return violations
+}
+
 // Runs returns the requests that the worker has received.
 func (w *Worker) Runs() []WorkerRun {
 	w.mu.Lock()
@@ -267,6 +337,9 @@
 	lastEvent, _ := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderLastEventID)))
 	c.Response.Header.Set(platform.HeaderAttempt, id)
 	w.mu.Lock()
+	if limit := w.limit(); limit.Named {
+		c.Response.Header.Set(platform.HeaderLimit, strconv.FormatFloat(limit.PerSecond, 'f', -1, 64))
+	}
 	faults := w.faults
 	if faults.StatusCount > 0 {
 		w.faults.StatusCount--
