limit: Keep the limits that upstreams name, over all nodes together

Cause: no code used the header; and what an upstream says of itself reached only the node that got the answer, so that nodes can't keep a sum.

One node grants the permits for a limited upstream: the owner of its pool, which sends most of the requests, or else one that all nodes choose alike. Its token bucket starts empty, so that two grantors one after the other allow no burst each. Every request to an upstream passes platform.Upstreams, which asks for a permit. Placement (route, tasks) gives a limited upstream no more than it may take; work goes to another upstream, by urgency, or waits, or is refused at once if the limits leave no room before its deadline. A refused node waits by the number of nodes that share the limit. Limits are told to the other nodes, and a node that starts reads them. An answer to a later request without the header ends a limit; a limit of almost nothing is tried every 4 s.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -97,7 +97,7 @@
 	if q.waiting >= maxWaiting {
 		return q.retryAfter(q.waiting, now), false
 	}
-	ahead := q.countAhead(t.Class)
+	ahead := q.CountAhead(t.Class)
 	if latest := q.LatestStart(t); !latest.IsZero() && now.After(latest) {
 		return q.retryAfter(ahead, now), false
 	}
@@ -203,9 +203,9 @@
 	return first
 }
 
-// countAhead returns the number of tickets of the class and of those with a higher
+// CountAhead returns the number of tickets of the class and of those with a higher
 // priority.
-func (q *Queue) countAhead(class quetzalpier.Class) int {
+func (q *Queue) CountAhead(class quetzalpier.Class) int {
 	total := 0
 	for i := 0; i <= int(class); i++ {
 		total += len(q.classes[i].tickets)
--- a/board/board.go
+++ b/board/board.go
@@ -45,16 +45,36 @@
 	Limit Limit
 }
 
-// Limit is what a node knows of an upstream's limit.
+// Limit is what a node knows of an upstream's limit, and its share of it.
 type Limit struct {
 	quetzalpier.Limit
 	// At is when the upstream was last known to name the limit, or not to name one.
 	At time.Time
+	// Told is what this node last told the others, or heard from one of them.
+	Told quetzalpier.Limit
+	// RetryAt is when this node may ask for another permit after a refusal, Asking the
+	// number of permits that it is asking for, and Nodes the number of nodes that
+	// asked lately.
+	RetryAt time.Time
+	Asking  int
+	Nodes   int
+	// Bucket is used by the node that grants the permits.
+	Bucket Bucket
 	// Sent counts the requests that this node sent since WindowAt, for the log.
 	Sent     int
 	WindowAt time.Time
 }
 
+// Bucket is the token bucket of an upstream's limit.
+type Bucket struct {
+	Tokens     float64
+	RefilledAt time.Time
+	// Asked holds the nodes that asked for a permit, with the times of their last
+	// question. UrgentRefusedAt is when an urgent question was last refused.
+	Asked           map[string]time.Time
+	UrgentRefusedAt time.Time
+}
+
 const (
 	// mismatchGrace is the time after a version change within which tokens may
 	// still have the old version. mismatchTTL is how long an older token after
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -40,6 +40,9 @@
 	if store := call.GetStore(); store != nil {
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
 	}
+	if limits := call.GetLimits(); limits != nil {
+		return &wire.Reply{Kind: &wire.Reply_Permit{Permit: n.limits.Serve(limits, time.Now())}}
+	}
 	if question := call.GetProbe(); question != nil {
 		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.prober.Check(ctx, question.GetPeer(), question.GetUnreachable())}}}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -157,7 +157,8 @@
 	n.links.OnDial = n.countDial
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.OnStrikes = n.sendStrikes
-	n.limits = &limit.Keeper{Board: n.Board, Log: n.Log}
+	n.limits = limit.New(n.Board, n.Log)
+	n.limits.Call, n.limits.Peers = n.callPeer, n.peerAddrs
 	upstreams := &platform.Upstreams{Links: n.links, Limits: n.limits}
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log}
 	n.openMirrors()
@@ -261,7 +262,7 @@
 	ownCtx, releasePools := context.WithCancel(work)
 	defer releasePools()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.reportUsage, n.views.run,
+		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.limits.Run, n.reportUsage, n.views.run,
 	} {
 		n.background.Go(func() { run(work) })
 	}
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -2,68 +2,323 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/sleep"
+	"quetzalpier/wire"
 )
 
-// countWindow is the time over which the requests to a limited upstream are counted
-// for the log.
-const countWindow = 4 * time.Second
+const (
+	// countWindow is the time over which the requests to a limited upstream are counted
+	// for the log.
+	countWindow = 4 * time.Second
+	// askTimeout limits the call for a permit. askFailedDelay is the pause after one
+	// that failed.
+	askTimeout     = 300 * time.Millisecond
+	askFailedDelay = 200 * time.Millisecond
+	// tellDelay is the longest time that a node collects the limits that it learns
+	// before it tells the other nodes. Those that it hears from others meanwhile are
+	// not told again.
+	tellDelay    = 150 * time.Millisecond
+	tellTimeout  = 300 * time.Millisecond
+	maxTellCalls = 16
+	// minTellChange is the share by which a limit must change to be told again.
+	minTellChange = 0.1
+	// startTries is how often a node that starts asks the others for the limits that
+	// they know, and startPause the pause before each try.
+	startTries = 3
+	startPause = 100 * time.Millisecond
+)
 
-// Keeper implements quetzalpier.Limits on a node's board.
+// Keeper implements quetzalpier.Limits on a node's board, together with the Keepers of
+// the other nodes.
 type Keeper struct {
 	Board *board.Board
+	// Call makes a call to another node, and Peers returns the addresses of the others.
+	Call  func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
+	Peers func() []string
 	Log   zerolog.Logger
+
+	mu sync.Mutex
+	// untold holds the upstreams whose limits are to be told to the other nodes.
+	untold map[string]bool
+	wake   chan struct{}
 }
 
 var _ quetzalpier.Limits = (*Keeper)(nil)
 
+// New returns a Keeper of a node without other nodes.
+func New(b *board.Board, log zerolog.Logger) *Keeper {
+	return &Keeper{
+		Board: b, Log: log, Peers: func() []string { return nil },
+		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
+			return nil, errors.New("no other nodes are known")
+		},
+		untold: map[string]bool{}, wake: make(chan struct{}, 1),
+	}
+}
+
 // Admit implements quetzalpier.Limits.
-func (k *Keeper) Admit(_ context.Context, vm quetzalpier.VM, now time.Time) error {
+func (k *Keeper) Admit(ctx context.Context, vm quetzalpier.VM, urgent bool, now time.Time) error {
+	granted, after := true, time.Duration(0)
+	var grantor board.Member
+	var self string
+	k.Board.Do(func(s *board.State) {
+		u := s.Upstreams[vm.ID]
+		if u == nil || !u.Limit.Named {
+			return
+		}
+		if granted, after = !now.Before(u.Limit.RetryAt), u.Limit.RetryAt.Sub(now); !granted {
+			return
+		}
+		grantor, self = Grantor(s, u), s.Self.ID
+		if grantor.ID != self {
+			u.Limit.Asking++
+			return
+		}
+		if granted, after = Take(u, self, urgent, rand.Float64(), now); !granted {
+			u.Limit.RetryAt = now.Add(after)
+		}
+	})
+	if grantor.ID != self {
+		granted, after = k.ask(ctx, vm, grantor, self, urgent)
+	}
+	if !granted {
+		return &quetzalpier.LimitedError{Upstream: vm.ID, RetryAfter: after}
+	}
 	k.count(vm, now)
 	return nil
 }
 
-// count counts a request to a limited upstream and logs the count of each window.
-func (k *Keeper) count(vm quetzalpier.VM, now time.Time) {
-	sent, perSecond := 0, 0.0
+// ask asks another node for a permit.
+func (k *Keeper) ask(ctx context.Context, vm quetzalpier.VM, grantor board.Member, self string, urgent bool) (granted bool, after time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := k.Call(ctx, grantor.Peer, &wire.Call{Kind: &wire.Call_Limits{Limits: &wire.Limits{
+		Limits: k.encode([]string{vm.ID}, time.Now()), Take: vm.ID, Urgent: urgent, Node: self,
+	}}})
+	now := time.Now()
+	permit := reply.GetPermit()
+	if err != nil {
+		k.Log.Warn().Str("upstream", vm.ID).Str("grantor", grantor.ID).Err(err).Msg("permit for a limited upstream could not be requested")
+		permit = &wire.Permit{Wait: uint64(askFailedDelay.Milliseconds()), Nodes: 1}
+	}
+	k.merge(permit.GetLimits(), now)
+	after = time.Duration(permit.GetWait()) * time.Millisecond
 	k.Board.Do(func(s *board.State) {
 		u := s.Upstreams[vm.ID]
-		if u == nil || !u.Limit.Named {
+		if u == nil {
 			return
 		}
-		if now.Sub(u.Limit.WindowAt) >= countWindow {
-			sent, perSecond = u.Limit.Sent, u.Limit.PerSecond
-			u.Limit.Sent, u.Limit.WindowAt = 0, now
+		u.Limit.Asking = max(0, u.Limit.Asking-1)
+		u.Limit.Nodes = int(permit.GetNodes())
+		if !permit.GetGranted() {
+			u.Limit.RetryAt = now.Add(after)
 		}
-		u.Limit.Sent++
 	})
-	if sent > 0 {
-		k.Log.Info().Str("upstream", vm.ID).Float64("per_second", perSecond).Int("sent", sent).Dur("window_ms", countWindow).Msg("requests sent to a limited upstream")
+	return permit.GetGranted(), after
+}
+
+// Serve answers the call of another node.
+func (k *Keeper) Serve(call *wire.Limits, now time.Time) *wire.Permit {
+	k.merge(call.GetLimits(), now)
+	reply := &wire.Permit{}
+	ids := []string{call.GetTake()}
+	k.Board.Do(func(s *board.State) {
+		if u := s.Upstreams[call.GetTake()]; u != nil {
+			reply.Granted = true
+			if u.Limit.Named {
+				granted, after := Take(u, call.GetNode(), call.GetUrgent(), rand.Float64(), now)
+				reply.Granted, reply.Wait = granted, uint64(math.Ceil(float64(after)/float64(time.Millisecond)))
+				reply.Nodes = uint32(u.Limit.Nodes)
+			}
+		} else {
+			reply.Wait = uint64(askFailedDelay.Milliseconds())
+		}
+		if call.GetFull() {
+			ids = ids[:0]
+			for id := range s.Upstreams {
+				ids = append(ids, id)
+			}
+		}
+	})
+	reply.Limits = k.encode(ids, now)
+	return reply
+}
+
+// encode returns what this node knows of the limits of upstreams.
+func (k *Keeper) encode(ids []string, now time.Time) []*wire.Limit {
+	var list []*wire.Limit
+	k.Board.Do(func(s *board.State) {
+		for _, id := range ids {
+			if u := s.Upstreams[id]; u != nil && !u.Limit.At.IsZero() {
+				list = append(list, &wire.Limit{
+					Upstream: id, Born: u.VM.Incarnation, Named: u.Limit.Named, Rate: u.Limit.PerSecond, Age: uint64(max(0, now.Sub(u.Limit.At).Milliseconds())),
+				})
+			}
+		}
+	})
+	return list
+}
+
+// merge records the limits that another node knows.
+func (k *Keeper) merge(list []*wire.Limit, now time.Time) {
+	for _, item := range list {
+		named := quetzalpier.Limit{Named: item.GetNamed(), PerSecond: item.GetRate()}
+		if err := named.Validate(); err != nil {
+			k.Log.Warn().Str("upstream", item.GetUpstream()).Err(err).Msg("limit from another node is invalid")
+			continue
+		}
+		k.mu.Lock()
+		delete(k.untold, item.GetUpstream())
+		k.mu.Unlock()
+		k.Board.Update(func(s *board.State) {
+			u := s.Upstreams[item.GetUpstream()]
+			if u == nil || u.VM.Incarnation != item.GetBorn() {
+				return
+			}
+			if before := u.Limit.Limit; Merge(u, named, now.Add(-time.Duration(item.GetAge())*time.Millisecond)) {
+				k.logChange(u.VM, before, named, "node")
+			}
+			u.Limit.Told = named
+		})
 	}
 }
 
 // Observe implements quetzalpier.Limits.
 func (k *Keeper) Observe(vm quetzalpier.VM, named quetzalpier.Limit, sentAt, now time.Time) {
-	var before quetzalpier.Limit
+	var before, told quetzalpier.Limit
 	changed := false
 	k.Board.Do(func(s *board.State) {
-		if u := s.Upstreams[vm.ID]; u != nil && u.VM.Incarnation == vm.Incarnation {
-			before = u.Limit.Limit
+		if u := s.Upstreams[vm.ID]; u != nil && u.VM.Incarnation == vm.Incarnation && (named.Named || u.Limit.Named) {
+			before, told = u.Limit.Limit, u.Limit.Told
 			changed = Observe(u, named, sentAt, now)
 		}
 	})
-	if changed {
-		k.Log.Info().Str("upstream", vm.ID).Str("pool", vm.Pool).Bool("named", named.Named).Float64("per_second", named.PerSecond).
-			Bool("before", before.Named).Float64("before_per_second", before.PerSecond).Msg("upstream changed its limit")
+	if !changed {
+		return
+	}
+	k.logChange(vm, before, named, "answer")
+	if told.Named == named.Named && math.Abs(told.PerSecond-named.PerSecond) <= minTellChange*told.PerSecond {
+		return
 	}
+	k.mu.Lock()
+	k.untold[vm.ID] = true
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) logChange(vm quetzalpier.VM, before, named quetzalpier.Limit, source string) {
+	k.Log.Info().Str("upstream", vm.ID).Str("pool", vm.Pool).Str("source", source).Bool("named", named.Named).Float64("per_second", named.PerSecond).
+		Bool("before", before.Named).Float64("before_per_second", before.PerSecond).Msg("limit of an upstream changed")
 }
 
 // Invalid implements quetzalpier.Limits.
 func (k *Keeper) Invalid(vm quetzalpier.VM, err error) {
 	k.Log.Warn().Str("upstream", vm.ID).Str("pool", vm.Pool).Err(err).Msg("limit of an upstream could not be decoded")
 }
+
+// Run reads the limits that other nodes know, and tells them those that this node
+// learns, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	k.readAll(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		}
+		sleep.For(ctx, time.Duration(rand.Float64()*float64(tellDelay)))
+		k.tell(ctx)
+	}
+}
+
+// readAll reads the limits that other nodes know, since a node that starts knows none.
+func (k *Keeper) readAll(ctx context.Context) {
+	known := false
+	for !known && sleep.For(ctx, startPause) {
+		k.Board.Do(func(s *board.State) { known = len(s.Members) > 1 && len(s.Upstreams) > 0 })
+	}
+	for range startTries {
+		for _, addr := range k.Peers() {
+			if k.callOne(ctx, addr, &wire.Limits{Full: true}) == nil {
+				return
+			}
+		}
+		sleep.For(ctx, startPause)
+	}
+}
+
+// tell tells the other nodes the limits that they may not know.
+func (k *Keeper) tell(ctx context.Context) {
+	k.mu.Lock()
+	var ids []string
+	for id := range k.untold {
+		ids = append(ids, id)
+	}
+	clear(k.untold)
+	k.mu.Unlock()
+	message := &wire.Limits{Limits: k.encode(ids, time.Now())}
+	if len(message.GetLimits()) == 0 {
+		return
+	}
+	k.Board.Do(func(s *board.State) {
+		for _, item := range message.GetLimits() {
+			if u := s.Upstreams[item.GetUpstream()]; u != nil {
+				u.Limit.Told = quetzalpier.Limit{Named: item.GetNamed(), PerSecond: item.GetRate()}
+			}
+		}
+	})
+	calls := pool.New().WithMaxGoroutines(maxTellCalls)
+	for _, addr := range k.Peers() {
+		calls.Go(func() {
+			if err := k.callOne(ctx, addr, message); err != nil {
+				k.Log.Debug().Str("peer", addr).Err(err).Msg("limits could not be told to another node")
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// callOne sends a message to another node and records the limits of its reply.
+func (k *Keeper) callOne(ctx context.Context, addr string, message *wire.Limits) error {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	reply, err := k.Call(ctx, addr, &wire.Call{Kind: &wire.Call_Limits{Limits: message}})
+	if err != nil {
+		return err
+	}
+	k.merge(reply.GetPermit().GetLimits(), time.Now())
+	return nil
+}
+
+// count counts a request to a limited upstream and logs the count of each window.
+func (k *Keeper) count(vm quetzalpier.VM, now time.Time) {
+	sent, perSecond := 0, 0.0
+	k.Board.Do(func(s *board.State) {
+		u := s.Upstreams[vm.ID]
+		if u == nil || !u.Limit.Named {
+			return
+		}
+		if now.Sub(u.Limit.WindowAt) >= countWindow {
+			sent, perSecond = u.Limit.Sent, u.Limit.PerSecond
+			u.Limit.Sent, u.Limit.WindowAt = 0, now
+		}
+		u.Limit.Sent++
+	})
+	if sent > 0 {
+		k.Log.Info().Str("upstream", vm.ID).Float64("per_second", perSecond).Int("sent", sent).Dur("window_ms", countWindow).Msg("requests sent to a limited upstream")
+	}
+}
--- /dev/null
+++ b/limit/keeper_test.go
@@ -0,0 +1,129 @@
+package limit_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/limit"
+	"quetzalpier/wire"
+)
+
+var (
+	vm     = quetzalpier.VM{ID: "u", Pool: "p", Addr: "127.0.0.1:1", State: quetzalpier.VMLive, Kind: quetzalpier.KindPlain, Incarnation: 1}
+	limit5 = quetzalpier.Limit{Named: true, PerSecond: 5}
+)
+
+// newKeepers returns the Keepers of nodes that call each other, and of which cut can't
+// be reached.
+func newKeepers(t *testing.T, cut *atomic.Value, ids ...string) map[string]*limit.Keeper {
+	t.Helper()
+	keepers := map[string]*limit.Keeper{}
+	for _, id := range ids {
+		b := board.New(board.Member{ID: id, Peer: id})
+		b.Update(func(s *board.State) {
+			for _, other := range ids {
+				s.Members[other] = board.Member{ID: other, Peer: other}
+			}
+			s.Owners["p"] = board.Owner{Node: ids[0]}
+			s.SetListed([]quetzalpier.VM{vm}, time.Now())
+		})
+		k := limit.New(b, zerolog.Nop())
+		k.Peers = func() (others []string) {
+			for _, other := range ids {
+				if other != id {
+					others = append(others, other)
+				}
+			}
+			return others
+		}
+		k.Call = func(_ context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
+			if addr == cut.Load() {
+				return nil, errors.New("unreachable")
+			}
+			return &wire.Reply{Kind: &wire.Reply_Permit{Permit: keepers[addr].Serve(call.GetLimits(), time.Now())}}, nil
+		}
+		keepers[id] = k
+	}
+	return keepers
+}
+
+func named(k *limit.Keeper) (limit quetzalpier.Limit) {
+	k.Board.Do(func(s *board.State) { limit = s.Upstreams[vm.ID].Limit.Limit })
+	return limit
+}
+
+func TestKeepers(t *testing.T) {
+	var cut atomic.Value
+	cut.Store("")
+	keepers := newKeepers(t, &cut, "a", "b", "c")
+	now := time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running conc.WaitGroup
+	running.Go(func() { keepers["b"].Run(ctx) })
+	defer func() { cancel(); running.Wait() }()
+	t.Run("a limit that one node learns is told to the others", func(t *testing.T) {
+		require.NoError(t, keepers["b"].Admit(t.Context(), vm, true, now))
+		keepers["b"].Observe(vm, limit5, now, now)
+		for _, k := range keepers {
+			require.Eventually(t, func() bool { return named(k) == limit5 }, 10*time.Second, time.Millisecond)
+		}
+	})
+	t.Run("the nodes together keep it", func(t *testing.T) {
+		var admitted atomic.Int32
+		end := time.Now().Add(2 * time.Second)
+		var nodes conc.WaitGroup
+		for _, k := range keepers {
+			nodes.Go(func() {
+				for time.Now().Before(end) {
+					var limited *quetzalpier.LimitedError
+					if err := k.Admit(t.Context(), vm, true, time.Now()); err == nil {
+						admitted.Add(1)
+					} else if errors.As(err, &limited) {
+						time.Sleep(min(limited.RetryAfter, 50*time.Millisecond))
+					}
+				}
+			})
+		}
+		nodes.Wait()
+		require.LessOrEqual(t, int(admitted.Load()), 2*5+5)
+		require.Positive(t, admitted.Load())
+	})
+	t.Run("a node that can't ask sends nothing", func(t *testing.T) {
+		cut.Store("a")
+		var limited *quetzalpier.LimitedError
+		require.Eventually(t, func() bool {
+			return errors.As(keepers["c"].Admit(t.Context(), vm, true, time.Now()), &limited) && limited.RetryAfter > 0
+		}, 5*time.Second, time.Millisecond)
+		cut.Store("")
+	})
+	t.Run("a node that starts reads it", func(t *testing.T) {
+		restarted := newKeepers(t, &cut, "a", "b", "c")["c"]
+		restarted.Call = keepers["c"].Call
+		running.Go(func() { restarted.Run(ctx) })
+		require.Eventually(t, func() bool { return named(restarted) == limit5 }, 10*time.Second, time.Millisecond)
+	})
+	t.Run("its end is told too", func(t *testing.T) {
+		later := time.Now().Add(time.Millisecond)
+		keepers["b"].Observe(vm, quetzalpier.Limit{}, later, later)
+		for _, k := range keepers {
+			require.Eventually(t, func() bool { return !named(k).Named }, 10*time.Second, time.Millisecond)
+		}
+	})
+	t.Run("an invalid limit from another node changes nothing", func(t *testing.T) {
+		keepers["a"].Serve(&wire.Limits{Limits: []*wire.Limit{{Upstream: vm.ID, Born: 1, Named: true, Rate: -1}}}, time.Now().Add(time.Second))
+		require.False(t, named(keepers["a"]).Named)
+	})
+	t.Run("a limit of an earlier process changes nothing", func(t *testing.T) {
+		keepers["a"].Serve(&wire.Limits{Limits: []*wire.Limit{{Upstream: vm.ID, Born: 7, Named: true, Rate: 1}}}, time.Now().Add(time.Second))
+		require.False(t, named(keepers["a"]).Named)
+	})
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,12 +1,33 @@
 // Package limit decides how many requests the nodes send to an upstream that names a
-// limit of the requests that it accepts from all nodes together.
+// limit of the requests that it accepts from all nodes together. One node grants the
+// permits for it: the owner of its pool, or one that all nodes choose alike.
 package limit
 
 import (
+	"math"
 	"time"
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/hash"
+)
+
+const (
+	// minRate is the lowest rate of permits, in requests per second. The answers to
+	// these requests tell when a limit of almost nothing ends.
+	minRate = 0.25
+	// burstTime is the time whose permits a bucket holds at most.
+	burstTime = time.Second
+	// askTime is the time whose permits a node asks for at once.
+	askTime = 100 * time.Millisecond
+	// askMemory is how long a node counts among those that share a limit after its
+	// last question.
+	askMemory = 4 * time.Second
+	// urgentMemory is how long a refused urgent question takes precedence over those
+	// that are not. minShare is the share of the permits that the others get
+	// meanwhile, as of the grants of package admit.
+	urgentMemory = time.Second
+	minShare     = 0.2
 )
 
 // Observe records what an upstream named in its answer to a request that was sent at
@@ -27,10 +48,102 @@
 	if at.Before(u.Limit.At) {
 		return false
 	}
-	u.Limit.At = at
 	if u.Limit.Limit == limit {
+		u.Limit.At = at
 		return false
 	}
-	u.Limit.Limit = limit
+	if limit.Named {
+		u.Limit.Limit, u.Limit.At = limit, at
+		return true
+	}
+	u.Limit = board.Limit{At: at, Told: u.Limit.Told}
 	return true
 }
+
+func permitRate(l quetzalpier.Limit) float64 { return max(minRate, l.PerSecond) }
+
+// Room returns how many more requests a node may try to send to the upstream now.
+func Room(u *board.Upstream, now time.Time) int {
+	switch {
+	case !u.Limit.Named:
+		return math.MaxInt
+	case now.Before(u.Limit.RetryAt):
+		return 0
+	}
+	return max(1, int(permitRate(u.Limit.Limit)*askTime.Seconds())) - u.Limit.Asking
+}
+
+// Grantor returns the node that grants the permits of the upstream: the owner of its
+// pool, which sends most of the requests, if it is known and answers.
+func Grantor(s *board.State, u *board.Upstream) board.Member {
+	owner := s.Owners[u.VM.Pool].Node
+	if m, known := s.Members[owner]; known && (owner == s.Self.ID || s.Answers(m)) {
+		return m
+	}
+	var ids []string
+	for id, m := range s.Members {
+		if id == s.Self.ID || s.Answers(m) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return s.Self
+	}
+	return s.Members[hash.Owner("limit/"+u.VM.ID, ids)]
+}
+
+// Take takes a permit for a node's request from the upstream's bucket. If there is none,
+// it returns after how long the node may ask again. The nodes that share the limit are
+// spread over the time that they need together, by spread from 0 to 1.
+//
+// A bucket starts empty, so that two nodes which grant permits one after the other don't
+// allow a burst each.
+func Take(u *board.Upstream, node string, urgent bool, spread float64, now time.Time) (granted bool, after time.Duration) {
+	b, rate := &u.Limit.Bucket, permitRate(u.Limit.Limit)
+	if b.Asked == nil {
+		b.Asked, b.RefilledAt = map[string]time.Time{}, now
+	}
+	b.Asked[node] = now
+	for other, at := range b.Asked {
+		if now.Sub(at) > askMemory {
+			delete(b.Asked, other)
+		}
+	}
+	u.Limit.Nodes = len(b.Asked)
+	b.Tokens = min(b.Tokens+max(0, now.Sub(b.RefilledAt).Seconds())*rate, max(1, rate*burstTime.Seconds()))
+	b.RefilledAt = now
+	behindUrgent := !urgent && now.Sub(b.UrgentRefusedAt) < urgentMemory && spread >= minShare
+	if b.Tokens >= 1 && !behindUrgent {
+		b.Tokens--
+		return true, 0
+	}
+	if urgent {
+		b.UrgentRefusedAt = now
+	}
+	wait := (max(0, 1-b.Tokens) + spread*float64(u.Limit.Nodes-1)) / rate
+	if behindUrgent {
+		wait = max(wait, 1/rate)
+	}
+	return false, time.Duration(wait * float64(time.Second))
+}
+
+// Wait returns how long a request with ahead others before it waits for the limits of
+// the pool's upstreams, by this node's share of them; zero unless all name one.
+func Wait(s *board.State, pool string, ahead int, now time.Time) time.Duration {
+	share := 0.0
+	earliest := time.Duration(math.MaxInt64)
+	for _, u := range s.Upstreams {
+		if u.VM.Pool != pool || u.Leaving() {
+			continue
+		}
+		if !u.Limit.Named {
+			return 0
+		}
+		share += permitRate(u.Limit.Limit) / float64(max(1, u.Limit.Nodes))
+		earliest = min(earliest, max(0, u.Limit.RetryAt.Sub(now)))
+	}
+	if share == 0 {
+		return 0
+	}
+	return earliest + time.Duration(float64(ahead)/share*float64(time.Second))
+}
--- a/limits.go
+++ b/limits.go
@@ -29,11 +29,25 @@
 
 // Limits keeps the nodes together within the limits that upstreams name.
 type Limits interface {
-	// Admit is called before a request is sent to an upstream.
-	Admit(ctx context.Context, vm VM, now time.Time) error
+	// Admit is called before a request is sent to an upstream; urgent reports that a
+	// client waits for it. It returns a LimitedError if the request must not be sent
+	// now.
+	Admit(ctx context.Context, vm VM, urgent bool, now time.Time) error
 	// Observe records what an upstream named in its answer to a request that was sent
 	// at sentAt and answered now.
 	Observe(vm VM, limit Limit, sentAt, now time.Time)
 	// Invalid records that an upstream named a limit that can't be decoded.
 	Invalid(vm VM, err error)
 }
+
+// LimitedError reports that a request was not sent, since the limit of the upstream is
+// used up. RetryAfter is the time after which another one may be admitted.
+type LimitedError struct {
+	Upstream   string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("limit of upstream %s is used up for %s", e.Upstream, e.RetryAfter)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -10,6 +10,7 @@
 	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/hash"
+	"quetzalpier/limit"
 )
 
 const (
@@ -114,12 +115,15 @@
 	return rest
 }
 
-// accepts reports whether the upstream has a free slot for the request, and a
-// weight version of at least the request's MinVersion.
+// accepts reports whether the upstream has a free slot for the request, room within its
+// limit, and a weight version of at least the request's MinVersion.
 func accepts(s *board.State, u *board.Upstream, req Request, now time.Time) bool {
 	if u.Outstanding >= classSlots(concurrency(s, u), req.Class) {
 		return false
 	}
+	if limit.Room(u, now) <= 0 {
+		return false
+	}
 	if req.Alone && (u.Outstanding > 0 || u.SuspectTicket != req.Ticket) {
 		return false
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -55,6 +55,9 @@
 		want  string
 	}{
 		{"requests of this node count as load", func(s *board.State) { s.Upstreams["u00"].Outstanding = 3 }, route.Request{Pool: "m"}, "u01"},
+		{"an upstream whose limit is used up gets none", func(s *board.State) {
+			s.Upstreams["u00"].Limit = board.Limit{Limit: quetzalpier.Limit{Named: true, PerSecond: 1}, RetryAt: start.Add(time.Second)}
+		}, route.Request{Pool: "m"}, "u01"},
 		{"reported requests of other nodes count as load", func(s *board.State) {
 			s.SetReport("u01", quetzalpier.EngineState{Running: 5}, start)
 		}, route.Request{Pool: "m"}, "u00"},
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -12,6 +12,7 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/limit"
 	"quetzalpier/mirror"
 	"quetzalpier/sleep"
 	"quetzalpier/tasks"
@@ -343,7 +344,7 @@
 func (p *poolRunner) plan(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refreshEngines()
+	p.refreshEngines(now)
 	p.cancelRuns(p.scheduler.Expire(now))
 	engines := p.engineList()
 	p.cancelRuns(p.scheduler.TasksToMove(engines, now))
@@ -378,7 +379,7 @@
 }
 
 // refreshEngines updates the engines from the board. The caller holds the lock.
-func (p *poolRunner) refreshEngines() {
+func (p *poolRunner) refreshEngines(now time.Time) {
 	live := map[string]bool{}
 	p.runner.Board.Do(func(s *board.State) {
 		for id, upstream := range s.Upstreams {
@@ -390,7 +391,8 @@
 			if upstream.Leaving() {
 				vm.State = quetzalpier.VMLeaving
 			}
-			p.setEngine(vm)
+			e := p.setEngine(vm)
+			e.Limited, e.Permits = upstream.Limit.Named, limit.Room(upstream, now)
 		}
 	})
 	for id, e := range p.engines {
@@ -402,7 +404,7 @@
 	}
 }
 
-func (p *poolRunner) setEngine(vm quetzalpier.VM) {
+func (p *poolRunner) setEngine(vm quetzalpier.VM) *engine {
 	e := p.engines[vm.ID]
 	if e == nil || e.VM.Incarnation != vm.Incarnation {
 		e = &engine{Engine: tasks.Engine{VM: vm, Versions: map[string]quetzalpier.Version{}}}
@@ -412,6 +414,7 @@
 	for model, version := range vm.Models {
 		e.Versions[model] = max(e.Versions[model], version)
 	}
+	return e
 }
 
 // validFence returns the fencing token if this node's lease is valid.
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -204,7 +204,10 @@
 	defer signal(p.wake)
 	delete(p.cancels, r.task)
 	r.engine.Running--
-	p.logRun(r, err, canceled, now)
+	var limited *quetzalpier.LimitedError
+	if !errors.As(err, &limited) {
+		p.logRun(r, err, canceled, now)
+	}
 	if r.task.Phase != tasks.Running || r.task.Job.Ended {
 		return
 	}
@@ -215,6 +218,8 @@
 	}
 	switch {
 	case canceled:
+	case errors.As(err, &limited):
+		// The run was not sent; the engine gets no other one until its limit allows it.
 	case err == nil:
 		r.engine.RecordSuccess()
 		p.scheduler.Complete(r.task, now)
--- a/send/queue.go
+++ b/send/queue.go
@@ -7,6 +7,7 @@
 	"quetzalpier"
 	"quetzalpier/admit"
 	"quetzalpier/board"
+	"quetzalpier/limit"
 	"quetzalpier/poison"
 	"quetzalpier/route"
 )
@@ -51,6 +52,10 @@
 		Alone: verdict == poison.Isolated, Ticket: s.tickets, Avoid: job.Avoid, Tried: tried,
 	}
 	q := s.poolQueue(job.Pool)
+	if wait := s.limitWait(job, q.CountAhead(job.Class), start); !job.Deadline.IsZero() && start.Add(wait).After(q.LatestStart(w.ticket)) && wait > 0 {
+		s.mu.Unlock()
+		return slot{}, quetzalpier.Unavailable("limit", "the limits of the pool's upstreams leave no room in time", quetzalpier.RanNo, s.jitter(wait))
+	}
 	after, ok := q.Enqueue(w.ticket, start)
 	if !ok {
 		s.mu.Unlock()
@@ -65,6 +70,13 @@
 	return slot{vm: vm, ticket: w.ticket.ID, alone: w.request.Alone}, err
 }
 
+// limitWait returns how long a job with ahead others before it waits for the limits of
+// the pool's upstreams.
+func (s *Sender) limitWait(job *Job, ahead int, now time.Time) (wait time.Duration) {
+	s.Board.Do(func(st *board.State) { wait = limit.Wait(st, job.Pool, ahead, now) })
+	return wait
+}
+
 // poolEmpty reports whether no upstream of the pool accepts new work, in which
 // case queueing is pointless.
 func (s *Sender) poolEmpty(job *Job) bool {
--- a/send/send.go
+++ b/send/send.go
@@ -145,6 +145,12 @@
 		trial := s.startTrialTimer(held)
 		err = run(ctx, a)
 		trial.Stop()
+		var limited *quetzalpier.LimitedError
+		if errors.As(err, &limited) && ctx.Err() == nil {
+			s.releaseUnsent(job, held, time.Now())
+			attempts--
+			continue
+		}
 		s.finishAttempt(ctx, job, held, a, start, err)
 		if err == nil || ctx.Err() != nil {
 			return err
@@ -173,6 +179,14 @@
 	})
 }
 
+// releaseUnsent releases the slot of an attempt that was not sent.
+func (s *Sender) releaseUnsent(job *Job, held slot, now time.Time) {
+	s.Board.Do(func(st *board.State) { releaseSlot(st, held.vm.ID, job.Fingerprint, held.ticket) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grantSlots(job.Pool, now)
+}
+
 // finishAttempt releases the slot and records the attempt's outcome on the board
 // and in the metrics.
 func (s *Sender) finishAttempt(ctx context.Context, job *Job, held slot, a *Attempt, start time.Time, err error) {
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -57,6 +57,10 @@
 	// next run.
 	Failures int
 	NotUntil time.Time
+	// Limited reports whether the engine limits the requests that it accepts, and
+	// Permits is how many runs may start there now if it does.
+	Limited bool
+	Permits int
 
 	failedAt time.Time
 }
@@ -103,7 +107,7 @@
 	if e.VM.State != quetzalpier.VMLive || now.Before(e.NotUntil) {
 		return false
 	}
-	if e.Running >= e.VM.Slots || e.Loading == job.Model {
+	if e.Running >= e.VM.Slots || e.Loading == job.Model || e.Limited && e.Permits <= 0 {
 		return false
 	}
 	return e.Versions[job.Model] >= job.MinVersion
@@ -201,6 +205,7 @@
 // startTask marks a task as running on the engine.
 func startTask(task *Task, engine *Engine, now time.Time) Launch {
 	engine.Running++
+	engine.Permits--
 	task.Phase = Running
 	task.Canceled = false
 	task.Engine = engine.VM.ID
@@ -396,7 +401,11 @@
 	for _, engine := range engines {
 		if engine.paceOrDefault() < slowFactor*pace {
 			f.engines = append(f.engines, engine)
-			f.free = append(f.free, engine.VM.Slots-engine.Running)
+			free := engine.VM.Slots - engine.Running
+			if engine.Limited {
+				free = min(free, engine.Permits)
+			}
+			f.free = append(f.free, free)
 		}
 	}
 	return f
--- a/tasks/plan_test.go
+++ b/tasks/plan_test.go
@@ -54,6 +54,16 @@
 			})
 		}
 	})
+	t.Run("an engine with a limit gets as many tasks as it allows, the most urgent ones", func(t *testing.T) {
+		scheduler := tasks.NewScheduler()
+		scheduler.Add(newSpec("j", 1, 3, 5, 100, 20), nil, start)
+		limited := newEngine("e", 8, 2)
+		limited.Limited, limited.Permits = true, 1
+		launches := scheduler.Plan([]*tasks.Engine{limited}, start)
+		require.Len(t, launches, 1)
+		require.Equal(t, "j-1", launches[0].Task.Spec.ID)
+		require.Len(t, scheduler.Plan([]*tasks.Engine{limited, newEngine("f", 8, 2)}, start), 2, "the others go elsewhere")
+	})
 	t.Run("a long task avoids engines that are about to load new weights", func(t *testing.T) {
 		scheduler := tasks.NewScheduler()
 		scheduler.Add(newSpec("j", 1, 1, 150), nil, start)
