--- a/soak/contact.go
+++ b/soak/contact.go
@@ -18,10 +18,16 @@
 	// contactTime is how long a node and the store must have been without fault for
 	// the bounds of the guarantees to apply to the node.
 	contactTime = 4 * time.Second
+	// limitExcuse is how long after a process fault requests may still exceed a limit.
+	limitExcuse = time.Second
+	// LimitSettleTime is how long after an upstream first named a limit it must be kept.
+	LimitSettleTime = 3 * time.Second
 	// faultSampleInterval is the time between two samples of the injected faults.
 	faultSampleInterval = 50 * time.Millisecond
-	// storeTarget stands for the key-value service among the names of the nodes.
-	storeTarget = "store"
+	// storeTarget stands for the key-value service among the names of the nodes, and
+	// processTarget for a process of any node.
+	storeTarget   = "store"
+	processTarget = "process"
 )
 
 // faultHistory records when which node, or the key-value service, had a fault.
@@ -45,12 +51,16 @@
 		faults, changes := r.KV.Faults()
 		interventions, held := r.KV.Interventions()
 		r.faults.sample(storeTarget, now, held || faults != stand.KVFaults{}, changes+interventions)
+		processFault := false
 		for _, n := range r.nodes() {
 			faults, changes := n.KV.Faults()
 			mode, modeChanges := n.KVProxy.Mode()
-			lasts := faults != stand.KVFaults{} || mode != Pass || n.exitExpected.Load() || n.runningFor(now) < 2*faultSampleInterval
+			process := n.exitExpected.Load() || n.runningFor(now) < 2*faultSampleInterval
+			processFault = processFault || process
+			lasts := faults != stand.KVFaults{} || mode != Pass || process
 			r.faults.sample(n.Settings.Name, now, lasts, changes+modeChanges)
 		}
+		r.faults.sample(processTarget, now, processFault, 0)
 	}
 }
 
@@ -72,6 +82,17 @@
 	})
 }
 
+// processesCalm reports whether all processes ran without a pause from limitExcuse before
+// a span to its end. Nodes that are killed, paused or started don't have to keep the
+// limits of upstreams.
+func (r *Rig) processesCalm(from, to time.Time) bool {
+	r.faults.mu.Lock()
+	defer r.faults.mu.Unlock()
+	return !slices.ContainsFunc(r.faults.faultyAt[processTarget], func(faulty time.Time) bool {
+		return faulty.After(from.Add(-limitExcuse)) && faulty.Before(to.Add(2*faultSampleInterval))
+	})
+}
+
 // inTouch reports whether the named nodes were in touch at a time: neither they nor
 // the key-value service had a fault in the contactTime before it.
 func (r *Rig) inTouch(names []string, at time.Time) bool {
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -12,14 +12,11 @@
 	"quetzalpier/stand"
 )
 
-// limitSettleTime is how long after an upstream first named a limit it must be kept.
-const limitSettleTime = 3 * time.Second
-
 // requireLimits requires that no upstream got more requests than its limits allow.
 func requireLimits(t *testing.T, r *soak.Rig) {
 	t.Helper()
 	for _, w := range append(append([]*stand.Worker(nil), r.Engines...), r.Plains...) {
-		require.Empty(t, w.LimitViolations(limitSettleTime, func(_, _ time.Time) bool { return false }))
+		require.Empty(t, w.LimitViolations(soak.LimitSettleTime, func(_, _ time.Time) bool { return false }))
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,10 @@
 	// minFaultTime and maxFaultTime bound the duration of a fault.
 	minFaultTime = 400 * time.Millisecond
 	maxFaultTime = 3 * time.Second
+	// Limits last limitTimes times as long as other faults, since they need to be kept
+	// only after LimitSettleTime. maxLimit is the highest of them, in requests a second.
+	limitTimes = 4
+	maxLimit   = 4
 )
 
 // Plan configures a run with random faults.
@@ -43,6 +47,8 @@
 	// StoreFaults also injects faults of the key-value service that concern only some
 	// nodes or their watches.
 	StoreFaults bool
+	// Limits also makes upstreams name limits.
+	Limits bool
 	// NoProcessFaults leaves out the faults of processes, links, engines and the whole
 	// key-value service.
 	NoProcessFaults bool
@@ -61,6 +67,10 @@
 			storeFaults := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 5)), log: plan.Log}
 			injectors.Go(func() { storeFaults.runStoreFaults(ctx, plan.FaultDuration) })
 		}
+		if plan.Limits {
+			limits := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 7)), log: plan.Log}
+			injectors.Go(func() { limits.limitWorkers(ctx, plan.FaultDuration) })
+		}
 		if plan.LoseFronts {
 			checkCtx, stopCheck := context.WithCancel(ctx)
 			defer stopCheck()
@@ -160,6 +170,11 @@
 			l.recordViolation("%s", violation)
 		}
 	}
+	for _, w := range r.workers() {
+		for _, violation := range w.LimitViolations(LimitSettleTime, func(from, to time.Time) bool { return !r.processesCalm(from, to) }) {
+			l.recordViolation("%s", violation)
+		}
+	}
 	r.checkEnded(l)
 	r.checkScores(l)
 	for _, n := range r.nodes() {
@@ -375,6 +390,21 @@
 	f.revertAfter(ctx, duration, func() { w.SetFaults(stand.WorkerFaults{}) })
 }
 
+// limitWorkers makes random upstreams name limits, each for a time. They are named
+// until a while after the last other fault.
+func (f *faultInjector) limitWorkers(ctx context.Context, total time.Duration) {
+	workers := f.rig.workers()
+	for end := time.Now().Add(total); time.Now().Before(end) && ctx.Err() == nil; {
+		w := workers[f.rnd.IntN(len(workers))]
+		duration := limitTimes * (minFaultTime + time.Duration(f.rnd.Int64N(int64(maxFaultTime-minFaultTime))))
+		f.logFault("limit", w.ID, duration)
+		w.SetLimit(quetzalpier.Limit{Named: true, PerSecond: f.rnd.Float64() * maxLimit})
+		f.revertAfter(ctx, duration, func() { w.SetLimit(quetzalpier.Limit{}) })
+		sleep.For(ctx, minFaultPause+time.Duration(f.rnd.Int64N(int64(maxFaultPause))))
+	}
+	f.pending.Wait()
+}
+
 func (f *faultInjector) writeVM(vm quetzalpier.VM) {
 	if err := f.rig.WriteVM(vm); err != nil {
 		f.ledger.recordViolation("%s not listed: %v", vm.ID, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// TestSoakLimits is a short run in which upstreams name limits beside the other faults.
+func TestSoakLimits(t *testing.T) {
+	for _, seed := range []uint64{9201, 9202} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			r := openRig(t)
+			ledger := soak.Run(context.Background(), r, soak.Plan{Seed: seed, FaultDuration: 8 * time.Second, Limits: true, Log: zerolog.Nop()})
+			t.Log(ledger.Summary())
+			require.Empty(t, ledger.Violations)
+		})
+	}
+}
+
 // runSteps runs a deployment while inject injects the faults of one test. It
 // requires that no guarantee is broken and that a step completes.
 func runSteps(t *testing.T, inject func(r *soak.Rig)) *soak.Ledger {
