platform, runner: Decode and log the software versions of upstreams

Log lines of upstreams and of ended runs name it, and that of the engine that began the text. No decision depends on it yet.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -34,6 +34,8 @@
 		defer e.inFlight.Add(-1)
 		defer cancel()
 		err := e.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
+			e.Log.Debug().Str("request", r.id).Str("upstream", a.VM.ID).Str("software", a.VM.Software).
+				Bytes("after", req.Header.Peek(platform.HeaderLastEventID)).Msg("stream attempt")
 			return e.Upstreams.Stream(ctx, a.VM, req, r.deadline, func(head *platform.Answer) {
 				select {
 				case firstHead <- head:
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -326,8 +326,8 @@
 			continue
 		}
 		listed[id] = true
-		if v.current[id].State != vm.State {
-			v.log.Info().Str("upstream", id).Str("pool", vm.Pool).Str("state", vm.State).Int64("born", vm.Incarnation).Msg("upstream added or its state changed")
+		if old := v.current[id]; old.State != vm.State || old.Software != vm.Software {
+			v.log.Info().Str("upstream", id).Str("pool", vm.Pool).Str("state", vm.State).Str("software", vm.Software).Str("before", old.Software).Int64("born", vm.Incarnation).Msg("upstream added or its state changed")
 		}
 		v.current[id] = vm
 		delete(v.expiresAt, id)
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -189,6 +189,9 @@
 	if r.task.Canceled || version < job.MinVersion {
 		return false
 	}
+	if len(r.task.Text.Events) == 0 {
+		r.task.Text.Software = r.vm.Software
+	}
 	r.task.Text.Add(data, version)
 	if r.task.LastEventAt != r.task.StartedAt {
 		r.engine.ObserveEvent(now.Sub(r.task.LastEventAt))
@@ -281,7 +284,7 @@
 		line = p.runner.Log.Warn().Err(err)
 	}
 	p.runner.Meter.Attempts.WithLabelValues(p.pool, outcome).Inc()
-	line.Str("task", r.task.Spec.ID).Str("job", r.task.Job.Spec.ID).Str("group", r.task.Spec.Group).Str("engine", r.vm.ID).Str("outcome", outcome).
+	line.Str("task", r.task.Spec.ID).Str("job", r.task.Job.Spec.ID).Str("group", r.task.Spec.Group).Str("engine", r.vm.ID).Str("software", r.vm.Software).Str("began", r.task.Text.Software).Str("outcome", outcome).
 		Dur("busy_ms", r.waited.Busy).Dur("unloaded_ms", r.waited.Unloaded).Int("from", r.firstEvent).Int("events", r.lastEvent).Int("hint", r.task.Spec.LengthHint).Int("running", r.engine.Running).
 		Dur("took_ms", now.Sub(r.startedAt)).Msg("run ended")
 }
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -22,6 +22,8 @@
 	Pool   string
 	Domain string
 	Slots  int
+	// Software is the version of the worker's software.
+	Software string
 	// Models maps an engine's models to their weight versions. It is empty for a
 	// plain service.
 	Models map[string]quetzalpier.Version
@@ -146,7 +148,7 @@
 		models[model] = version
 	}
 	return quetzalpier.VM{
-		ID: w.ID, Addr: w.Addr, Domain: w.Domain, Kind: kind, Pool: w.Pool, State: quetzalpier.VMLive, Slots: w.Slots, Models: models, Incarnation: 1,
+		ID: w.ID, Addr: w.Addr, Domain: w.Domain, Kind: kind, Pool: w.Pool, State: quetzalpier.VMLive, Slots: w.Slots, Models: models, Incarnation: 1, Software: w.Software,
 	}
 }
 
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -30,6 +30,9 @@
 type Text struct {
 	Events   []string
 	Versions []quetzalpier.Version
+	// Software is the software version of the engine that generated the first event;
+	// empty if unknown.
+	Software string
 	// Complete reports whether the task's run ended regularly after these events.
 	Complete bool
 	// Score is the score of the complete text; nil if it has none yet.
--- a/vms.go
+++ b/vms.go
@@ -35,6 +35,9 @@
 	// Incarnation differs after each restart of the upstream, which may keep its
 	// ID.
 	Incarnation int64 `json:"born,omitempty"`
+	// Software is the version of the upstream's software; empty if unknown. What two
+	// versions generate doesn't fit together.
+	Software string `json:"software,omitempty"`
 }
 
 // VMList is the platform's list of VMs; Number increases with each change.
