--- a/soak/rig.go
+++ b/soak/rig.go
@@ -53,6 +53,8 @@
 	Stores  int
 	Engines int
 	Plains  int
+	// SoftwareVersions is the number of versions of the engines' software.
+	SoftwareVersions int
 	// EventInterval is the time that an engine takes for each stream event.
 	EventInterval time.Duration
 }
@@ -114,6 +116,7 @@
 		options := stand.WorkerOptions{
 			ID: fmt.Sprintf("engine-%d", i), Pool: poolLM, Domain: domain(i), Slots: 8,
 			Models: map[string]quetzalpier.Version{modelName: 1}, EventInterval: r.EventInterval, SwapDuration: 300 * time.Millisecond,
+			Software: fmt.Sprintf("v%d", 1+i%max(1, r.SoftwareVersions)),
 		}
 		if err := r.startWorker(&r.Engines, options); err != nil {
 			return err
@@ -193,6 +196,7 @@
 			},
 			{Name: "score", Host: Host, Prefix: scorePath, Idempotent: true, MaxAttempts: 4, Timeout: 3 * time.Second, Targets: []quetzalpier.Target{{Pool: poolApp, Weight: 1}}},
 			{Name: "view", Host: Host, Prefix: viewPath, Idempotent: true, MaxAttempts: 2, Timeout: 1500 * time.Millisecond, Targets: []quetzalpier.Target{{Pool: poolApp, Weight: 1}}},
+			streamRoute,
 		},
 	}
 	write, err := platform.EncodeConfig(r.config)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,6 +35,10 @@
 	// only after LimitSettleTime. maxLimit is the highest of them, in requests a second.
 	limitTimes = 4
 	maxLimit   = 4
+	// streamClients is the number of clients that request streams, with seeds from
+	// streamSeed on.
+	streamClients = 3
+	streamSeed    = 100
 )
 
 // Plan configures a run with random faults.
@@ -110,6 +114,13 @@
 	callers.Go(func() { newTrainer(r, ledger, seed).run(callerCtx) })
 	callers.Go(func() { newTrainer(r, ledger, seed+2).runEnding(callerCtx) })
 	callers.Go(func() { newTrainer(r, ledger, seed+1).sendRequests(callerCtx) })
+	if r.SoftwareVersions > 1 {
+		for i := range streamClients {
+			callers.Go(func() {
+				newTrainer(r, ledger, seed+streamSeed+uint64(i)).sendStreams(callerCtx, fmt.Sprintf("stream%dx", i))
+			})
+		}
+	}
 	inject()
 	callers.Wait()
 	r.checkRuns(ledger)
@@ -175,6 +186,7 @@
 			l.recordViolation("%s", violation)
 		}
 	}
+	r.checkTexts(l)
 	r.checkEnded(l)
 	r.checkScores(l)
 	for _, n := range r.nodes() {
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -58,6 +58,8 @@
 	// touch.
 	EndedJobs   int
 	ExcusedRuns int
+	// Streams counts the clients' streams.
+	Streams StreamCounts
 	// Lookups counts the answers to lookups that were checked.
 	Lookups int
 	// CutRequests counts plain requests that were sent on an open connection, which
