tasks, runner: Let a task's text go on only at its software version

Cause: the software version was not known where a run is placed. The text now carries it, and the processes that generated it, wherever it goes: runs of one owner, saved parts, later jobs with the same task.

A task goes on at an engine of its version. If none is left, or the wait for one would take longer than generating the events again, it starts over from its first event; no event of an unfinished text has been read. A run moves to another version only if it finishes earlier even so. A text of an unknown version goes on only at the same process. If an engine is listed with another version later, it may have generated events of that one before its entry changed, and the text is dropped.

The engines of the fixtures of tasks, runner and trial now name a version, as all entries do.

--- a/board/board.go
+++ b/board/board.go
@@ -280,7 +280,7 @@
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.ID] = true
-		if u := s.Upstreams[vm.ID]; u != nil && u.VM.Incarnation != vm.Incarnation {
+		if u := s.Upstreams[vm.ID]; u != nil && (u.VM.Incarnation != vm.Incarnation || u.VM.Software != vm.Software) {
 			delete(s.Upstreams, vm.ID)
 		}
 		if u := s.Upstreams[vm.ID]; u != nil && vm.State == quetzalpier.VMLive {
--- a/job.go
+++ b/job.go
@@ -68,6 +68,22 @@
 	Score string `json:"score,omitempty"`
 }
 
+// Process identifies the process of an upstream, which may start again under its ID.
+type Process struct {
+	VM          string
+	Incarnation int64
+}
+
+// Partial is the part of a task's text that has been generated so far. Versions lists
+// the weight versions of its events, Processes the engines that generated them, and
+// Software is their software version; empty if unknown.
+type Partial struct {
+	Events    []string
+	Versions  []Version
+	Software  string
+	Processes []Process
+}
+
 // Validate validates the job and returns the first error found.
 func (j *Job) Validate() error {
 	if j.ID == "" {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -406,7 +406,7 @@
 
 func (p *poolRunner) setEngine(vm quetzalpier.VM) *engine {
 	e := p.engines[vm.ID]
-	if e == nil || e.VM.Incarnation != vm.Incarnation {
+	if e == nil || e.VM.Incarnation != vm.Incarnation || e.VM.Software != vm.Software {
 		e = &engine{Engine: tasks.Engine{VM: vm, Versions: map[string]quetzalpier.Version{}}}
 		p.engines[vm.ID] = e
 	}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -114,7 +114,7 @@
 	for i := range engines {
 		r.engines = append(r.engines, newWorker(t, stand.WorkerOptions{
 			ID: fmt.Sprint("e", i), Pool: "lm", Slots: 8, EventInterval: 2 * time.Millisecond, SwapDuration: 10 * time.Millisecond,
-			Models: map[string]quetzalpier.Version{"m": 1},
+			Models: map[string]quetzalpier.Version{"m": 1}, Software: "v1",
 		}))
 	}
 	r.scorer = newWorker(t, stand.WorkerOptions{ID: "s", Pool: "app", Slots: 8})
@@ -262,7 +262,7 @@
 		r := newFixture(t, 1, func(r *fixture) {
 			fence, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"earlier", nil, 0, "")
 			require.NoError(t, err)
-			part := vault.Part{Job: "j", Task: "j-0", Events: strings.Split(eventText("j-0", 6), "\n"), Versions: []quetzalpier.Version{1}}
+			part := vault.Part{Job: "j", Task: "j-0", Partial: quetzalpier.Partial{Events: strings.Split(eventText("j-0", 6), "\n"), Versions: []quetzalpier.Version{1}, Software: "v1"}}
 			require.NoError(t, r.vault.SaveParts(t.Context(), "earlier", fence, []vault.Part{part}))
 			r.putJob(t, newJob("j", 1, 6))
 		})
@@ -283,7 +283,7 @@
 		r := newFixture(t, 1, func(r *fixture) {
 			fence, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"earlier", nil, 0, "")
 			require.NoError(t, err)
-			part := vault.Part{Job: "j", Task: "j-0", Events: strings.Split(eventText("j-0", 6), "\n"), Versions: []quetzalpier.Version{1}}
+			part := vault.Part{Job: "j", Task: "j-0", Partial: quetzalpier.Partial{Events: strings.Split(eventText("j-0", 6), "\n"), Versions: []quetzalpier.Version{1}, Software: "v1"}}
 			require.NoError(t, r.vault.SaveParts(t.Context(), "earlier", fence, []vault.Part{part}))
 			job := newJob("j", 1, 6)
 			job.Tasks[0].Reward = nil
--- a/runner/save.go
+++ b/runner/save.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"quetzalpier"
 	"quetzalpier/sleep"
 	"quetzalpier/tasks"
 	"quetzalpier/vault"
@@ -46,7 +47,9 @@
 		}
 		text := task.Text
 		text.Events, text.Versions = slices.Clip(text.Events), slices.Clone(text.Versions)
-		parts = append(parts, vault.Part{Job: task.Job.Spec.ID, Task: task.Spec.ID, Events: text.Events, Versions: text.Versions})
+		parts = append(parts, vault.Part{Job: task.Job.Spec.ID, Task: task.Spec.ID, Partial: quetzalpier.Partial{
+			Events: text.Events, Versions: text.Versions, Software: text.Software, Processes: slices.Clone(text.Processes),
+		}})
 		saved[task] = text
 	}
 	p.mu.Unlock()
@@ -81,7 +84,7 @@
 	}
 	for _, task := range job.Tasks {
 		if part, ok := byTask[task.Spec.ID]; ok {
-			p.scheduler.Restore(task, tasks.Text{Events: part.Events, Versions: part.Versions})
+			p.scheduler.Restore(task, tasks.Text{Events: part.Events, Versions: part.Versions, Software: part.Software, Processes: part.Processes})
 		}
 	}
 }
@@ -90,7 +93,7 @@
 func (p *poolRunner) deleteParts(job *tasks.Job) {
 	var saved []string
 	for _, task := range job.Tasks {
-		if task.SavedEvents > 0 {
+		if task.Saved {
 			saved = append(saved, task.Spec.ID)
 		}
 	}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -189,9 +189,6 @@
 	if r.task.Canceled || version < job.MinVersion {
 		return false
 	}
-	if len(r.task.Text.Events) == 0 {
-		r.task.Text.Software = r.vm.Software
-	}
 	r.task.Text.Add(data, version)
 	if r.task.LastEventAt != r.task.StartedAt {
 		r.engine.ObserveEvent(now.Sub(r.task.LastEventAt))
@@ -215,12 +212,12 @@
 		return
 	}
 	r.task.Phase = tasks.Waiting
-	if !r.task.Text.MeetsPolicy(r.task.Job.Spec) {
-		r.task.Text = tasks.Text{}
-		r.task.SavedEvents = 0
+	dropped := !r.task.Text.MeetsPolicy(r.task.Job.Spec) || r.task.Text.MayBeMixed(p.engineList())
+	if dropped {
+		r.task.DropText()
 	}
 	switch {
-	case canceled:
+	case canceled, err == nil && dropped:
 	case errors.As(err, &limited):
 		// The run was not sent; the engine gets no other one until its limit allows it.
 	case err == nil:
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -171,7 +171,10 @@
 			loaded[task.Job] = known
 		}
 		task.addWait(known, now)
-		engine := selectEngine(engines, task, pace, now)
+		if task.Text.MayBeMixed(engines) {
+			task.DropText()
+		}
+		engine := placeTask(selectEngine, engines, task, pace, now)
 		if engine == nil {
 			continue
 		}
@@ -206,6 +209,7 @@
 func startTask(task *Task, engine *Engine, now time.Time) Launch {
 	engine.Running++
 	engine.Permits--
+	task.Text.begin(engine.VM)
 	task.Phase = Running
 	task.Canceled = false
 	task.Engine = engine.VM.ID
@@ -261,6 +265,34 @@
 	return max(1, expected-generated, generated/2)
 }
 
+// placeTask returns the engine for a task, or nil if it should wait. A task with events
+// goes on at an engine that its text fits. If there is none, or the wait for one takes
+// longer than generating the events again, it starts over at another.
+func placeTask(selectEngine func([]*Engine, *Task, time.Duration, time.Time) *Engine, engines []*Engine, task *Task, pace time.Duration, now time.Time) *Engine {
+	fitting := slices.DeleteFunc(slices.Clone(engines), func(e *Engine) bool { return !task.Text.Fits(e.VM) })
+	engine := selectEngine(fitting, task, pace, now)
+	if engine != nil || len(fitting) == len(engines) {
+		return engine
+	}
+	expected := slices.ContainsFunc(fitting, func(e *Engine) bool { return e.eligible(task.Job.Spec) && !e.failing(now) })
+	if expected && !task.soonRegenerated(pace) && task.waited.Busy+task.waited.Unloaded < task.lostTime(pace) {
+		return nil
+	}
+	if engine = selectEngine(engines, task, pace, now); engine != nil {
+		task.DropText()
+	}
+	return engine
+}
+
+// lostTime is the time that the events of the task's text took to generate.
+func (t *Task) lostTime(pace time.Duration) time.Duration {
+	return time.Duration(len(t.Text.Events)) * pace
+}
+
+// soonRegenerated reports whether starting over takes no longer than the expected wait
+// for an engine that the text fits.
+func (t *Task) soonRegenerated(pace time.Duration) bool { return t.lostTime(pace) <= expectedSlotWait }
+
 // chooseEngine returns the engine that is expected to finish the task first, or
 // nil if the task should wait. A slow engine gets no task that would finish
 // earlier after a wait for a faster one, unless that is held back after a failure.
@@ -349,7 +381,7 @@
 	// engine.
 	free := newFreeSlots(engines, pace)
 	for _, task := range s.waitingTasks(now) {
-		free.reserve(nil, task.Job.Spec, now)
+		free.reserve(nil, task, true, now)
 	}
 	var toMove []*Task
 	for _, task := range s.runningTasks(now) {
@@ -360,7 +392,7 @@
 		if isSilent(task, pace, now) {
 			engine.NotUntil = now.Add(silentPause)
 		}
-		if free.reserve(engine, task.Job.Spec, now) {
+		if free.reserve(engine, task, true, now) || worthRestarting(task, engine, pace, now) && free.reserve(engine, task, false, now) {
 			toMove = append(toMove, task)
 		}
 	}
@@ -411,11 +443,11 @@
 	return f
 }
 
-// reserve takes a free slot for a task of the job on an engine other than from.
-// It reports whether there was one.
-func (f *freeSlots) reserve(from *Engine, job *quetzalpier.Job, now time.Time) bool {
+// reserve takes a free slot for a task on an engine other than from, which the task's
+// text must fit if fitting is set. It reports whether there was one.
+func (f *freeSlots) reserve(from *Engine, task *Task, fitting bool, now time.Time) bool {
 	for i, engine := range f.engines {
-		if engine != from && f.free[i] > 0 && engine.HasRoom(job, now) {
+		if engine != from && f.free[i] > 0 && engine.HasRoom(task.Job.Spec, now) && (!fitting || task.Text.Fits(engine.VM)) {
 			f.free[i]--
 			return true
 		}
@@ -453,3 +485,13 @@
 	}
 	return time.Duration(task.remainingEvents())*(engine.EventTime-pace) > 2*moveCost
 }
+
+// worthRestarting reports whether a task that should move would also finish earlier if it
+// started over on an engine of median pace.
+func worthRestarting(task *Task, engine *Engine, pace time.Duration, now time.Time) bool {
+	if !task.soonRegenerated(pace) {
+		return false
+	}
+	remaining := time.Duration(task.remainingEvents())
+	return isSilent(task, pace, now) || task.lostTime(pace)+remaining*pace+2*moveCost < remaining*engine.EventTime
+}
--- a/tasks/plan_test.go
+++ b/tasks/plan_test.go
@@ -14,7 +14,7 @@
 
 func newEngine(id string, slots int, version quetzalpier.Version) *tasks.Engine {
 	return &tasks.Engine{
-		VM:       quetzalpier.VM{ID: id, State: quetzalpier.VMLive, Slots: slots},
+		VM:       quetzalpier.VM{ID: id, State: quetzalpier.VMLive, Slots: slots, Software: "v1"},
 		Versions: map[string]quetzalpier.Version{"m": version},
 	}
 }
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -30,9 +30,10 @@
 type Text struct {
 	Events   []string
 	Versions []quetzalpier.Version
-	// Software is the software version of the engine that generated the first event;
-	// empty if unknown.
-	Software string
+	// Software is the software version of the engines that generated the events; empty
+	// if unknown. Processes are these engines, as they were listed.
+	Software  string
+	Processes []quetzalpier.Process
 	// Complete reports whether the task's run ended regularly after these events.
 	Complete bool
 	// Score is the score of the complete text; nil if it has none yet.
@@ -59,6 +60,39 @@
 	t.Versions = append(t.Versions, version)
 }
 
+// begin records that the next events come from an engine.
+func (t *Text) begin(vm quetzalpier.VM) {
+	if len(t.Events) == 0 {
+		t.Software, t.Processes = vm.Software, nil
+	}
+	if process := vm.Process(); !slices.Contains(t.Processes, process) {
+		t.Processes = append(slices.Clip(t.Processes), process)
+	}
+}
+
+// Fits reports whether a run on the engine may go on with the text: what engines of two
+// software versions generate doesn't fit together.
+func (t *Text) Fits(vm quetzalpier.VM) bool {
+	switch {
+	case len(t.Events) == 0:
+		return true
+	case t.Software == "":
+		return slices.Equal(t.Processes, []quetzalpier.Process{vm.Process()})
+	}
+	return t.Software == vm.Software
+}
+
+// MayBeMixed reports whether events may come from another software version than the
+// list of engines said: an engine that generated some has started again under its ID
+// with other software, and its entry is written after that.
+func (t *Text) MayBeMixed(engines []*Engine) bool {
+	return len(t.Events) > 0 && slices.ContainsFunc(t.Processes, func(process quetzalpier.Process) bool {
+		return slices.ContainsFunc(engines, func(e *Engine) bool {
+			return e.VM.ID == process.VM && e.VM.Software != t.Software
+		})
+	})
+}
+
 // Join returns the text in the form in which it is listed.
 func (t Text) Join() string { return strings.Join(t.Events, "\n") }
 
@@ -97,6 +131,8 @@
 	// SavedEvents is how many events are stored durably and survive the loss of the
 	// owner.
 	SavedEvents int
+	// Saved reports whether any text of the task was stored.
+	Saved bool
 	// Canceled reports whether the current run has been canceled.
 	Canceled bool
 
@@ -532,11 +568,19 @@
 	}
 	task.Text = text
 	task.SavedEvents = len(text.Events)
+	task.Saved = true
+}
+
+// DropText drops the text, so that the task starts over from its first event.
+func (t *Task) DropText() {
+	t.Text = Text{}
+	t.SavedEvents = 0
 }
 
 // MarkSaved records that a text was saved for the task. It has no effect if the
 // task's text has been replaced by another one meanwhile.
 func (t *Task) MarkSaved(saved Text) {
+	t.Saved = true
 	if t.Text.extends(saved) {
 		t.SavedEvents = len(saved.Events)
 	}
--- a/trial/pool.go
+++ b/trial/pool.go
@@ -172,7 +172,7 @@
 	}
 	for i := range p.Engines {
 		m.engines = append(m.engines, &tasks.Engine{
-			VM:       quetzalpier.VM{ID: fmt.Sprintf("e%02d", i), State: quetzalpier.VMLive, Slots: p.Slots},
+			VM:       quetzalpier.VM{ID: fmt.Sprintf("e%02d", i), State: quetzalpier.VMLive, Software: "v1", Slots: p.Slots},
 			Versions: map[string]quetzalpier.Version{},
 		})
 	}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -145,10 +145,9 @@
 
 // Part is the text that has been generated so far for one task.
 type Part struct {
-	Job      string
-	Task     string
-	Events   []string
-	Versions []quetzalpier.Version
+	Job  string
+	Task string
+	quetzalpier.Partial
 }
 
 // SaveParts writes parts in one transaction, which fails if the pool's owner
@@ -156,7 +155,7 @@
 func (v *Vault) SaveParts(ctx context.Context, pool string, fence uint64, parts []Part) error {
 	txn := quetzalpier.Txn{Expect: map[string]uint64{Owners + pool: fence}}
 	for _, part := range parts {
-		data, err := wire.EncodePart(part.Events, part.Versions)
+		data, err := wire.EncodePart(part.Partial)
 		if err != nil {
 			return err
 		}
@@ -175,11 +174,11 @@
 	}
 	var parts []Part
 	for _, entry := range list.Entries {
-		events, versions, err := wire.DecodePart(entry.Value)
+		partial, err := wire.DecodePart(entry.Value)
 		if err != nil {
 			return nil, errors.Wrap(err, entry.Key)
 		}
-		parts = append(parts, Part{Job: job, Task: strings.TrimPrefix(entry.Key, prefix), Events: events, Versions: versions})
+		parts = append(parts, Part{Job: job, Task: strings.TrimPrefix(entry.Key, prefix), Partial: partial})
 	}
 	return parts, nil
 }
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -87,7 +87,9 @@
 	})
 	t.Run("parts are stored until they are deleted", func(t *testing.T) {
 		v, fence := newVault(t)
-		part := vault.Part{Job: "j", Task: "t0", Events: []string{"a", "b\nc"}, Versions: []quetzalpier.Version{5}}
+		part := vault.Part{Job: "j", Task: "t0", Partial: quetzalpier.Partial{
+			Events: []string{"a", "b\nc"}, Versions: []quetzalpier.Version{5}, Software: "v1", Processes: []quetzalpier.Process{{VM: "e", Incarnation: 7}},
+		}}
 		require.NoError(t, v.SaveParts(t.Context(), "p", fence, []vault.Part{part}))
 		parts, err := v.Parts(t.Context(), "j")
 		require.NoError(t, err)
--- a/vms.go
+++ b/vms.go
@@ -40,6 +40,9 @@
 	Software string `json:"software,omitempty"`
 }
 
+// Process returns the upstream's process.
+func (v VM) Process() Process { return Process{VM: v.ID, Incarnation: v.Incarnation} }
+
 // VMList is the platform's list of VMs; Number increases with each change.
 type VMList struct {
 	Number uint64 `json:"number"`
--- a/wire/job.go
+++ b/wire/job.go
@@ -97,24 +97,31 @@
 	return UnpackResults(message.GetResults()), nil
 }
 
-// EncodePart encodes the events and weight versions of a partly generated task.
-func EncodePart(events []string, versions []quetzalpier.Version) ([]byte, error) {
-	message := &Part{Events: events}
-	for _, version := range versions {
+// EncodePart encodes a partly generated text.
+func EncodePart(part quetzalpier.Partial) ([]byte, error) {
+	message := &Part{Events: part.Events, Software: part.Software}
+	for _, version := range part.Versions {
 		message.Versions = append(message.Versions, uint64(version))
 	}
+	for _, process := range part.Processes {
+		message.Processes = append(message.Processes, &Process{Vm: process.VM, Born: process.Incarnation})
+	}
 	data, err := proto.Marshal(message)
 	return data, errors.Wrap(err, "encode part")
 }
 
-// DecodePart decodes the events and weight versions of a partly generated task.
-func DecodePart(data []byte) (events []string, versions []quetzalpier.Version, err error) {
+// DecodePart decodes a partly generated text.
+func DecodePart(data []byte) (quetzalpier.Partial, error) {
 	message := &Part{}
 	if err := proto.Unmarshal(data, message); err != nil {
-		return nil, nil, errors.Wrap(err, "decode part")
+		return quetzalpier.Partial{}, errors.Wrap(err, "decode part")
 	}
+	part := quetzalpier.Partial{Events: message.GetEvents(), Software: message.GetSoftware()}
 	for _, version := range message.GetVersions() {
-		versions = append(versions, quetzalpier.Version(version))
+		part.Versions = append(part.Versions, quetzalpier.Version(version))
+	}
+	for _, process := range message.GetProcesses() {
+		part.Processes = append(part.Processes, quetzalpier.Process{VM: process.GetVm(), Incarnation: process.GetBorn()})
 	}
-	return message.GetEvents(), versions, nil
+	return part, nil
 }
