origin, entry: Let a client's stream go on only at its software version

Cause: neither the front that resumes a stream within its answer nor the one at which a client takes it up knew which version began it.

Within an answer, attempts after the first event use upstreams of its version only; if none is left the stream breaks off. An attempt that nobody knows goes on only if the pool has had one version for as long as origins are kept; otherwise it is refused at once as not run.

The workers of entry's fixture now name a version.

--- a/board/board.go
+++ b/board/board.go
@@ -159,6 +159,11 @@
 	ConfirmedAt time.Time
 	VMs         quetzalpier.VMList
 	Upstreams   map[string]*Upstream
+	// ListedAt is when the first list of upstreams arrived, and PastSoftware holds the
+	// software versions of upstreams of a pool that are no longer listed, with the times
+	// since when.
+	ListedAt     time.Time
+	PastSoftware map[string]map[string]time.Time
 	// UsedUpstreams holds the IDs of the upstreams that this node uses; nil means
 	// all.
 	UsedUpstreams map[string]bool
@@ -214,6 +219,7 @@
 			Members:        map[string]Member{},
 			Unreachable:    map[string]time.Time{},
 			Upstreams:      map[string]*Upstream{},
+			PastSoftware:   map[string]map[string]time.Time{},
 			TargetVersions: map[string]quetzalpier.Version{},
 			Owners:         map[string]Owner{},
 			Retiring:       map[string]bool{},
@@ -277,9 +283,15 @@
 // expire during an outage of the service. An upstream that restarted with the same
 // ID starts with a new state.
 func (s *State) SetListed(vms []quetzalpier.VM, now time.Time) {
+	if s.ListedAt.IsZero() {
+		s.ListedAt = now
+	}
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.ID] = true
+		if u := s.Upstreams[vm.ID]; u != nil && u.VM.Software != vm.Software {
+			s.recordPastSoftware(u.VM, now)
+		}
 		if u := s.Upstreams[vm.ID]; u != nil && (u.VM.Incarnation != vm.Incarnation || u.VM.Software != vm.Software) {
 			delete(s.Upstreams, vm.ID)
 		}
@@ -293,12 +305,47 @@
 			continue
 		}
 		s.MarkLeaving(id, now)
+		s.recordPastSoftware(u.VM, now)
 		if u.Outstanding == 0 {
 			delete(s.Upstreams, id)
 		}
 	}
 }
 
+func (s *State) recordPastSoftware(vm quetzalpier.VM, now time.Time) {
+	if s.PastSoftware[vm.Pool] == nil {
+		s.PastSoftware[vm.Pool] = map[string]time.Time{}
+	}
+	s.PastSoftware[vm.Pool][vm.Software] = now
+}
+
+// SoleSoftware returns the software version of all upstreams that were listed for a pool
+// in the last span. It returns false if there were several, if one is unknown, or if this
+// node's list is younger than the span.
+func (s *State) SoleSoftware(pool string, span time.Duration, now time.Time) (string, bool) {
+	if s.ListedAt.IsZero() || now.Sub(s.ListedAt) < span {
+		return "", false
+	}
+	versions := map[string]bool{}
+	for _, u := range s.Upstreams {
+		if u.VM.Pool == pool {
+			versions[u.VM.Software] = true
+		}
+	}
+	for software, at := range s.PastSoftware[pool] {
+		if now.Sub(at) < span {
+			versions[software] = true
+		}
+	}
+	if len(versions) != 1 {
+		return "", false
+	}
+	for software := range versions {
+		return software, software != ""
+	}
+	return "", false
+}
+
 func (s *State) setVM(vm quetzalpier.VM, now time.Time) {
 	u := s.Upstreams[vm.ID]
 	if u == nil || u.VM.Addr != vm.Addr {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/meter"
+	"quetzalpier/origin"
 	"quetzalpier/platform"
 	"quetzalpier/send"
 	"quetzalpier/vault"
@@ -43,6 +44,7 @@
 	Board     *board.Board
 	Sender    *send.Sender
 	Upstreams *platform.Upstreams
+	Origins   *origin.Store
 	Vault     *vault.Vault
 	Meter     *meter.Meter
 	Log       zerolog.Logger
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -25,6 +25,7 @@
 	"quetzalpier/limit"
 	"quetzalpier/link"
 	"quetzalpier/meter"
+	"quetzalpier/origin"
 	"quetzalpier/platform"
 	"quetzalpier/send"
 	"quetzalpier/stand"
@@ -58,7 +59,7 @@
 	links, m := link.New(), meter.New()
 	sender := send.New(r.board, links, m, 1)
 	r.entry = entry.New(entry.Options{
-		Board: r.board, Sender: sender, Upstreams: &platform.Upstreams{Links: links, Limits: limit.New(r.board, zerolog.Nop())}, Vault: &vault.Vault{KV: platform.NewKV(kv.Addr)}, Meter: m, Log: zerolog.Nop(),
+		Board: r.board, Sender: sender, Upstreams: &platform.Upstreams{Links: links, Limits: limit.New(r.board, zerolog.Nop())}, Origins: origin.New(r.board, zerolog.Nop()), Vault: &vault.Vault{KV: platform.NewKV(kv.Addr)}, Meter: m, Log: zerolog.Nop(),
 		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
 			return nil, errors.New("no other node")
 		},
@@ -110,7 +111,7 @@
 func (r *testEntry) startWorker(t *testing.T, id string) *stand.Worker {
 	t.Helper()
 	w, err := stand.NewWorker("127.0.0.1:0", stand.WorkerOptions{
-		ID: id, Pool: "p", Slots: 6, EventInterval: time.Millisecond, Models: map[string]quetzalpier.Version{"m": 3},
+		ID: id, Pool: "p", Slots: 6, EventInterval: time.Millisecond, Models: map[string]quetzalpier.Version{"m": 3}, Software: "v1",
 	})
 	require.NoError(t, err)
 	t.Cleanup(w.Close)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -4,28 +4,41 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/origin"
 	"quetzalpier/platform"
 	"quetzalpier/send"
 )
 
+// originRetryAfter is the retry delay sent to a client whose stream can't go on yet.
+const originRetryAfter = time.Second
+
 // handleStream forwards the events of a stream as they arrive. If the stream is
-// interrupted, a resumable one continues on another upstream after the last
-// complete event. For any other the connection is closed, so that the client
+// interrupted, a resumable one continues on another upstream of the same software
+// version after the last complete event. For any other the connection is closed, so that the client
 // does not take it for complete.
 func (e *Entry) handleStream(c *fasthttp.RequestCtx, r *request, route *quetzalpier.Route) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	stop := watchClient(c, cancel)
+	began, err := e.findOrigin(ctx, c, route, time.Now())
+	if err != nil {
+		stop()
+		cancel()
+		e.refuse(c, r, err)
+		return
+	}
 	reader, writer := io.Pipe()
 	firstHead := make(chan *platform.Answer, 1)
 	failed := make(chan error, 1)
 	job := &send.Job{
-		Pool: route.PickPool(rand.Float64()), Class: quetzalpier.ClassInteractive, Tenant: route.Name,
-		Deadline: r.deadline, Idempotent: route.CanResume, MaxAttempts: route.MaxAttempts,
+		Pool: began.Pool, Class: quetzalpier.ClassInteractive, Tenant: route.Name,
+		Deadline: r.deadline, Idempotent: route.CanResume, MaxAttempts: route.MaxAttempts, Software: began.Software,
 	}
 	req := e.outgoing(c, r)
 	req.SetBody(c.Request.Body())
@@ -37,12 +50,17 @@
 			e.Log.Debug().Str("request", r.id).Str("upstream", a.VM.ID).Str("software", a.VM.Software).
 				Bytes("after", req.Header.Peek(platform.HeaderLastEventID)).Msg("stream attempt")
 			return e.Upstreams.Stream(ctx, a.VM, req, r.deadline, func(head *platform.Answer) {
+				if head.Body == nil {
+					e.Origins.Record(began.attempt(r), origin.Origin{Pool: a.VM.Pool, Software: a.VM.Software}, time.Now())
+				}
 				select {
 				case firstHead <- head:
 				default:
 				}
 			}, func(event platform.Event) error {
-				a.Units++
+				if a.Units++; a.Units == 1 {
+					e.continueAt(job, a.VM)
+				}
 				req.Header.Set(platform.HeaderLastEventID, strconv.Itoa(event.ID))
 				_, err := io.WriteString(writer, event.Raw)
 				return err
@@ -69,3 +87,46 @@
 		e.refuse(c, r, err)
 	}
 }
+
+// streamOrigin is the pool of a stream and, if a client takes it up, the software version
+// that began it and the attempt that brought its first event.
+type streamOrigin struct {
+	origin.Origin
+	resumes string
+}
+
+// attempt returns the ID of the attempt that brings the first event of the stream.
+func (o streamOrigin) attempt(r *request) string {
+	if o.resumes != "" {
+		return o.resumes
+	}
+	return r.id
+}
+
+// findOrigin returns the pool of a new stream, or the origin of one that the client takes
+// up. It returns a refusal if that is unknown, or the route no longer leads there: what
+// another software version generates doesn't fit.
+func (e *Entry) findOrigin(ctx context.Context, c *fasthttp.RequestCtx, route *quetzalpier.Route, now time.Time) (streamOrigin, error) {
+	pool := route.PickPool(rand.Float64())
+	if last := string(c.Request.Header.Peek(platform.HeaderLastEventID)); last == "" || last == "0" {
+		return streamOrigin{Origin: origin.Origin{Pool: pool}}, nil
+	}
+	resumes := string(c.Request.Header.Peek(platform.HeaderResumes))
+	began, known := e.Origins.Find(ctx, resumes, pool, now)
+	switch {
+	case !known:
+		return streamOrigin{}, quetzalpier.Unavailable("origin", "the software version that began the stream is not known", quetzalpier.RanNo, e.Sender.Jitter(originRetryAfter))
+	case !slices.ContainsFunc(route.Targets, func(target quetzalpier.Target) bool { return target.Pool == began.Pool }):
+		return streamOrigin{}, quetzalpier.Unavailable("origin", "the route no longer leads to the pool that began the stream", quetzalpier.RanNo, 0)
+	}
+	return streamOrigin{Origin: began, resumes: resumes}, nil
+}
+
+// continueAt restricts the further attempts of a stream to the software version of the
+// upstream that sends its events.
+func (e *Entry) continueAt(job *send.Job, vm quetzalpier.VM) {
+	job.Software = vm.Software
+	if vm.Software == "" {
+		job.Idempotent = false
+	}
+}
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -43,6 +43,9 @@
 	if limits := call.GetLimits(); limits != nil {
 		return &wire.Reply{Kind: &wire.Reply_Permit{Permit: n.limits.Serve(limits, time.Now())}}
 	}
+	if message := call.GetOrigin(); message != nil {
+		return &wire.Reply{Kind: &wire.Reply_Began{Began: n.origins.Serve(message, time.Now())}}
+	}
 	if question := call.GetProbe(); question != nil {
 		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.prober.Check(ctx, question.GetPeer(), question.GetUnreachable())}}}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"quetzalpier/logcap"
 	"quetzalpier/meter"
 	"quetzalpier/mirror"
+	"quetzalpier/origin"
 	"quetzalpier/peer"
 	"quetzalpier/platform"
 	"quetzalpier/probe"
@@ -108,6 +109,7 @@
 	retired   *mirror.Mirror
 	upstreams *upstreamList
 	limits    *limit.Keeper
+	origins   *origin.Store
 	views     *viewSharer
 
 	startedAt  time.Time
@@ -159,6 +161,8 @@
 	n.sender.OnStrikes = n.sendStrikes
 	n.limits = limit.New(n.Board, n.Log)
 	n.limits.Call, n.limits.Peers = n.callPeer, n.peerAddrs
+	n.origins = origin.New(n.Board, n.Log)
+	n.origins.Call = n.callPeer
 	upstreams := &platform.Upstreams{Links: n.links, Limits: n.limits}
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log}
 	n.openMirrors()
@@ -170,7 +174,7 @@
 		KVFailed: n.kv.DirectFailed, Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
 	}
 	n.entry = entry.New(entry.Options{
-		Board: n.Board, Sender: n.sender, Upstreams: upstreams, Vault: jobVault, Meter: n.Meter, Log: n.Log,
+		Board: n.Board, Sender: n.sender, Upstreams: upstreams, Origins: n.origins, Vault: jobVault, Meter: n.Meter, Log: n.Log,
 		Call: n.callPeer, LookupTTL: n.Settings.LookupTTL.D(), Retention: n.Settings.Retention.D(), KVStable: n.kvStable, KVFailed: n.kv.DirectFailed,
 	})
 	if n.Settings.DataDir != "" {
@@ -262,7 +266,7 @@
 	ownCtx, releasePools := context.WithCancel(work)
 	defer releasePools()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.limits.Run, n.reportUsage, n.views.run,
+		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.limits.Run, n.origins.Run, n.reportUsage, n.views.run,
 	} {
 		n.background.Go(func() { run(work) })
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -42,6 +42,8 @@
 	// MinVersion is the lowest accepted version. Upstreams with a lower or unknown
 	// one are never used.
 	MinVersion quetzalpier.Version
+	// Software is the software version that the upstream must have; empty for any.
+	Software string
 	// Avoid holds the ids of upstreams that must not be used, Tried those that are
 	// used again only if all open upstreams have been tried.
 	Avoid map[string]bool
@@ -94,7 +96,7 @@
 func openUpstreams(s *board.State, req Request, now time.Time) []*board.Upstream {
 	var list []*board.Upstream
 	for _, u := range s.Upstreams {
-		if u.VM.Pool == req.Pool && isOpen(u, req, now) && !req.Avoid[u.VM.ID] {
+		if u.VM.Pool == req.Pool && isOpen(u, req, now) && !req.Avoid[u.VM.ID] && (req.Software == "" || u.VM.Software == req.Software) {
 			list = append(list, u)
 		}
 	}
--- a/send/queue.go
+++ b/send/queue.go
@@ -48,7 +48,7 @@
 	s.tickets++
 	w.ticket = &admit.Ticket{ID: s.tickets, Class: job.Class, Tenant: job.Tenant, Weight: job.Weight, Deadline: job.Deadline}
 	w.request = route.Request{
-		Pool: job.Pool, Class: job.Class, Prefix: job.Prefix, PreferredVersion: job.PreferredVersion, MinVersion: job.MinVersion,
+		Pool: job.Pool, Class: job.Class, Prefix: job.Prefix, PreferredVersion: job.PreferredVersion, MinVersion: job.MinVersion, Software: job.Software,
 		Alone: verdict == poison.Isolated, Ticket: s.tickets, Avoid: job.Avoid, Tried: tried,
 	}
 	q := s.poolQueue(job.Pool)
@@ -77,13 +77,13 @@
 	return wait
 }
 
-// poolEmpty reports whether no upstream of the pool accepts new work, in which
-// case queueing is pointless.
+// poolEmpty reports whether no upstream of the pool, with the job's software version,
+// accepts new work, in which case queueing is pointless.
 func (s *Sender) poolEmpty(job *Job) bool {
 	empty := true
 	s.Board.Do(func(st *board.State) {
 		for _, u := range st.Upstreams {
-			empty = empty && (u.VM.Pool != job.Pool || u.Leaving())
+			empty = empty && (u.VM.Pool != job.Pool || u.Leaving() || job.Software != "" && u.VM.Software != job.Software)
 		}
 	})
 	return empty
--- a/send/send.go
+++ b/send/send.go
@@ -52,6 +52,9 @@
 	// lowest one accepted; see route.Request.
 	PreferredVersion quetzalpier.Version
 	MinVersion       quetzalpier.Version
+	// Software is the software version that the upstream must have; empty for any. An
+	// AttemptFunc may set it for the attempts after it.
+	Software string
 	// Avoid is the set of upstreams that must not be used.
 	Avoid map[string]bool
 	// MaxAttempts limits the number of attempts; zero uses the retry package's
