send: Draw the jitter of a refusal under the lock

The race detector found it in TestLimitedBurst: two requests that are refused at once draw from the generator at the same time. The refusal for a long queue did so before as well.

--- a/send/queue.go
+++ b/send/queue.go
@@ -53,13 +53,15 @@
 	}
 	q := s.poolQueue(job.Pool)
 	if wait := s.limitWait(job, q.CountAhead(job.Class), start); !job.Deadline.IsZero() && start.Add(wait).After(q.LatestStart(w.ticket)) && wait > 0 {
+		after := s.jitter(wait)
 		s.mu.Unlock()
-		return slot{}, quetzalpier.Unavailable("limit", "the limits of the pool's upstreams leave no room in time", quetzalpier.RanNo, s.jitter(wait))
+		return slot{}, quetzalpier.Unavailable("limit", "the limits of the pool's upstreams leave no room in time", quetzalpier.RanNo, after)
 	}
 	after, ok := q.Enqueue(w.ticket, start)
 	if !ok {
+		after = s.jitter(after)
 		s.mu.Unlock()
-		return slot{}, quetzalpier.Unavailable("queue", "the wait for a slot would be too long", quetzalpier.RanNo, s.jitter(after))
+		return slot{}, quetzalpier.Unavailable("queue", "the wait for a slot would be too long", quetzalpier.RanNo, after)
 	}
 	s.waiters[w.ticket] = w
 	s.grantSlots(job.Pool, start)
