send: Refuse requests for limits as soon as that is known, in their order

Requests that were placed and found no permit went to the end of the queue, and those that came meanwhile were not counted. The soak names low limits after its last fault, since most spans before it are excused.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -109,6 +109,13 @@
 	return 0, true
 }
 
+// Requeue adds a ticket again that was granted, but could not use its slot. It keeps its
+// place among the tickets of its class.
+func (q *Queue) Requeue(t *Ticket) {
+	q.classes[t.Class].insert(t)
+	q.waiting++
+}
+
 // Peek returns the ticket to grant next, without removing it; nil if none waits.
 func (q *Queue) Peek() *Ticket {
 	c := q.nextClass()
@@ -213,6 +220,27 @@
 	return total
 }
 
+// RemoveLate removes and returns the tickets for which late returns true, given the number
+// of tickets that stay before each.
+func (q *Queue) RemoveLate(late func(t *Ticket, ahead int) bool) []*Ticket {
+	var removed []*Ticket
+	ahead := 0
+	for i := range q.classes {
+		var kept []*Ticket
+		for _, t := range q.classes[i].tickets {
+			if late(t, ahead) {
+				removed = append(removed, t)
+				continue
+			}
+			kept = append(kept, t)
+			ahead++
+		}
+		q.classes[i].tickets = kept
+	}
+	q.waiting -= len(removed)
+	return removed
+}
+
 // estimateWait estimates the time until ahead tickets are granted; false if the
 // rate of grants is unknown.
 func (q *Queue) estimateWait(ahead int, now time.Time) (time.Duration, bool) {
@@ -246,6 +274,11 @@
 	t.finish = max(c.virtualTime, c.lastFinish[t.Tenant]) + 1/weight
 	c.lastFinish[t.Tenant] = t.finish
 	c.dropIdleTenants()
+	c.insert(t)
+}
+
+// insert inserts a ticket by its finish.
+func (c *classQueue) insert(t *Ticket) {
 	index := len(c.tickets)
 	for index > 0 && c.tickets[index-1].finish > t.finish {
 		index--
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -173,3 +173,27 @@
 	require.Equal(t, start.Add(230*time.Millisecond), q.LatestStart(ticket), "one fast answer shows what is possible")
 	require.Zero(t, q.LatestStart(&admit.Ticket{Class: rollout}))
 }
+
+func TestRemoveLate(t *testing.T) {
+	q := &admit.Queue{}
+	var tickets []*admit.Ticket
+	for i, class := range []quetzalpier.Class{quetzalpier.ClassRollout, quetzalpier.ClassInteractive, quetzalpier.ClassRollout, quetzalpier.ClassRollout} {
+		tickets = append(tickets, &admit.Ticket{ID: uint64(i), Class: class})
+		_, ok := q.Enqueue(tickets[i], start)
+		require.True(t, ok)
+	}
+	removed := q.RemoveLate(func(ticket *admit.Ticket, ahead int) bool {
+		return ticket == tickets[2] || ahead >= 2
+	})
+	require.Equal(t, []*admit.Ticket{tickets[2], tickets[3]}, removed, "those that are removed don't count as ahead")
+	require.Equal(t, 2, q.Len())
+	t.Run("a ticket that was granted in vain keeps its place", func(t *testing.T) {
+		q.Grant(tickets[1], start)
+		last := &admit.Ticket{ID: 9, Class: quetzalpier.ClassInteractive}
+		_, ok := q.Enqueue(last, start)
+		require.True(t, ok)
+		q.Requeue(tickets[1])
+		require.Same(t, tickets[1], q.Peek())
+		require.Equal(t, 3, q.Len())
+	})
+}
--- a/board/board.go
+++ b/board/board.go
@@ -58,6 +58,10 @@
 	RetryAt time.Time
 	Asking  int
 	Nodes   int
+	// Held counts the requests that were placed on the upstream, the last one at HeldAt,
+	// and are about to ask.
+	Held   int
+	HeldAt time.Time
 	// Bucket is used by the node that grants the permits.
 	Bucket Bucket
 	// Sent counts the requests that this node sent since WindowAt, for the log.
--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -23,7 +23,7 @@
 	Fronts        int           `long:"fronts" default:"4" description:"number of fronts"`
 	Stores        int           `long:"stores" default:"3" description:"number of nodes with a disk"`
 	StoreOnly     bool          `long:"store-only" description:"inject only faults of the key-value service for some nodes or watches, and losses of the owner"`
-	Upstreams     bool          `long:"upstreams" description:"also make upstreams name limits of their requests"`
+	Upstreams     bool          `long:"upstreams" description:"also make upstreams name limits of their requests, run two software versions and serve clients' streams"`
 	Logs          string        `long:"logs" description:"parent directory of the logs; by default a temporary directory, removed if the seed passes"`
 }
 
@@ -71,8 +71,13 @@
 		return nil, dir, err
 	}
 	defer func() { _ = log.Close() }()
+	softwareVersions := 1
+	if c.Upstreams {
+		softwareVersions = 2
+	}
 	r, err := soak.Open(soak.Options{
-		Program: program, Dir: dir, Fronts: c.Fronts, Stores: c.Stores, Engines: 4, Plains: 2, EventInterval: 30 * time.Millisecond,
+		Program: program, Dir: dir, Fronts: c.Fronts, Stores: c.Stores, Engines: 4, Plains: 2, SoftwareVersions: softwareVersions,
+		EventInterval: 30 * time.Millisecond,
 	})
 	if err != nil {
 		return nil, dir, err
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -77,6 +77,7 @@
 		if u == nil || !u.Limit.Named {
 			return
 		}
+		u.Limit.Held = max(0, u.Limit.Held-1)
 		if granted, after = !now.Before(u.Limit.RetryAt), u.Limit.RetryAt.Sub(now); !granted {
 			return
 		}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -20,6 +20,9 @@
 	burstTime = time.Second
 	// askTime is the time whose permits a node asks for at once.
 	askTime = 100 * time.Millisecond
+	// holdTime is the longest time between placing a request and asking for its permit.
+	// Later, the request has ended without asking.
+	holdTime = 100 * time.Millisecond
 	// askMemory is how long a node counts among those that share a limit after its
 	// last question.
 	askMemory = 4 * time.Second
@@ -70,7 +73,23 @@
 	case now.Before(u.Limit.RetryAt):
 		return 0
 	}
-	return max(1, int(permitRate(u.Limit.Limit)*askTime.Seconds())) - u.Limit.Asking
+	return max(1, int(permitRate(u.Limit.Limit)*askTime.Seconds())) - u.Limit.Asking - held(u, now)
+}
+
+// Hold records that a request was placed on the upstream and will ask for a permit, so
+// that no others are placed there in vain.
+func Hold(u *board.Upstream, now time.Time) {
+	if u.Limit.Named {
+		u.Limit.Held, u.Limit.HeldAt = held(u, now)+1, now
+	}
+}
+
+// held returns the number of requests that are about to ask for a permit.
+func held(u *board.Upstream, now time.Time) int {
+	if now.Sub(u.Limit.HeldAt) > holdTime {
+		return 0
+	}
+	return u.Limit.Held
 }
 
 // Grantor returns the node that grants the permits of the upstream: the owner of its
@@ -127,23 +146,32 @@
 	return false, time.Duration(wait * float64(time.Second))
 }
 
-// Wait returns how long a request with ahead others before it waits for the limits of
-// the pool's upstreams, by this node's share of them; zero unless all name one.
-func Wait(s *board.State, pool string, ahead int, now time.Time) time.Duration {
-	share := 0.0
-	earliest := time.Duration(math.MaxInt64)
+// Estimate tells how long requests wait for the limits of a pool's upstreams. Share is
+// this node's share of the limits, in requests a second, and First the time until the
+// first permit.
+type Estimate struct {
+	Share float64
+	First time.Duration
+}
+
+// NewEstimate returns the estimate for a pool, by this node's share of the limits. It
+// returns false unless all of the pool's upstreams name one.
+func NewEstimate(s *board.State, pool string, now time.Time) (Estimate, bool) {
+	e := Estimate{First: math.MaxInt64}
 	for _, u := range s.Upstreams {
 		if u.VM.Pool != pool || u.Leaving() {
 			continue
 		}
 		if !u.Limit.Named {
-			return 0
+			return Estimate{}, false
 		}
-		share += permitRate(u.Limit.Limit) / float64(max(1, u.Limit.Nodes))
-		earliest = min(earliest, max(0, u.Limit.RetryAt.Sub(now)))
-	}
-	if share == 0 {
-		return 0
+		e.Share += permitRate(u.Limit.Limit) / float64(max(1, u.Limit.Nodes))
+		e.First = min(e.First, max(0, u.Limit.RetryAt.Sub(now)))
 	}
-	return earliest + time.Duration(float64(ahead)/share*float64(time.Second))
+	return e, e.Share > 0
+}
+
+// Wait returns how long a request with ahead others before it waits.
+func (e Estimate) Wait(ahead int) time.Duration {
+	return e.First + time.Duration(float64(ahead)/e.Share*float64(time.Second))
 }
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -126,13 +126,32 @@
 	require.Equal(t, "x", limit.Grantor(&board.State{Self: member("x")}, u).ID, "no other node is known")
 }
 
-func TestWait(t *testing.T) {
+func TestEstimate(t *testing.T) {
 	state := &board.State{Upstreams: map[string]*board.Upstream{"u": upstream(2), "v": upstream(2)}}
-	require.Equal(t, 5*time.Second, limit.Wait(state, "p", 20, start))
-	state.Upstreams["u"].Limit.Nodes = 4
-	state.Upstreams["v"].Limit.Nodes = 4
-	require.Equal(t, 20*time.Second, limit.Wait(state, "p", 20, start), "the nodes share the limits")
-	state.Upstreams["w"] = &board.Upstream{VM: quetzalpier.VM{Pool: "p"}}
-	require.Zero(t, limit.Wait(state, "p", 20, start), "one upstream names no limit")
-	require.Zero(t, limit.Wait(state, "other", 20, start))
+	requireWait := func(t *testing.T, want time.Duration) {
+		t.Helper()
+		estimate, limited := limit.NewEstimate(state, "p", start)
+		require.True(t, limited)
+		require.Equal(t, want, estimate.Wait(20))
+	}
+	requireWait(t, 5*time.Second)
+	t.Run("the nodes share the limits", func(t *testing.T) {
+		state.Upstreams["u"].Limit.Nodes = 4
+		state.Upstreams["v"].Limit.Nodes = 4
+		requireWait(t, 20*time.Second)
+	})
+	t.Run("the first permit comes after a refusal's wait", func(t *testing.T) {
+		state.Upstreams["u"].Limit.RetryAt = start.Add(3 * time.Second)
+		state.Upstreams["v"].Limit.RetryAt = start.Add(time.Second)
+		requireWait(t, 21*time.Second)
+	})
+	t.Run("one upstream names no limit", func(t *testing.T) {
+		state.Upstreams["w"] = &board.Upstream{VM: quetzalpier.VM{Pool: "p"}}
+		_, limited := limit.NewEstimate(state, "p", start)
+		require.False(t, limited)
+	})
+	t.Run("a pool without upstreams", func(t *testing.T) {
+		_, limited := limit.NewEstimate(state, "other", start)
+		require.False(t, limited)
+	})
 }
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -13,6 +13,7 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/limit"
 	"quetzalpier/link"
 	"quetzalpier/platform"
 	"quetzalpier/send"
@@ -89,6 +90,11 @@
 func (p *poolRunner) launch(l tasks.Launch) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	p.cancels[l.Task] = cancel
+	p.runner.Board.Do(func(s *board.State) {
+		if u := s.Upstreams[l.Engine.VM.ID]; u != nil {
+			limit.Hold(u, l.Task.StartedAt)
+		}
+	})
 	events := len(l.Task.Text.Events)
 	r := &run{
 		parent: p, task: l.Task, engine: p.engines[l.Engine.VM.ID], vm: l.Engine.VM, startedAt: l.Task.StartedAt,
--- a/send/queue.go
+++ b/send/queue.go
@@ -18,20 +18,30 @@
 	request     route.Request
 	fingerprint uint64
 	grant       chan quetzalpier.VM
+	// refusal receives the error of a job that can't be granted in time any more.
+	refusal chan error
 }
 
 // slot is a unit of an upstream's capacity that a job occupies.
 type slot struct {
 	vm     quetzalpier.VM
-	ticket uint64
+	ticket *admit.Ticket
 	// alone is set for the trial run of a suspect request, which gets an upstream
 	// for itself.
 	alone bool
 }
 
+// limitMargin is the factor by which a wait for limits may exceed its estimate: permits
+// are granted to the nodes in turn, but not exactly.
+const limitMargin = 1.5
+
+// minLimitRetryAfter is the least retry delay sent with a refusal for limits.
+const minLimitRetryAfter = 250 * time.Millisecond
+
 // acquire queues the job and blocks until it gets a slot, is refused, or its
-// deadline or ctx ends.
-func (s *Sender) acquire(ctx context.Context, job *Job, tried map[string]bool) (slot, error) {
+// deadline or ctx ends. A job whose slot was not used, since the upstream's limit was
+// used up, keeps its ticket.
+func (s *Sender) acquire(ctx context.Context, job *Job, tried map[string]bool, unused *admit.Ticket) (slot, error) {
 	start := time.Now()
 	verdict := s.poisonVerdict(job, start)
 	if verdict == poison.Blocked {
@@ -43,40 +53,79 @@
 	if s.poolEmpty(job) {
 		return slot{}, quetzalpier.Unavailable("empty", "the pool has no upstream now", quetzalpier.RanNo, s.Jitter(emptyPoolRetryAfter))
 	}
-	w := &waiter{fingerprint: job.Fingerprint, grant: make(chan quetzalpier.VM, 1)}
+	w := &waiter{fingerprint: job.Fingerprint, grant: make(chan quetzalpier.VM, 1), refusal: make(chan error, 1)}
 	s.mu.Lock()
-	s.tickets++
-	w.ticket = &admit.Ticket{ID: s.tickets, Class: job.Class, Tenant: job.Tenant, Weight: job.Weight, Deadline: job.Deadline}
+	w.ticket = unused
+	if unused == nil {
+		s.tickets++
+		w.ticket = &admit.Ticket{ID: s.tickets, Class: job.Class, Tenant: job.Tenant, Weight: job.Weight, Deadline: job.Deadline}
+	}
 	w.request = route.Request{
 		Pool: job.Pool, Class: job.Class, Prefix: job.Prefix, PreferredVersion: job.PreferredVersion, MinVersion: job.MinVersion, Software: job.Software,
-		Alone: verdict == poison.Isolated, Ticket: s.tickets, Avoid: job.Avoid, Tried: tried,
+		Alone: verdict == poison.Isolated, Ticket: w.ticket.ID, Avoid: job.Avoid, Tried: tried,
 	}
 	q := s.poolQueue(job.Pool)
-	if wait := s.limitWait(job, q.CountAhead(job.Class), start); !job.Deadline.IsZero() && start.Add(wait).After(q.LatestStart(w.ticket)) && wait > 0 {
-		after := s.jitter(wait)
+	if unused != nil {
+		q.Requeue(unused)
+	} else if refusal := s.enqueue(q, w.ticket, job, start); refusal != nil {
 		s.mu.Unlock()
-		return slot{}, quetzalpier.Unavailable("limit", "the limits of the pool's upstreams leave no room in time", quetzalpier.RanNo, after)
-	}
-	after, ok := q.Enqueue(w.ticket, start)
-	if !ok {
-		after = s.jitter(after)
-		s.mu.Unlock()
-		return slot{}, quetzalpier.Unavailable("queue", "the wait for a slot would be too long", quetzalpier.RanNo, after)
+		return slot{}, refusal
 	}
 	s.waiters[w.ticket] = w
+	if unused != nil {
+		s.refuseLate(job.Pool, start)
+	}
 	s.grantSlots(job.Pool, start)
 	s.mu.Unlock()
 
 	vm, err := s.awaitGrant(ctx, w, job)
 	s.Meter.QueueTime.WithLabelValues(job.Class.String()).Observe(time.Since(start).Seconds())
-	return slot{vm: vm, ticket: w.ticket.ID, alone: w.request.Alone}, err
+	return slot{vm: vm, ticket: w.ticket, alone: w.request.Alone}, err
+}
+
+// enqueue adds a ticket to the queue. It returns a refusal if the ticket is not expected
+// to be granted in time. The caller holds s.mu.
+func (s *Sender) enqueue(q *admit.Queue, ticket *admit.Ticket, job *Job, now time.Time) error {
+	if estimate, limited := s.limitEstimate(job.Pool, now); limited {
+		if wait := estimate.Wait(q.CountAhead(job.Class)); comesLate(q, ticket, wait, now) {
+			return s.limitRefusal(wait)
+		}
+	}
+	if after, ok := q.Enqueue(ticket, now); !ok {
+		return quetzalpier.Unavailable("queue", "the wait for a slot would be too long", quetzalpier.RanNo, s.jitter(after))
+	}
+	return nil
+}
+
+// refuseLate refuses the queued jobs that the limits of the pool's upstreams leave no room
+// for before their deadlines. The caller holds s.mu.
+func (s *Sender) refuseLate(pool string, now time.Time) {
+	estimate, limited := s.limitEstimate(pool, now)
+	if !limited {
+		return
+	}
+	q := s.poolQueue(pool)
+	for _, ticket := range q.RemoveLate(func(t *admit.Ticket, ahead int) bool { return comesLate(q, t, estimate.Wait(ahead), now) }) {
+		w := s.waiters[ticket]
+		s.removeWaiter(w)
+		w.refusal <- s.limitRefusal(estimate.Wait(q.CountAhead(ticket.Class)))
+	}
+}
+
+func (s *Sender) limitEstimate(pool string, now time.Time) (estimate limit.Estimate, limited bool) {
+	s.Board.Do(func(st *board.State) { estimate, limited = limit.NewEstimate(st, pool, now) })
+	return estimate, limited
+}
+
+// limitRefusal returns the refusal of a job that would wait too long for a limit.
+func (s *Sender) limitRefusal(wait time.Duration) error {
+	return quetzalpier.Unavailable("limit", "the limits of the pool's upstreams leave no room in time", quetzalpier.RanNo, s.jitter(max(wait, minLimitRetryAfter)))
 }
 
-// limitWait returns how long a job with ahead others before it waits for the limits of
-// the pool's upstreams.
-func (s *Sender) limitWait(job *Job, ahead int, now time.Time) (wait time.Duration) {
-	s.Board.Do(func(st *board.State) { wait = limit.Wait(st, job.Pool, ahead, now) })
-	return wait
+// comesLate reports whether a ticket that waits for limits is granted too late.
+func comesLate(q *admit.Queue, t *admit.Ticket, wait time.Duration, now time.Time) bool {
+	latest := q.LatestStart(t)
+	return !latest.IsZero() && now.Add(time.Duration(limitMargin*float64(wait))).After(latest)
 }
 
 // poolEmpty reports whether no upstream of the pool, with the job's software version,
@@ -112,6 +161,8 @@
 	select {
 	case vm := <-w.grant:
 		return vm, nil
+	case err := <-w.refusal:
+		return quetzalpier.VM{}, err
 	case <-ctx.Done():
 	case <-expired:
 	}
@@ -177,6 +228,7 @@
 		}
 		u := st.Upstreams[id]
 		u.Outstanding++
+		limit.Hold(u, now)
 		if w.fingerprint != 0 {
 			u.Fingerprints[w.fingerprint]++
 		}
--- a/send/send.go
+++ b/send/send.go
@@ -138,8 +138,9 @@
 	tried := map[string]bool{}
 	s.withBudget(job.Pool, (*retry.Budget).Earn)
 	ran := quetzalpier.RanNo
+	var unused *admit.Ticket
 	for attempts := 1; ; attempts++ {
-		held, err := s.acquire(ctx, job, tried)
+		held, err := s.acquire(ctx, job, tried, unused)
 		if err != nil {
 			return withRan(err, ran)
 		}
@@ -152,8 +153,10 @@
 		if errors.As(err, &limited) && ctx.Err() == nil {
 			s.releaseUnsent(job, held, time.Now())
 			attempts--
+			unused = held.ticket
 			continue
 		}
+		unused = nil
 		s.finishAttempt(ctx, job, held, a, start, err)
 		if err == nil || ctx.Err() != nil {
 			return err
@@ -178,13 +181,13 @@
 		return time.NewTimer(0)
 	}
 	return time.AfterFunc(poison.TrialDuration, func() {
-		s.Board.Update(func(st *board.State) { route.Unreserve(st, held.ticket) })
+		s.Board.Update(func(st *board.State) { route.Unreserve(st, held.ticket.ID) })
 	})
 }
 
 // releaseUnsent releases the slot of an attempt that was not sent.
 func (s *Sender) releaseUnsent(job *Job, held slot, now time.Time) {
-	s.Board.Do(func(st *board.State) { releaseSlot(st, held.vm.ID, job.Fingerprint, held.ticket) })
+	s.Board.Do(func(st *board.State) { releaseSlot(st, held.vm.ID, job.Fingerprint, held.ticket.ID) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.grantSlots(job.Pool, now)
@@ -201,7 +204,7 @@
 		if crashed {
 			struck = s.recordCrash(st, id, now)
 		}
-		releaseSlot(st, id, job.Fingerprint, held.ticket)
+		releaseSlot(st, id, job.Fingerprint, held.ticket.ID)
 		// An interrupted attempt also shows which version the upstream serves.
 		if u := st.Upstreams[id]; u != nil && a.Units > 0 && a.Version > 0 {
 			u.TokenVersion, u.TokenAt = a.Version, now
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,6 +35,8 @@
 	// only after LimitSettleTime. maxLimit is the highest of them, in requests a second.
 	limitTimes = 4
 	maxLimit   = 4
+	// maxFinalLimit is the highest limit after the last fault, in requests a second.
+	maxFinalLimit = 1.5
 	// streamClients is the number of clients that request streams, with seeds from
 	// streamSeed on.
 	streamClients = 3
@@ -402,19 +404,25 @@
 	f.revertAfter(ctx, duration, func() { w.SetFaults(stand.WorkerFaults{}) })
 }
 
-// limitWorkers makes random upstreams name limits, each for a time. They are named
-// until a while after the last other fault.
+// limitWorkers makes random upstreams name limits, each for a time. After the last fault
+// every second one names a low limit, which all nodes have to keep then.
 func (f *faultInjector) limitWorkers(ctx context.Context, total time.Duration) {
 	workers := f.rig.workers()
 	for end := time.Now().Add(total); time.Now().Before(end) && ctx.Err() == nil; {
 		w := workers[f.rnd.IntN(len(workers))]
 		duration := limitTimes * (minFaultTime + time.Duration(f.rnd.Int64N(int64(maxFaultTime-minFaultTime))))
+		duration = min(duration, time.Until(end))
 		f.logFault("limit", w.ID, duration)
 		w.SetLimit(quetzalpier.Limit{Named: true, PerSecond: f.rnd.Float64() * maxLimit})
 		f.revertAfter(ctx, duration, func() { w.SetLimit(quetzalpier.Limit{}) })
 		sleep.For(ctx, minFaultPause+time.Duration(f.rnd.Int64N(int64(maxFaultPause))))
 	}
 	f.pending.Wait()
+	for i, w := range workers {
+		if i%2 == 0 {
+			w.SetLimit(quetzalpier.Limit{Named: true, PerSecond: f.rnd.Float64() * maxFinalLimit})
+		}
+	}
 }
 
 func (f *faultInjector) writeVM(vm quetzalpier.VM) {
