--- a/engine/engine.go
+++ b/engine/engine.go
@@ -24,6 +24,8 @@
 	HeaderTimeout = 5 * time.Second
 	ReadTimeout   = 4 * time.Second
 	maxLineBytes  = 1 << 20
+	// maxTrailingLines is how many lines may follow the last event.
+	maxTrailingLines = 16
 )
 
 // StatusError describes a response with a status other than 200.
@@ -147,10 +149,13 @@
 	return Event{}, &CutError{Addr: s.addr, Err: err}
 }
 
-// readToEnd reads the rest of the body, so that the connection can be reused.
+// readToEnd reads the rest of the body, if it is short, so that the connection can be
+// reused.
 func (s *Stream) readToEnd() {
-	for s.scanner.Scan() {
-		continue
+	for range maxTrailingLines {
+		if !s.scanner.Scan() {
+			return
+		}
 	}
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -8,9 +8,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
+// headerSlack is added to the timeout of a header as a whole, so that a silent connection
+// is still found by the timeout of a read.
+const headerSlack = 100 * time.Millisecond
+
 // HopHeaders are the hop-by-hop headers, which are not forwarded.
 var HopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
@@ -83,7 +88,14 @@
 	}
 	resp := &fasthttp.Response{StreamBody: true}
 	resp.SkipBody = call.Request.Header.IsHead()
-	if err := resp.ReadLimitBody(c.reader, 0); err != nil {
+	// Each read has its own deadline, so that a header that comes in small pieces could
+	// take any time.
+	overdue := time.AfterFunc(call.HeaderTimeout+headerSlack, c.abort)
+	err = resp.ReadLimitBody(c.reader, 0)
+	if !overdue.Stop() && err == nil {
+		err = errors.Errorf("response header took longer than %s", call.HeaderTimeout)
+	}
+	if err != nil {
 		return nil, l.closeFailed(ctx, call.Addr, c, stopCancel, StageHeader, err)
 	}
 	c.readTimeout = call.ReadTimeout
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -296,3 +296,46 @@
 		require.Equal(t, want, link.IdleTime(header), "%q", header)
 	}
 }
+
+// TestEndlessHeader guards against upstreams whose header never ends.
+func TestEndlessHeader(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	for name, send := range map[string]func(conn net.Conn) error{
+		"byte by byte": func(conn net.Conn) error {
+			time.Sleep(timeout / 6)
+			_, err := io.WriteString(conn, "x")
+			return err
+		},
+		"as fast as it can": func(conn net.Conn) error {
+			_, err := conn.Write(make([]byte, 32<<10))
+			return err
+		},
+		"headers": func(conn net.Conn) error {
+			time.Sleep(timeout / 6)
+			_, err := io.WriteString(conn, "A: b\r\n")
+			return err
+		},
+		"interim responses": func(conn net.Conn) error {
+			time.Sleep(timeout / 6)
+			_, err := io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(conn net.Conn) bool {
+				ran := readRequest(conn)
+				if name != "interim responses" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+				}
+				for send(conn) == nil {
+					continue
+				}
+				return ran
+			})
+			start := time.Now()
+			_, err := attempt(t.Context(), link.New(), newCall(u.addr()))
+			require.Equal(t, link.StageHeader, requireLinkError(t, err).Stage)
+			require.Less(t, time.Since(start), 3*timeout)
+		})
+	}
+}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -27,6 +27,8 @@
 	// weights pauses for a second or two.
 	headerTimeout = 2500 * time.Millisecond
 	readTimeout   = 2500 * time.Millisecond
+	// maxErrorBytes is how much of the body of an error is read to keep its connection.
+	maxErrorBytes = 64 << 10
 	// refusedDelay is how long an engine gets no new run after it refused one, and
 	// replacedDelay after another engine responded at its address.
 	refusedDelay  = 60 * time.Millisecond
@@ -109,8 +111,10 @@
 }
 
 // stream runs the task on the engine, starting after the last event that it
-// has.
+// has. A stream without an event for readTimeout is broken off, also if other bytes come.
 func (r *run) stream(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	resp, err := r.parent.runner.Upstreams.Send(ctx, r.vm, link.Call{
 		Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
 	})
@@ -118,8 +122,11 @@
 		return err
 	}
 	defer func() { _ = resp.Close() }()
+	overdue := time.AfterFunc(readTimeout, cancel)
+	defer overdue.Stop()
 	if resp.Status != http.StatusOK {
-		_, _ = io.Copy(io.Discard, resp)
+		// The connection is kept if the body is short.
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxErrorBytes))
 		worker := string(resp.Header.Peek(platform.HeaderWorker))
 		return &statusError{
 			Engine: r.vm.ID, Status: resp.Status, OtherEngine: worker != "" && worker != r.vm.ID,
@@ -137,7 +144,7 @@
 			return errors.Wrap(err, "response of engine "+r.vm.ID)
 		}
 	}
-	return r.readEvents(platform.NewEventDecoder(resp), version)
+	return r.readEvents(platform.NewEventDecoder(resp), version, overdue)
 }
 
 func (r *run) request(now time.Time) *fasthttp.Request {
@@ -159,9 +166,10 @@
 }
 
 // readEvents adds the events of the stream to the task's text. io.EOF is the
-// regular end of the stream.
-func (r *run) readEvents(events *platform.EventDecoder, version quetzalpier.Version) error {
+// regular end of the stream. overdue breaks it off.
+func (r *run) readEvents(events *platform.EventDecoder, version quetzalpier.Version, overdue *time.Timer) error {
 	for {
+		overdue.Reset(readTimeout)
 		event, err := events.Next()
 		if err == io.EOF {
 			return nil
