entry, keep: Ask the nodes with a disk before a job is said not to exist

It was on disks, since the store refused the front and the keepers, while the front that was asked reached the store, which did not have it yet. 'Stable' was this front's own contact only.

Before a 404 all listed nodes with a disk say whether they keep the job, and the store is read once more, since a keeper removes a job that it has stored. A keeper that does not answer, or whose entry has been missing for less than the retention, leaves it open: 503.

The new case of TestJobs covers it; on the code before it each of its reads is 404.

--- a/board/board.go
+++ b/board/board.go
@@ -158,7 +158,10 @@
 	// Unreachable holds the members that don't answer this node nor others, with the
 	// times since when.
 	Unreachable map[string]time.Time
-	Config      quetzalpier.Config
+	// MissingDisks holds the nodes with a disk whose entries are missing, with the times
+	// since when. Their disks may hold jobs.
+	MissingDisks map[string]time.Time
+	Config       quetzalpier.Config
 	// ConfirmedAt is when the configuration was last confirmed to be current.
 	ConfirmedAt time.Time
 	VMs         quetzalpier.VMList
@@ -222,6 +225,7 @@
 			Self:           self,
 			Members:        map[string]Member{},
 			Unreachable:    map[string]time.Time{},
+			MissingDisks:   map[string]time.Time{},
 			Upstreams:      map[string]*Upstream{},
 			PastSoftware:   map[string]map[string]time.Time{},
 			TargetVersions: map[string]quetzalpier.Version{},
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -27,6 +27,7 @@
 	"quetzalpier/meter"
 	"quetzalpier/origin"
 	"quetzalpier/platform"
+	"quetzalpier/runner"
 	"quetzalpier/send"
 	"quetzalpier/stand"
 	"quetzalpier/vault"
@@ -399,6 +400,34 @@
 		require.Equal(t, http.StatusOK, status)
 		require.JSONEq(t, `{"total":1,"nextToken":0,"results":[]}`, text)
 	})
+	t.Run("an unknown job gets status 404 only if no node with a disk may keep it", func(t *testing.T) {
+		r := newTestEntry(t)
+		r.setConfig()
+		var reply atomic.Pointer[wire.Reply]
+		r.entry.Call = func(context.Context, string, *wire.Call) (*wire.Reply, error) {
+			if reply.Load() == nil {
+				return nil, errors.New("no answer")
+			}
+			return reply.Load(), nil
+		}
+		requireRead := func(want int) {
+			t.Helper()
+			status, text := get(t, r, platform.PathJobs+"j2")
+			require.Equal(t, want, status, text)
+		}
+		r.board.Update(func(s *board.State) {
+			s.Members["d"] = board.Member{ID: "d", Peer: "d:1", Roles: []string{runner.ClassStore}}
+		})
+		requireRead(http.StatusServiceUnavailable)
+		reply.Store(&wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}})
+		requireRead(http.StatusServiceUnavailable)
+		reply.Store(&wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{}}})
+		requireRead(http.StatusNotFound)
+		r.board.Update(func(s *board.State) { s.MissingDisks["e"] = time.Now() })
+		requireRead(http.StatusServiceUnavailable)
+		r.board.Update(func(s *board.State) { s.MissingDisks["e"] = time.Now().Add(-2 * time.Minute) })
+		requireRead(http.StatusNotFound)
+	})
 	t.Run("an unknown job gets status 404 only if the key-value service is stable", func(t *testing.T) {
 		r := newTestEntry(t)
 		r.setConfig()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -480,10 +480,68 @@
 
 // jobNotFound returns the refusal for a job that is not stored. While the
 // key-value service is or recently was unavailable, the job may exist on a disk
-// only, so the refusal does not state that it does not exist.
+// only, so the refusal does not state that it does not exist. The service may be
+// unavailable to the nodes that accepted the job and not to this one.
 func (e *Entry) jobNotFound(job string) error {
-	if !e.KVStable(time.Now()) {
+	now := time.Now()
+	if !e.KVStable(now) {
 		return quetzalpier.Unavailable("store", "job "+job+" is not stored, and the store was out a moment ago", quetzalpier.RanNo, e.Sender.Jitter(storeRetryDelay))
 	}
+	if reason := e.mayBeKept(job, now); reason != "" {
+		e.Log.Info().Str("job", job).Str("reason", reason).Msg("job is not stored and may be on a disk")
+		return quetzalpier.Unavailable("store", "job "+job+" is not stored, and may be on a disk", quetzalpier.RanNo, e.Sender.Jitter(storeRetryDelay))
+	}
 	return quetzalpier.NotFound("job", "job "+job+" does not exist")
 }
+
+// mayBeKept returns why a job that is not stored may be on a disk, or an empty string if
+// it is on none.
+func (e *Entry) mayBeKept(job string, now time.Time) string {
+	var peers []string
+	missing := false
+	e.Board.Do(func(s *board.State) {
+		for id, m := range s.Members {
+			if id != s.Self.ID && m.HasRole(runner.ClassStore) {
+				peers = append(peers, m.Peer)
+			}
+		}
+		for _, since := range s.MissingDisks {
+			missing = missing || now.Sub(since) < e.Retention
+		}
+	})
+	if missing {
+		return "a node with a disk is missing"
+	}
+	reasons := make(chan string, len(peers))
+	var calls conc.WaitGroup
+	for _, peer := range peers {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(e.ctx, keepCallTimeout)
+			defer cancel()
+			reply, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Kept{Kept: &wire.Kept{Job: job}}})
+			switch {
+			case err != nil:
+				reasons <- peer + " does not answer: " + err.Error()
+			case reply.GetKept() == nil || reply.GetKept().GetPresent():
+				reasons <- peer + " keeps it"
+			}
+		})
+	}
+	calls.Wait()
+	select {
+	case reason := <-reasons:
+		return reason
+	default:
+	}
+	// A node removes the job from its disk once it is stored.
+	ctx, cancel := context.WithTimeout(e.ctx, storeCallTimeout)
+	defer cancel()
+	spec, err := e.Vault.Get(ctx, job)
+	switch {
+	case err != nil:
+		return "the store can't be read: " + err.Error()
+	case spec != nil:
+		return "it was stored a moment ago"
+	}
+	return ""
+}
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -33,6 +33,9 @@
 	if message := call.GetKeep(); message != nil {
 		return n.acceptJob(ctx, message)
 	}
+	if kept := call.GetKept(); kept != nil {
+		return n.lookUpKept(kept.GetJob())
+	}
 	if ended := call.GetEnded(); ended != nil {
 		n.runner.EndJob(ended.GetJob(), time.Now())
 		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
@@ -86,6 +89,19 @@
 	return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
 }
 
+// lookUpKept tells whether this node keeps a job on its disk.
+func (n *Node) lookUpKept(job string) *wire.Reply {
+	if n.keeper == nil {
+		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Job: job}}}
+	}
+	present, err := n.keeper.Holds(job)
+	if err != nil {
+		n.Log.Warn().Str("job", job).Err(err).Msg("kept job could not be looked up")
+		return &wire.Reply{Fault: err.Error()}
+	}
+	return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Job: job, Present: present}}}
+}
+
 // storeJob writes a job to the key-value service, or keeps it on disks if this
 // node can't reach the service either.
 func (n *Node) storeJob(ctx context.Context, job *quetzalpier.Job, message *wire.Keep) error {
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -17,6 +17,7 @@
 	"quetzalpier/lease"
 	"quetzalpier/mirror"
 	"quetzalpier/platform"
+	"quetzalpier/runner"
 	"quetzalpier/sleep"
 	"quetzalpier/vault"
 )
@@ -162,10 +163,23 @@
 			}
 		}
 		n.recordMembers(before, s.Members)
+		recordDisks(s, before, now)
 	})
 	n.prober.Refresh(now)
 }
 
+// recordDisks records the nodes with a disk whose entries are missing.
+func recordDisks(s *board.State, before map[string]board.Member, now time.Time) {
+	for id, m := range before {
+		if _, listed := s.Members[id]; !listed && m.HasRole(runner.ClassStore) {
+			s.MissingDisks[id] = now
+		}
+	}
+	for id := range s.Members {
+		delete(s.MissingDisks, id)
+	}
+}
+
 // distrust marks listed nodes that this node did not know as unreachable, since they may
 // have been lost in an outage; the prober clears the mark of each that answers.
 func (n *Node) distrust(entries []quetzalpier.Entry, now time.Time) {
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -92,6 +92,20 @@
 	return errors.Wrapf(copies.Wait(), "copy job %s to other nodes", job.ID)
 }
 
+// Holds reports whether a job is on this disk and not yet submitted.
+func (k *Keeper) Holds(id string) (bool, error) {
+	name, err := k.path(id)
+	if err != nil {
+		// No job with such an ID is written.
+		return false, nil
+	}
+	_, err = os.Stat(name)
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	return err == nil, errors.Wrap(err, "look up kept job")
+}
+
 // write writes the file and syncs it to disk under its final name.
 func (k *Keeper) write(id string, data []byte) error {
 	k.mu.Lock()
