limit, platform: Read that an upstream says itself that it is leaving

No code read it: a node that the store refuses kept sending to a worker of whose leaving only the list tells.

What an upstream says of itself is one notice, read from each of its answers: errors, refusals, streams, reports and orders. Its word is one more source of its state: no list takes it back, a later incarnation begins without it, and the answer of another worker at its address changes nothing. The other nodes are told with the limits; what is only heard is not believed where it would empty a pool.

--- a/board/board.go
+++ b/board/board.go
@@ -31,6 +31,9 @@
 	// LeavingAt is when the node first learned that the upstream is leaving; zero
 	// if it is not.
 	LeavingAt time.Time
+	// SaidLeaving is set once the upstream has said so itself. No list takes it back, but
+	// another incarnation begins without it.
+	SaidLeaving bool
 	// Health is maintained by the retry package.
 	Health Health
 	// UnitTime is the moving average of the time per token or per call.
@@ -99,7 +102,7 @@
 }
 
 // Leaving reports whether the upstream must get no new requests.
-func (u *Upstream) Leaving() bool { return !u.LeavingAt.IsZero() }
+func (u *Upstream) Leaving() bool { return u.SaidLeaving || !u.LeavingAt.IsZero() }
 
 // Health is the record of an upstream's failures.
 type Health struct {
--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -23,7 +23,7 @@
 	Fronts        int           `long:"fronts" default:"4" description:"number of fronts"`
 	Stores        int           `long:"stores" default:"3" description:"number of nodes with a disk"`
 	StoreOnly     bool          `long:"store-only" description:"inject only faults of the key-value service for some nodes or watches, and losses of the owner"`
-	Upstreams     bool          `long:"upstreams" description:"also make upstreams name limits of their requests, run two software versions and serve clients' streams"`
+	Upstreams     bool          `long:"upstreams" description:"also make upstreams name limits, break off runs and say that they leave, run two software versions, and send streams"`
 	Logs          string        `long:"logs" description:"parent directory of the logs; by default a temporary directory, removed if the seed passes"`
 }
 
@@ -83,6 +83,6 @@
 		return nil, dir, err
 	}
 	defer r.Close()
-	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Limits: c.Upstreams, Log: zerolog.New(log).With().Timestamp().Logger()}
+	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Log: zerolog.New(log).With().Timestamp().Logger()}
 	return soak.Run(ctx, r, plan), dir, nil
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -60,7 +60,7 @@
 	links, m := link.New(), meter.New()
 	sender := send.New(r.board, links, m, 1)
 	r.entry = entry.New(entry.Options{
-		Board: r.board, Sender: sender, Upstreams: &platform.Upstreams{Links: links, Limits: limit.New(r.board, zerolog.Nop())}, Origins: origin.New(r.board, zerolog.Nop()), Vault: &vault.Vault{KV: platform.NewKV(kv.Addr)}, Meter: m, Log: zerolog.Nop(),
+		Board: r.board, Sender: sender, Upstreams: &platform.Upstreams{Links: links, Notices: limit.New(r.board, zerolog.Nop())}, Origins: origin.New(r.board, zerolog.Nop()), Vault: &vault.Vault{KV: platform.NewKV(kv.Addr)}, Meter: m, Log: zerolog.Nop(),
 		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
 			return nil, errors.New("no other node")
 		},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -163,15 +163,17 @@
 	n.limits.Call, n.limits.Peers = n.callPeer, n.peerAddrs
 	n.origins = origin.New(n.Board, n.Log)
 	n.origins.Call = n.callPeer
-	upstreams := &platform.Upstreams{Links: n.links, Limits: n.limits}
+	upstreams := &platform.Upstreams{Links: n.links, Notices: n.limits}
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log}
 	n.openMirrors()
 	n.views = &viewSharer{node: n, lapsed: map[string]lapsedMember{}}
 	n.vault = &vault.Vault{KV: n.kv}
 	jobVault := n.vault
+	engines := platform.NewEngines()
+	engines.Notices = n.limits
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: jobVault, Lease: n.lease, Upstreams: upstreams, Sender: n.sender,
-		KVFailed: n.kv.DirectFailed, Engines: platform.NewEngines(), Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
+		KVFailed: n.kv.DirectFailed, Engines: engines, Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
 	}
 	n.entry = entry.New(entry.Options{
 		Board: n.Board, Sender: n.sender, Upstreams: upstreams, Origins: n.origins, Vault: jobVault, Meter: n.Meter, Log: n.Log,
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -31,6 +31,9 @@
 	tellDelay    = 150 * time.Millisecond
 	tellTimeout  = 300 * time.Millisecond
 	maxTellCalls = 16
+	// maxAge is the highest age that a limit is told with, also that of a limit which was
+	// never named.
+	maxAge = time.Hour
 	// minTellChange is the share by which a limit must change to be told again.
 	minTellChange = 0.1
 	// startTries is how often a node that starts asks the others for the limits that
@@ -39,7 +42,7 @@
 	startPause = 100 * time.Millisecond
 )
 
-// Keeper implements quetzalpier.Limits on a node's board, together with the Keepers of
+// Keeper implements quetzalpier.Notices on a node's board, together with the Keepers of
 // the other nodes.
 type Keeper struct {
 	Board *board.Board
@@ -54,7 +57,7 @@
 	wake   chan struct{}
 }
 
-var _ quetzalpier.Limits = (*Keeper)(nil)
+var _ quetzalpier.Notices = (*Keeper)(nil)
 
 // New returns a Keeper of a node without other nodes.
 func New(b *board.Board, log zerolog.Logger) *Keeper {
@@ -67,7 +70,7 @@
 	}
 }
 
-// Admit implements quetzalpier.Limits.
+// Admit implements quetzalpier.Notices.
 func (k *Keeper) Admit(ctx context.Context, vm quetzalpier.VM, urgent bool, now time.Time) error {
 	granted, after := true, time.Duration(0)
 	var grantor board.Member
@@ -161,9 +164,9 @@
 	var list []*wire.Limit
 	k.Board.Do(func(s *board.State) {
 		for _, id := range ids {
-			if u := s.Upstreams[id]; u != nil && !u.Limit.At.IsZero() {
+			if u := s.Upstreams[id]; u != nil && (u.SaidLeaving || !u.Limit.At.IsZero()) {
 				list = append(list, &wire.Limit{
-					Upstream: id, Born: u.VM.Incarnation, Named: u.Limit.Named, Rate: u.Limit.PerSecond, Age: uint64(max(0, now.Sub(u.Limit.At).Milliseconds())),
+					Upstream: id, Born: u.VM.Incarnation, Named: u.Limit.Named, Rate: u.Limit.PerSecond, Leaving: u.SaidLeaving, Age: uint64(min(max(0, now.Sub(u.Limit.At)), maxAge).Milliseconds()),
 				})
 			}
 		}
@@ -187,6 +190,9 @@
 			if u == nil || u.VM.Incarnation != item.GetBorn() {
 				return
 			}
+			if item.GetLeaving() && SetLeaving(s, u, true) {
+				k.logLeaving(u.VM, "node")
+			}
 			if before := u.Limit.Limit; Merge(u, named, now.Add(-time.Duration(item.GetAge())*time.Millisecond)) {
 				k.logChange(u.VM, before, named, "node")
 			}
@@ -195,30 +201,51 @@
 	}
 }
 
-// Observe implements quetzalpier.Limits.
-func (k *Keeper) Observe(vm quetzalpier.VM, named quetzalpier.Limit, sentAt, now time.Time) {
+// Observe implements quetzalpier.Notices.
+func (k *Keeper) Observe(vm quetzalpier.VM, notice quetzalpier.Notice, sentAt, now time.Time) {
 	var before, told quetzalpier.Limit
-	changed := false
-	k.Board.Do(func(s *board.State) {
-		if u := s.Upstreams[vm.ID]; u != nil && u.VM.Incarnation == vm.Incarnation && (named.Named || u.Limit.Named) {
+	changed, leaves := false, false
+	observe := func(s *board.State) {
+		u := s.Upstreams[vm.ID]
+		if u == nil || u.VM.Incarnation != vm.Incarnation {
+			return
+		}
+		leaves = notice.Leaving && SetLeaving(s, u, false)
+		if notice.Limit.Named || u.Limit.Named {
 			before, told = u.Limit.Limit, u.Limit.Told
-			changed = Observe(u, named, sentAt, now)
+			changed = Observe(u, notice.Limit, sentAt, now)
 		}
-	})
-	if !changed {
-		return
 	}
-	k.logChange(vm, before, named, "answer")
-	if told.Named == named.Named && math.Abs(told.PerSecond-named.PerSecond) <= minTellChange*told.PerSecond {
-		return
+	if notice.Leaving {
+		k.Board.Update(observe)
+	} else {
+		k.Board.Do(observe)
 	}
-	k.mu.Lock()
-	k.untold[vm.ID] = true
-	k.mu.Unlock()
-	select {
-	case k.wake <- struct{}{}:
-	default:
+	if leaves {
+		k.logLeaving(vm, "answer")
 	}
+	if changed {
+		k.logChange(vm, before, notice.Limit, "answer")
+	}
+	if leaves || changed && mustTell(told, notice.Limit) {
+		k.mu.Lock()
+		k.untold[vm.ID] = true
+		k.mu.Unlock()
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// mustTell reports whether a limit differs so much from the one that the other nodes know
+// that they are told.
+func mustTell(told, named quetzalpier.Limit) bool {
+	return told.Named != named.Named || math.Abs(told.PerSecond-named.PerSecond) > minTellChange*told.PerSecond
+}
+
+func (k *Keeper) logLeaving(vm quetzalpier.VM, source string) {
+	k.Log.Info().Str("upstream", vm.ID).Str("pool", vm.Pool).Str("source", source).Msg("upstream said that it is leaving")
 }
 
 func (k *Keeper) logChange(vm quetzalpier.VM, before, named quetzalpier.Limit, source string) {
@@ -226,9 +253,9 @@
 		Bool("before", before.Named).Float64("before_per_second", before.PerSecond).Msg("limit of an upstream changed")
 }
 
-// Invalid implements quetzalpier.Limits.
+// Invalid implements quetzalpier.Notices.
 func (k *Keeper) Invalid(vm quetzalpier.VM, err error) {
-	k.Log.Warn().Str("upstream", vm.ID).Str("pool", vm.Pool).Err(err).Msg("limit of an upstream could not be decoded")
+	k.Log.Warn().Str("upstream", vm.ID).Str("pool", vm.Pool).Err(err).Msg("what an upstream says of itself could not be decoded")
 }
 
 // Run reads the limits that other nodes know, and tells them those that this node
--- a/limit/keeper_test.go
+++ b/limit/keeper_test.go
@@ -72,7 +72,7 @@
 	defer func() { cancel(); running.Wait() }()
 	t.Run("a limit that one node learns is told to the others", func(t *testing.T) {
 		require.NoError(t, keepers["b"].Admit(t.Context(), vm, true, now))
-		keepers["b"].Observe(vm, limit5, now, now)
+		keepers["b"].Observe(vm, quetzalpier.Notice{Limit: limit5}, now, now)
 		for _, k := range keepers {
 			require.Eventually(t, func() bool { return named(k) == limit5 }, 10*time.Second, time.Millisecond)
 		}
@@ -113,7 +113,7 @@
 	})
 	t.Run("its end is told too", func(t *testing.T) {
 		later := time.Now().Add(time.Millisecond)
-		keepers["b"].Observe(vm, quetzalpier.Limit{}, later, later)
+		keepers["b"].Observe(vm, quetzalpier.Notice{}, later, later)
 		for _, k := range keepers {
 			require.Eventually(t, func() bool { return !named(k).Named }, 10*time.Second, time.Millisecond)
 		}
@@ -127,3 +127,53 @@
 		require.False(t, named(keepers["a"]).Named)
 	})
 }
+
+// TestLeaving guards against requests to an upstream that said that it is leaving.
+func TestLeaving(t *testing.T) {
+	var cut atomic.Value
+	cut.Store("")
+	keepers := newKeepers(t, &cut, "a", "b", "c")
+	other := vm
+	other.ID = "v"
+	list := func(b *board.Board, vms ...quetzalpier.VM) {
+		b.Update(func(s *board.State) { s.SetListed(vms, time.Now()) })
+	}
+	for _, k := range keepers {
+		list(k.Board, vm, other)
+	}
+	leaves := func(k *limit.Keeper, id string) (leaving bool) {
+		k.Board.Do(func(s *board.State) { leaving = s.Upstreams[id].Leaving() })
+		return leaving
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running conc.WaitGroup
+	running.Go(func() { keepers["b"].Run(ctx) })
+	defer func() { cancel(); running.Wait() }()
+	keepers["b"].Observe(vm, quetzalpier.Notice{Leaving: true}, time.Now(), time.Now())
+	require.True(t, leaves(keepers["b"], "u"))
+	t.Run("the other nodes are told", func(t *testing.T) {
+		for _, id := range []string{"a", "c"} {
+			require.Eventually(t, func() bool { return leaves(keepers[id], "u") }, 10*time.Second, time.Millisecond)
+		}
+	})
+	t.Run("a list that still names it as live doesn't take it back", func(t *testing.T) {
+		list(keepers["a"].Board, vm, other)
+		require.True(t, leaves(keepers["a"], "u"))
+	})
+	t.Run("what another node heard doesn't empty the pool", func(t *testing.T) {
+		keepers["a"].Serve(&wire.Limits{Limits: []*wire.Limit{{Upstream: "v", Born: 1, Leaving: true}}}, time.Now())
+		require.False(t, leaves(keepers["a"], "v"))
+	})
+	t.Run("its own answer does", func(t *testing.T) {
+		keepers["a"].Observe(other, quetzalpier.Notice{Leaving: true}, time.Now(), time.Now())
+		require.True(t, leaves(keepers["a"], "v"))
+	})
+	t.Run("a later start under its ID ends it", func(t *testing.T) {
+		restarted := vm
+		restarted.Incarnation = 2
+		list(keepers["a"].Board, restarted, other)
+		require.False(t, leaves(keepers["a"], "u"))
+		keepers["a"].Observe(vm, quetzalpier.Notice{Leaving: true}, time.Now(), time.Now())
+		require.False(t, leaves(keepers["a"], "u"), "the answer of the process before")
+	})
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -63,6 +63,27 @@
 	return true
 }
 
+// SetLeaving records that an upstream said that it is about to leave, and reports whether
+// that was not known. What another node heard is not believed if the pool would be empty:
+// a false word of one node costs the load that it takes from one upstream.
+func SetLeaving(s *board.State, u *board.Upstream, heard bool) bool {
+	if u.SaidLeaving || heard && isLast(s, u) {
+		return false
+	}
+	u.SaidLeaving = true
+	return true
+}
+
+// isLast reports whether no other upstream of the pool stays.
+func isLast(s *board.State, u *board.Upstream) bool {
+	for _, other := range s.Upstreams {
+		if other != u && other.VM.Pool == u.VM.Pool && !other.Leaving() {
+			return false
+		}
+	}
+	return true
+}
+
 func permitRate(l quetzalpier.Limit) float64 { return max(minRate, l.PerSecond) }
 
 // Room returns how many more requests a node may try to send to the upstream now.
--- a/limits.go
+++ b/limits.go
@@ -27,16 +27,24 @@
 	return nil
 }
 
-// Limits keeps the nodes together within the limits that upstreams name.
-type Limits interface {
+// Notice is what an upstream says of itself in an answer. Leaving reports that it is about
+// to leave.
+type Notice struct {
+	Limit   Limit
+	Leaving bool
+}
+
+// Notices keeps what upstreams say of themselves in their answers, and keeps the nodes
+// together within the limits that they name.
+type Notices interface {
 	// Admit is called before a request is sent to an upstream; urgent reports that a
 	// client waits for it. It returns a LimitedError if the request must not be sent
 	// now.
 	Admit(ctx context.Context, vm VM, urgent bool, now time.Time) error
-	// Observe records what an upstream named in its answer to a request that was sent
+	// Observe records what an upstream said in its answer to a request that was sent
 	// at sentAt and answered now.
-	Observe(vm VM, limit Limit, sentAt, now time.Time)
-	// Invalid records that an upstream named a limit that can't be decoded.
+	Observe(vm VM, notice Notice, sentAt, now time.Time)
+	// Invalid records that an upstream said something that can't be decoded.
 	Invalid(vm VM, err error)
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -138,7 +138,7 @@
 	t.Cleanup(links.Close)
 	sender := send.New(r.board, links, m, 1)
 	r.runner = &runner.Runner{
-		Board: r.board, KV: r.kv, Vault: r.vault, Lease: r.lease, Upstreams: &platform.Upstreams{Links: links, Limits: limit.New(r.board, zerolog.Nop())}, Sender: sender, Engines: platform.NewEngines(),
+		Board: r.board, KV: r.kv, Vault: r.vault, Lease: r.lease, Upstreams: &platform.Upstreams{Links: links, Notices: limit.New(r.board, zerolog.Nop())}, Sender: sender, Engines: platform.NewEngines(),
 		Meter: m, Log: zerolog.Nop(), Retention: time.Minute, WatchTimeout: 25 * time.Second, KVFailed: r.kvFailed.Load,
 		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
 			return nil, errors.New("no other node")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,8 +53,8 @@
 	// StoreFaults also injects faults of the key-value service that concern only some
 	// nodes or their watches.
 	StoreFaults bool
-	// Limits also makes upstreams name limits.
-	Limits bool
+	// Upstreams also makes upstreams name limits, break off runs and leave.
+	Upstreams bool
 	// NoProcessFaults leaves out the faults of processes, links, engines and the whole
 	// key-value service.
 	NoProcessFaults bool
@@ -73,9 +73,9 @@
 			storeFaults := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 5)), log: plan.Log}
 			injectors.Go(func() { storeFaults.runStoreFaults(ctx, plan.FaultDuration) })
 		}
-		if plan.Limits {
-			limits := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 7)), log: plan.Log}
-			injectors.Go(func() { limits.limitWorkers(ctx, plan.FaultDuration) })
+		if plan.Upstreams {
+			upstreams := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 7)), log: plan.Log}
+			injectors.Go(func() { upstreams.disturbUpstreams(ctx, plan.FaultDuration) })
 		}
 		if plan.LoseFronts {
 			checkCtx, stopCheck := context.WithCancel(ctx)
@@ -188,6 +188,13 @@
 			l.recordViolation("%s", violation)
 		}
 	}
+	for _, w := range r.workers() {
+		for _, run := range w.LateRuns() {
+			if r.processesCalm(run.StartedAt.Add(-contactTime), run.StartedAt) {
+				l.recordViolation("%s had said that it is leaving and got request %s too late", w.ID, run.ID)
+			}
+		}
+	}
 	r.checkTexts(l)
 	r.checkEnded(l)
 	r.checkScores(l)
@@ -404,17 +411,28 @@
 	f.revertAfter(ctx, duration, func() { w.SetFaults(stand.WorkerFaults{}) })
 }
 
-// limitWorkers makes random upstreams name limits, each for a time. After the last fault
-// every second one names a low limit, which all nodes have to keep then.
-func (f *faultInjector) limitWorkers(ctx context.Context, total time.Duration) {
+// disturbUpstreams makes random upstreams name limits, break off runs or say that they are
+// leaving, each for a time. After the last fault every second one names a low limit, which
+// all nodes have to keep then.
+func (f *faultInjector) disturbUpstreams(ctx context.Context, total time.Duration) {
 	workers := f.rig.workers()
 	for end := time.Now().Add(total); time.Now().Before(end) && ctx.Err() == nil; {
-		w := workers[f.rnd.IntN(len(workers))]
 		duration := limitTimes * (minFaultTime + time.Duration(f.rnd.Int64N(int64(maxFaultTime-minFaultTime))))
 		duration = min(duration, time.Until(end))
-		f.logFault("limit", w.ID, duration)
-		w.SetLimit(quetzalpier.Limit{Named: true, PerSecond: f.rnd.Float64() * maxLimit})
-		f.revertAfter(ctx, duration, func() { w.SetLimit(quetzalpier.Limit{}) })
+		switch f.rnd.IntN(3) {
+		case 0:
+			w := workers[f.rnd.IntN(len(workers))]
+			f.logFault("limit", w.ID, duration)
+			w.SetLimit(quetzalpier.Limit{Named: true, PerSecond: f.rnd.Float64() * maxLimit})
+			f.revertAfter(ctx, duration, func() { w.SetLimit(quetzalpier.Limit{}) })
+		case 1:
+			w := f.rig.Engines[f.rnd.IntN(len(f.rig.Engines))]
+			f.logFault("engine cut", w.ID, duration)
+			w.SetFaults(stand.WorkerFaults{CutAtEvent: 1 + f.rnd.IntN(8)})
+			f.revertAfter(ctx, duration, func() { w.SetFaults(stand.WorkerFaults{}) })
+		default:
+			f.leave(ctx, workers[f.rnd.IntN(len(workers))], duration)
+		}
 		sleep.For(ctx, minFaultPause+time.Duration(f.rnd.Int64N(int64(maxFaultPause))))
 	}
 	f.pending.Wait()
@@ -425,6 +443,26 @@
 	}
 }
 
+// leave makes an upstream say that it is leaving, in its answers only, and start again
+// later. One other upstream of its pool stays at least.
+func (f *faultInjector) leave(ctx context.Context, w *stand.Worker, duration time.Duration) {
+	staying := 0
+	for _, other := range f.rig.workers() {
+		if other.Pool == w.Pool && !other.Leaving() {
+			staying++
+		}
+	}
+	if w.Leaving() || staying < 2 {
+		return
+	}
+	f.logFault("leave", w.ID, duration)
+	w.SayLeaving()
+	f.revertAfter(ctx, duration, func() {
+		w.Restart()
+		f.writeVM(w.VM())
+	})
+}
+
 func (f *faultInjector) writeVM(vm quetzalpier.VM) {
 	if err := f.rig.WriteVM(vm); err != nil {
 		f.ledger.recordViolation("%s not listed: %v", vm.ID, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,14 +107,14 @@
 	}
 }
 
-// TestSoakUpstreams is a short run in which upstreams name limits beside the other faults
+// TestSoakUpstreams is a short run in which upstreams name limits and leave beside the other faults,
 // and engines have two software versions.
 func TestSoakUpstreams(t *testing.T) {
 	for _, seed := range []uint64{9201, 9202} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			r := openRigWith(t, soak.Options{Fronts: 2, Stores: 3, Engines: 4, Plains: 2, SoftwareVersions: 2, EventInterval: 30 * time.Millisecond})
-			ledger := soak.Run(context.Background(), r, soak.Plan{Seed: seed, FaultDuration: 8 * time.Second, Limits: true, Log: zerolog.Nop()})
+			ledger := soak.Run(context.Background(), r, soak.Plan{Seed: seed, FaultDuration: 8 * time.Second, Upstreams: true, Log: zerolog.Nop()})
 			t.Log(ledger.Summary())
 			require.Empty(t, ledger.Violations)
 		})
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -58,6 +58,11 @@
 	madeAt map[string]time.Time
 	// streaming is the number of streams in progress.
 	streaming int
+	// leavingAt is when the worker began to say that it is leaving; zero if it has not.
+	// lateRuns are the requests that it received too late after that.
+	leavingAt   time.Time
+	lateRuns    []WorkerRun
+	incarnation int64
 	// limits are the limits that the worker has named, in order of time.
 	limits []namedLimit
 }
@@ -148,7 +153,7 @@
 		models[model] = version
 	}
 	return quetzalpier.VM{
-		ID: w.ID, Addr: w.Addr, Domain: w.Domain, Kind: kind, Pool: w.Pool, State: quetzalpier.VMLive, Slots: w.Slots, Models: models, Incarnation: 1, Software: w.Software,
+		ID: w.ID, Addr: w.Addr, Domain: w.Domain, Kind: kind, Pool: w.Pool, State: quetzalpier.VMLive, Slots: w.Slots, Models: models, Incarnation: 1 + w.incarnation, Software: w.Software,
 	}
 }
 
@@ -166,6 +171,39 @@
 	w.limits = append(w.limits, namedLimit{limit, time.Now()})
 }
 
+// SayLeaving makes the worker say in all its answers that it is leaving.
+func (w *Worker) SayLeaving() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leavingAt = time.Now()
+}
+
+// Leaving reports whether the worker says that it is leaving.
+func (w *Worker) Leaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.leavingAt.IsZero()
+}
+
+// Restart makes the worker a new incarnation, which is not leaving.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leavingAt = time.Time{}
+	w.incarnation++
+}
+
+// drainTime is how long a worker still accepts requests after it said that it is leaving.
+const drainTime = 2 * time.Second
+
+// LateRuns returns the requests that arrived later than drainTime after the worker had
+// said that it is leaving.
+func (w *Worker) LateRuns() []WorkerRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]WorkerRun(nil), w.lateRuns...)
+}
+
 // limit returns the limit that the worker names now. The caller holds the lock.
 func (w *Worker) limit() quetzalpier.Limit {
 	if len(w.limits) == 0 {
@@ -272,6 +310,7 @@
 		c.SetStatusCode(http.StatusMisdirectedRequest)
 		return
 	}
+	w.setNotice(&c.Response.Header)
 	switch string(c.Path()) {
 	case platform.PathReport:
 		w.handleReport(c)
@@ -282,6 +321,18 @@
 	}
 }
 
+// setNotice says in an answer what the worker says of itself.
+func (w *Worker) setNotice(header *fasthttp.ResponseHeader) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if limit := w.limit(); limit.Named {
+		header.Set(platform.HeaderLimit, strconv.FormatFloat(limit.PerSecond, 'f', -1, 64))
+	}
+	if !w.leavingAt.IsZero() {
+		header.Set(platform.HeaderLeaving, "1")
+	}
+}
+
 func (w *Worker) handleReport(c *fasthttp.RequestCtx) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -339,15 +390,15 @@
 	lastEvent, _ := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderLastEventID)))
 	c.Response.Header.Set(platform.HeaderAttempt, id)
 	w.mu.Lock()
-	if limit := w.limit(); limit.Named {
-		c.Response.Header.Set(platform.HeaderLimit, strconv.FormatFloat(limit.PerSecond, 'f', -1, 64))
-	}
 	faults := w.faults
 	if faults.StatusCount > 0 {
 		w.faults.StatusCount--
 	}
 	startedAt := time.Now()
 	w.runs = append(w.runs, WorkerRun{ID: id, LastEvent: lastEvent, StartedAt: startedAt})
+	if !w.leavingAt.IsZero() && startedAt.Sub(w.leavingAt) > drainTime {
+		w.lateRuns = append(w.lateRuns, w.runs[len(w.runs)-1])
+	}
 	tag := w.ID
 	if w.TagRuns {
 		tag = fmt.Sprintf("%s.%d", w.ID, len(w.runs))
