soak: Disturb upstreams after the last fault of a node

Before, most runs, spans and requests of the checks of limits, leaving and software versions are excused by a process that was killed or paused.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -412,8 +412,8 @@
 }
 
 // disturbUpstreams makes random upstreams name limits, break off runs or say that they are
-// leaving, each for a time. After the last fault every second one names a low limit, which
-// all nodes have to keep then.
+// leaving, each for a time. After the last fault, when no node is excused, one of each pool
+// names a low limit, an engine leaves, and all engines break off runs for a while.
 func (f *faultInjector) disturbUpstreams(ctx context.Context, total time.Duration) {
 	workers := f.rig.workers()
 	for end := time.Now().Add(total); time.Now().Before(end) && ctx.Err() == nil; {
@@ -436,10 +436,16 @@
 		sleep.For(ctx, minFaultPause+time.Duration(f.rnd.Int64N(int64(maxFaultPause))))
 	}
 	f.pending.Wait()
-	for i, w := range workers {
-		if i%2 == 0 {
-			w.SetLimit(quetzalpier.Limit{Named: true, PerSecond: f.rnd.Float64() * maxFinalLimit})
-		}
+	for _, w := range []*stand.Worker{f.rig.Engines[0], f.rig.Plains[0]} {
+		w.SetLimit(quetzalpier.Limit{Named: true, PerSecond: f.rnd.Float64() * maxFinalLimit})
+	}
+	f.rig.Engines[1].SayLeaving()
+	for _, w := range f.rig.Engines {
+		w.SetFaults(stand.WorkerFaults{CutAtEvent: 2 + f.rnd.IntN(6)})
+	}
+	sleep.For(ctx, maxFaultTime)
+	for _, w := range f.rig.Engines {
+		w.SetFaults(stand.WorkerFaults{})
 	}
 }
 
