--- a/peer/conns_test.go
+++ b/peer/conns_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -111,3 +112,79 @@
 	}
 	return active
 }
+
+// proxyTo forwards connections to addr. Those that are open when silent is set stay open
+// and forward nothing more.
+func proxyTo(t *testing.T, addr string) (proxy string, silence func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var generation atomic.Int32
+	forward := func(to, from net.Conn, mine int32) {
+		buffer := make([]byte, 4<<10)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			if generation.Load() == mine {
+				_, _ = to.Write(buffer[:n])
+			}
+		}
+	}
+	var mu sync.Mutex
+	var open []net.Conn
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", addr)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			mu.Lock()
+			open = append(open, in, out)
+			mu.Unlock()
+			go forward(out, in, generation.Load())
+			go forward(in, out, generation.Load())
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+	})
+	return listener.Addr().String(), func() { generation.Add(1) }
+}
+
+// Load pattern: a connection between two nodes stays open and says nothing any more. The
+// calls that wait on it fail at their own deadlines, and the next ones use a new one.
+func TestSilentSession(t *testing.T) {
+	server, err := listen("127.0.0.1:0", func(context.Context, *wire.Call) *wire.Reply {
+		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+	}, nil)
+	require.NoError(t, err)
+	defer server.close()
+	proxy, silence := proxyTo(t, server.listener.Addr().String())
+	c, err := listen("127.0.0.1:0", nil, nil)
+	require.NoError(t, err)
+	defer c.close()
+	call := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := c.call(ctx, proxy, control, &wire.Call{})
+		return err
+	}
+	require.NoError(t, call(time.Second))
+	silence()
+	start := time.Now()
+	require.Error(t, call(100*time.Millisecond))
+	require.Less(t, time.Since(start), time.Second, "a call waits no longer than its deadline")
+	require.NoError(t, call(time.Second), "the next call opens a new session")
+}
