tasks, limit: Look up software versions by engine; end a permit's call with its request

At 600 engines each waiting task with events compared its engines with all engines, and each ended run built their sorted list. A call for a permit that ends because its client left no longer holds the upstream back at this node.

--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -105,14 +105,19 @@
 
 // ask asks another node for a permit.
 func (k *Keeper) ask(ctx context.Context, vm quetzalpier.VM, grantor board.Member, self string, urgent bool) (granted bool, after time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	reply, err := k.Call(ctx, grantor.Peer, &wire.Call{Kind: &wire.Call_Limits{Limits: &wire.Limits{
+	reply, err := k.Call(callCtx, grantor.Peer, &wire.Call{Kind: &wire.Call_Limits{Limits: &wire.Limits{
 		Limits: k.encode([]string{vm.ID}, time.Now()), Take: vm.ID, Urgent: urgent, Node: self,
 	}}})
 	now := time.Now()
 	permit := reply.GetPermit()
-	if err != nil {
+	switch {
+	case err == nil:
+	case ctx.Err() != nil:
+		// The request has ended, which says nothing of the limit.
+		permit = &wire.Permit{Nodes: 1}
+	default:
 		k.Log.Warn().Str("upstream", vm.ID).Str("grantor", grantor.ID).Err(err).Msg("permit for a limited upstream could not be requested")
 		permit = &wire.Permit{Wait: uint64(askFailedDelay.Milliseconds()), Nodes: 1}
 	}
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -378,6 +378,16 @@
 	return engines
 }
 
+// softwareOf returns the software version that an engine is listed with. The caller holds
+// the lock.
+func (p *poolRunner) softwareOf(id string) (version string, listed bool) {
+	e := p.engines[id]
+	if e == nil {
+		return "", false
+	}
+	return e.VM.Software, true
+}
+
 // refreshEngines updates the engines from the board. The caller holds the lock.
 func (p *poolRunner) refreshEngines(now time.Time) {
 	live := map[string]bool{}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -226,7 +226,7 @@
 		return
 	}
 	r.task.Phase = tasks.Waiting
-	dropped := !r.task.Text.MeetsPolicy(r.task.Job.Spec) || r.task.Text.MayBeMixed(p.engineList())
+	dropped := !r.task.Text.MeetsPolicy(r.task.Job.Spec) || r.task.Text.MayBeMixed(p.softwareOf)
 	if dropped {
 		r.task.DropText()
 	}
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -164,6 +164,14 @@
 	}
 	var launches []Launch
 	loaded := map[*Job]bool{}
+	software := make(map[string]string, len(engines))
+	for _, engine := range engines {
+		software[engine.VM.ID] = engine.VM.Software
+	}
+	softwareOf := func(engine string) (string, bool) {
+		version, listed := software[engine]
+		return version, listed
+	}
 	for _, task := range waiting {
 		known, checked := loaded[task.Job]
 		if !checked {
@@ -171,7 +179,7 @@
 			loaded[task.Job] = known
 		}
 		task.addWait(known, now)
-		if task.Text.MayBeMixed(engines) {
+		if task.Text.MayBeMixed(softwareOf) {
 			task.DropText()
 		}
 		engine := placeTask(selectEngine, engines, task, pace, now)
@@ -269,6 +277,9 @@
 // goes on at an engine that its text fits. If there is none, or the wait for one takes
 // longer than generating the events again, it starts over at another.
 func placeTask(selectEngine func([]*Engine, *Task, time.Duration, time.Time) *Engine, engines []*Engine, task *Task, pace time.Duration, now time.Time) *Engine {
+	if len(task.Text.Events) == 0 {
+		return selectEngine(engines, task, pace, now)
+	}
 	fitting := slices.DeleteFunc(slices.Clone(engines), func(e *Engine) bool { return !task.Text.Fits(e.VM) })
 	engine := selectEngine(fitting, task, pace, now)
 	if engine != nil || len(fitting) == len(engines) {
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -84,12 +84,12 @@
 
 // MayBeMixed reports whether events may come from another software version than the
 // list of engines said: an engine that generated some has started again under its ID
-// with other software, and its entry is written after that.
-func (t *Text) MayBeMixed(engines []*Engine) bool {
+// with other software, and its entry is written after that. softwareOf returns the
+// version that an engine is listed with.
+func (t *Text) MayBeMixed(softwareOf func(engine string) (version string, listed bool)) bool {
 	return len(t.Events) > 0 && slices.ContainsFunc(t.Processes, func(process quetzalpier.Process) bool {
-		return slices.ContainsFunc(engines, func(e *Engine) bool {
-			return e.VM.ID == process.VM && e.VM.Software != t.Software
-		})
+		version, listed := softwareOf(process.VM)
+		return listed && version != t.Software
 	})
 }
 
