limit: Tell the other nodes a limit also after its grantor was asked

Found by reading the diff: the reply to a call for a permit carries the limit as the grantor knows it, and was taken for a message that all nodes get, so that the node which had learned the limit did not tell the others. Only messages to all count as told.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -21,8 +21,8 @@
 
 // handleStream forwards the events of a stream as they arrive. If the stream is
 // interrupted, a resumable one continues on another upstream of the same software
-// version after the last complete event. For any other the connection is closed, so that the client
-// does not take it for complete.
+// version after the last complete event. For any other the connection is closed, so
+// that the client does not take it for complete.
 func (e *Entry) handleStream(c *fasthttp.RequestCtx, r *request, route *quetzalpier.Route) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	stop := watchClient(c, cancel)
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -140,6 +140,9 @@
 // Serve answers the call of another node.
 func (k *Keeper) Serve(call *wire.Limits, now time.Time) *wire.Permit {
 	k.merge(call.GetLimits(), now)
+	if call.GetTake() == "" && !call.GetFull() {
+		k.recordTold(call.GetLimits())
+	}
 	reply := &wire.Permit{}
 	ids := []string{call.GetTake()}
 	k.Board.Do(func(s *board.State) {
@@ -187,9 +190,6 @@
 			k.Log.Warn().Str("upstream", item.GetUpstream()).Err(err).Msg("limit from another node is invalid")
 			continue
 		}
-		k.mu.Lock()
-		delete(k.untold, item.GetUpstream())
-		k.mu.Unlock()
 		k.Board.Update(func(s *board.State) {
 			u := s.Upstreams[item.GetUpstream()]
 			if u == nil || u.VM.Incarnation != item.GetBorn() {
@@ -201,11 +201,25 @@
 			if before := u.Limit.Limit; Merge(u, named, now.Add(-time.Duration(item.GetAge())*time.Millisecond)) {
 				k.logChange(u.VM, before, named, "node")
 			}
-			u.Limit.Told = named
 		})
 	}
 }
 
+// recordTold records that all nodes are told the limits, by this node or by another one,
+// so that this node does not tell them as well.
+func (k *Keeper) recordTold(list []*wire.Limit) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Board.Do(func(s *board.State) {
+		for _, item := range list {
+			delete(k.untold, item.GetUpstream())
+			if u := s.Upstreams[item.GetUpstream()]; u != nil {
+				u.Limit.Told = quetzalpier.Limit{Named: item.GetNamed(), PerSecond: item.GetRate()}
+			}
+		}
+	})
+}
+
 // Observe implements quetzalpier.Notices.
 func (k *Keeper) Observe(vm quetzalpier.VM, notice quetzalpier.Notice, sentAt, now time.Time) {
 	var before, told quetzalpier.Limit
@@ -307,13 +321,7 @@
 	if len(message.GetLimits()) == 0 {
 		return
 	}
-	k.Board.Do(func(s *board.State) {
-		for _, item := range message.GetLimits() {
-			if u := s.Upstreams[item.GetUpstream()]; u != nil {
-				u.Limit.Told = quetzalpier.Limit{Named: item.GetNamed(), PerSecond: item.GetRate()}
-			}
-		}
-	})
+	k.recordTold(message.GetLimits())
 	calls := pool.New().WithMaxGoroutines(maxTellCalls)
 	for _, addr := range k.Peers() {
 		calls.Go(func() {
--- a/limit/keeper_test.go
+++ b/limit/keeper_test.go
@@ -73,6 +73,8 @@
 	t.Run("a limit that one node learns is told to the others", func(t *testing.T) {
 		require.NoError(t, keepers["b"].Admit(t.Context(), vm, true, now))
 		keepers["b"].Observe(vm, quetzalpier.Notice{Limit: limit5}, now, now)
+		// The call for a permit tells the grantor only.
+		_ = keepers["b"].Admit(t.Context(), vm, true, time.Now())
 		for _, k := range keepers {
 			require.Eventually(t, func() bool { return named(k) == limit5 }, 10*time.Second, time.Millisecond)
 		}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,6 +1,7 @@
 // Package limit decides how many requests the nodes send to an upstream that names a
 // limit of the requests that it accepts from all nodes together. One node grants the
-// permits for it: the owner of its pool, or one that all nodes choose alike.
+// permits for it: the owner of its pool, or one that all nodes choose alike. The package
+// also keeps which upstreams said that they are leaving, since both are told alike.
 package limit
 
 import (
