limit: Tell nodes again that could not be told

Nodes that could not be told are told again every second for 15 s, also while they are listed as unreachable. Before, TestKeepers would wait for ever for the node that did not answer.

--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +33,10 @@
 	tellDelay    = 150 * time.Millisecond
 	tellTimeout  = 300 * time.Millisecond
 	maxTellCalls = 16
+	// Nodes that could not be told are told again every retellInterval, for retellPeriod:
+	// longer than most pauses of a process. Later ones learn it from an answer.
+	retellInterval = time.Second
+	retellPeriod   = 15 * time.Second
 	// maxAge is the highest age that a limit is told with, also that of a limit which was
 	// never named.
 	maxAge = time.Hour
@@ -54,6 +60,9 @@
 	mu sync.Mutex
 	// untold holds the upstreams whose limits are to be told to the other nodes.
 	untold map[string]bool
+	// missed holds the upstreams of which the node at an address was not told, with the
+	// times since when. Only Run uses it.
+	missed map[string]map[string]time.Time
 	wake   chan struct{}
 }
 
@@ -66,7 +75,7 @@
 		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
 			return nil, errors.New("no other nodes are known")
 		},
-		untold: map[string]bool{}, wake: make(chan struct{}, 1),
+		untold: map[string]bool{}, missed: map[string]map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -282,13 +291,79 @@
 func (k *Keeper) Run(ctx context.Context) {
 	k.readAll(ctx)
 	for {
+		var retell <-chan time.Time
+		if len(k.missed) > 0 {
+			retell = time.After(retellInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-retell:
+			k.retell(ctx, time.Now())
 		case <-k.wake:
+			sleep.For(ctx, time.Duration(rand.Float64()*float64(tellDelay)))
+			k.tell(ctx, k.takeUntold(), time.Now())
+		}
+	}
+}
+
+// takeUntold returns the upstreams that are to be told.
+func (k *Keeper) takeUntold() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ids := slices.Collect(maps.Keys(k.untold))
+	clear(k.untold)
+	return ids
+}
+
+// retell tells the nodes that could not be told before. They may be listed as unreachable
+// meanwhile.
+func (k *Keeper) retell(ctx context.Context, now time.Time) {
+	var notes []note
+	for addr, upstreams := range k.missed {
+		maps.DeleteFunc(upstreams, func(_ string, since time.Time) bool { return now.Sub(since) > retellPeriod })
+		if len(upstreams) == 0 {
+			delete(k.missed, addr)
+			continue
+		}
+		notes = append(notes, note{addr, slices.Collect(maps.Keys(upstreams))})
+	}
+	k.send(ctx, notes, now)
+}
+
+// note is what one node is to be told: what is known of the upstreams.
+type note struct {
+	addr      string
+	upstreams []string
+}
+
+// send sends notes to their nodes and records those that could not be told.
+func (k *Keeper) send(ctx context.Context, notes []note, now time.Time) {
+	told := make([]bool, len(notes))
+	calls := pool.New().WithMaxGoroutines(maxTellCalls)
+	for i, n := range notes {
+		calls.Go(func() {
+			err := k.callOne(ctx, n.addr, &wire.Limits{Limits: k.encode(n.upstreams, now)})
+			if told[i] = err == nil; !told[i] {
+				k.Log.Debug().Str("peer", n.addr).Err(err).Msg("limits could not be told to another node")
+			}
+		})
+	}
+	calls.Wait()
+	for i, n := range notes {
+		if k.missed[n.addr] == nil {
+			k.missed[n.addr] = map[string]time.Time{}
+		}
+		for _, id := range n.upstreams {
+			if told[i] {
+				delete(k.missed[n.addr], id)
+			} else if _, known := k.missed[n.addr][id]; !known {
+				k.missed[n.addr][id] = now
+			}
+		}
+		if len(k.missed[n.addr]) == 0 {
+			delete(k.missed, n.addr)
 		}
-		sleep.For(ctx, time.Duration(rand.Float64()*float64(tellDelay)))
-		k.tell(ctx)
 	}
 }
 
@@ -308,29 +383,17 @@
 	}
 }
 
-// tell tells the other nodes the limits that they may not know.
-func (k *Keeper) tell(ctx context.Context) {
-	k.mu.Lock()
-	var ids []string
-	for id := range k.untold {
-		ids = append(ids, id)
-	}
-	clear(k.untold)
-	k.mu.Unlock()
-	message := &wire.Limits{Limits: k.encode(ids, time.Now())}
-	if len(message.GetLimits()) == 0 {
+// tell tells the other nodes what is known of upstreams.
+func (k *Keeper) tell(ctx context.Context, upstreams []string, now time.Time) {
+	if len(upstreams) == 0 {
 		return
 	}
-	k.recordTold(message.GetLimits())
-	calls := pool.New().WithMaxGoroutines(maxTellCalls)
+	k.recordTold(k.encode(upstreams, now))
+	var notes []note
 	for _, addr := range k.Peers() {
-		calls.Go(func() {
-			if err := k.callOne(ctx, addr, message); err != nil {
-				k.Log.Debug().Str("peer", addr).Err(err).Msg("limits could not be told to another node")
-			}
-		})
+		notes = append(notes, note{addr, upstreams})
 	}
-	calls.Wait()
+	k.send(ctx, notes, now)
 }
 
 // callOne sends a message to another node and records the limits of its reply.
--- a/limit/keeper_test.go
+++ b/limit/keeper_test.go
@@ -113,6 +113,15 @@
 		running.Go(func() { restarted.Run(ctx) })
 		require.Eventually(t, func() bool { return named(restarted) == limit5 }, 10*time.Second, time.Millisecond)
 	})
+	t.Run("a node that does not answer is told later", func(t *testing.T) {
+		cut.Store("c")
+		limit9 := quetzalpier.Limit{Named: true, PerSecond: 9}
+		keepers["b"].Observe(vm, quetzalpier.Notice{Limit: limit9}, time.Now(), time.Now())
+		require.Eventually(t, func() bool { return named(keepers["a"]) == limit9 }, 10*time.Second, time.Millisecond)
+		require.Equal(t, limit5, named(keepers["c"]))
+		cut.Store("")
+		require.Eventually(t, func() bool { return named(keepers["c"]) == limit9 }, 10*time.Second, time.Millisecond)
+	})
 	t.Run("its end is told too", func(t *testing.T) {
 		later := time.Now().Add(time.Millisecond)
 		keepers["b"].Observe(vm, quetzalpier.Notice{}, later, later)
