limit: Read what was missed after a pause, and tell unreachable nodes too

The front that learned it told the reachable nodes only, so that the paused one was not even among those to tell again, and it sent the engine a stream 11 s later (it had got no such answer itself). Its entry had been removed by then. A node that finds that it was paused now reads what the others know, and all listed nodes are told.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -159,6 +159,19 @@
 	return reachable
 }
 
+// memberAddrs returns the addresses of the other nodes, reachable or not.
+func (n *Node) memberAddrs() []string {
+	var addrs []string
+	n.Board.Do(func(s *board.State) {
+		for id, m := range s.Members {
+			if id != s.Self.ID {
+				addrs = append(addrs, m.Peer)
+			}
+		}
+	})
+	return addrs
+}
+
 func (n *Node) callPeer(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error) {
 	return n.mesh.Call(ctx, addr, call)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -160,7 +160,7 @@
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.OnStrikes = n.sendStrikes
 	n.limits = limit.New(n.Board, n.Log)
-	n.limits.Call, n.limits.Peers = n.callPeer, n.peerAddrs
+	n.limits.Call, n.limits.Peers = n.callPeer, n.memberAddrs
 	n.origins = origin.New(n.Board, n.Log)
 	n.origins.Call = n.callPeer
 	upstreams := &platform.Upstreams{Links: n.links, Notices: n.limits}
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -33,10 +33,14 @@
 	tellDelay    = 150 * time.Millisecond
 	tellTimeout  = 300 * time.Millisecond
 	maxTellCalls = 16
-	// Nodes that could not be told are told again every retellInterval, for retellPeriod:
-	// longer than most pauses of a process. Later ones learn it from an answer.
-	retellInterval = time.Second
-	retellPeriod   = 15 * time.Second
+	// Nodes that could not be told are told again every retellTicks ticks, for
+	// retellPeriod. Later ones learn it from an answer.
+	retellTicks  = 2
+	retellPeriod = 15 * time.Second
+	// A process that does not tick for minPause was paused. Longer than a busy node is
+	// late.
+	tickInterval = 500 * time.Millisecond
+	minPause     = 1500 * time.Millisecond
 	// maxAge is the highest age that a limit is told with, also that of a limit which was
 	// never named.
 	maxAge = time.Hour
@@ -287,26 +291,38 @@
 }
 
 // Run reads the limits that other nodes know, and tells them those that this node
-// learns, until ctx ends.
+// learns, until ctx ends. After a pause of the process it reads them again, since it may
+// have missed what it was told.
 func (k *Keeper) Run(ctx context.Context) {
 	k.readAll(ctx)
-	for {
-		var retell <-chan time.Time
-		if len(k.missed) > 0 {
-			retell = time.After(retellInterval)
-		}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for last, ticks := time.Now(), 0; ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-retell:
-			k.retell(ctx, time.Now())
 		case <-k.wake:
 			sleep.For(ctx, time.Duration(rand.Float64()*float64(tellDelay)))
 			k.tell(ctx, k.takeUntold(), time.Now())
+		case <-ticker.C:
+			now := time.Now()
+			if WasPaused(last, now) {
+				k.readAll(ctx)
+			}
+			last = time.Now()
+			if ticks++; ticks%retellTicks == 0 {
+				k.retell(ctx, last)
+			}
 		}
 	}
 }
 
+// WasPaused reports whether the process was paused between two ticks, or its VM was
+// suspended, for which the monotonic clock stands still.
+func WasPaused(last, now time.Time) bool {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0))) > minPause
+}
+
 // takeUntold returns the upstreams that are to be told.
 func (k *Keeper) takeUntold() []string {
 	k.mu.Lock()
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -155,3 +155,10 @@
 		require.False(t, limited)
 	})
 }
+
+func TestWasPaused(t *testing.T) {
+	now := time.Now()
+	require.False(t, limit.WasPaused(now, now.Add(700*time.Millisecond)))
+	require.True(t, limit.WasPaused(now, now.Add(3*time.Second)))
+	require.True(t, limit.WasPaused(now, now.Round(0).Add(3*time.Second)), "the monotonic clock stood still")
+}
