probe: Tell a node that answers again of those that don't

A node that answers again is now told of all known ones that don't, listed or not. The case of TestProber fails without it.

--- a/probe/probe.go
+++ b/probe/probe.go
@@ -87,9 +87,7 @@
 		}
 		for _, target := range told {
 			probes.Go(func() {
-				if p.ping(ctx, target.Peer) == nil {
-					p.recordAnswer(target, time.Now())
-				}
+				p.probeTold(ctx, target)
 				p.endProbe(target.ID)
 			})
 		}
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -152,6 +152,7 @@
 		p.endProbe(target.ID)
 	}
 	for _, target := range told {
+		p.probeTold(context.Background(), target)
 		p.endProbe(target.ID)
 	}
 	var unreachable []string
@@ -244,6 +245,19 @@
 		delete(p.network.failures, "b:1")
 		require.Empty(t, p.round(start.Add(time.Second)))
 	})
+	t.Run("a member that answers again is told of those that don't, also if their entries are gone", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = timeout
+		p.network.answers["d:1"] = false
+		require.Equal(t, []string{"b"}, p.round(start))
+		p.network.failures["c:1"] = timeout
+		require.Equal(t, []string{"b", "c"}, p.round(start.Add(time.Second)))
+		require.Equal(t, []string{"d:1"}, p.network.told["c:1"])
+		p.setListed("c", board.Alive, false)
+		delete(p.network.failures, "b:1")
+		require.Equal(t, []string{"c"}, p.round(start.Add(2*time.Second)))
+		require.Equal(t, []string{"d:1", "b:1"}, p.network.told["c:1"])
+	})
 	t.Run("an unreachable member is reported while it is listed", func(t *testing.T) {
 		p := newTestProber()
 		p.network.failures["b:1"] = syscall.ECONNREFUSED
--- a/probe/tell.go
+++ b/probe/tell.go
@@ -65,3 +65,29 @@
 	}
 	calls.Wait()
 }
+
+// tellMissed tells a member of the known ones that are unreachable, whether they are still
+// listed or not: it may keep those whose entries are gone.
+func (p *Prober) tellMissed(ctx context.Context, to board.Member) {
+	var unreachable []board.Member
+	p.mu.Lock()
+	p.Board.Do(func(s *board.State) {
+		for id, m := range p.known {
+			if id != to.ID && !s.Reachable(id) {
+				unreachable = append(unreachable, m.Member)
+			}
+		}
+	})
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	calls := pool.New().WithMaxGoroutines(maxTellCalls)
+	for _, m := range unreachable {
+		calls.Go(func() {
+			if _, err := p.Ask(ctx, to.Peer, m.Peer, true); err != nil {
+				p.Log.Debug().Str("member", m.ID).Str("peer", to.Peer).Err(err).Msg("node could not be told of an unreachable one")
+			}
+		})
+	}
+	calls.Wait()
+}
--- a/probe/verdict.go
+++ b/probe/verdict.go
@@ -22,7 +22,7 @@
 			return
 		}
 		if err == nil {
-			p.recordAnswer(target, time.Now())
+			p.handleAnswer(ctx, target)
 			return
 		}
 		refused = errors.Is(err, syscall.ECONNREFUSED)
@@ -34,12 +34,21 @@
 	}
 	switch {
 	case answers.reached > 0:
-		p.recordReached(target, time.Now())
+		if p.recordReached(target, time.Now()) {
+			p.tellMissed(ctx, target)
+		}
 	case answers.unreached > 0 && p.recordUnreachable(target, time.Now()):
 		p.handleUnreachable(ctx, target)
 	}
 }
 
+// probeTold checks whether a member that is unreachable answers again.
+func (p *Prober) probeTold(ctx context.Context, target board.Member) {
+	if p.ping(ctx, target.Peer) == nil {
+		p.handleAnswer(ctx, target)
+	}
+}
+
 func (p *Prober) ping(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
@@ -112,19 +121,29 @@
 	return ranked[:min(len(ranked), maxHelpers)]
 }
 
-// recordAnswer records that a member answered this node.
-func (p *Prober) recordAnswer(target board.Member, now time.Time) {
+// handleAnswer handles the answer of a member to this node. One that was unreachable is
+// told of the others that are, since it was told of none meanwhile.
+func (p *Prober) handleAnswer(ctx context.Context, target board.Member) {
+	if p.recordAnswer(target, time.Now()) {
+		p.tellMissed(ctx, target)
+	}
+}
+
+// recordAnswer records that a member answered this node, and reports whether it was
+// unreachable before.
+func (p *Prober) recordAnswer(target board.Member, now time.Time) bool {
 	p.mu.Lock()
 	if m, isMember := p.known[target.ID]; isMember && m.Peer == target.Peer {
 		m.answeredAt = now
 		p.known[target.ID] = m
 	}
 	p.mu.Unlock()
-	p.recordReached(target, now)
+	return p.recordReached(target, now)
 }
 
-// recordReached records that this node or another one reaches a member.
-func (p *Prober) recordReached(target board.Member, now time.Time) {
+// recordReached records that this node or another one reaches a member, and reports
+// whether it was unreachable before.
+func (p *Prober) recordReached(target board.Member, now time.Time) bool {
 	p.mu.Lock()
 	m, isMember := p.known[target.ID]
 	current := isMember && m.Peer == target.Peer
@@ -140,10 +159,11 @@
 		recovered = current && !s.Reachable(target.ID)
 	})
 	if !recovered {
-		return
+		return false
 	}
 	p.Board.Update(func(s *board.State) { delete(s.Unreachable, target.ID) })
 	p.Log.Info().Str("member", target.ID).Dur("unreachable_ms", now.Sub(since)).Msg("node answers again")
+	return true
 }
 
 // recordUnreachable records that a member does not answer. It returns false if the
