limit: Keep what other nodes say of processes that are not listed yet

Four fronts that had no contact with the key-value service still listed its earlier process, dropped what they were told, and counted as told. Once they listed the new process, one sent it a stream 4 s later.

Such notices are kept for 30 s, of at most 4,096 upstreams, and applied when the process is listed. TestNoticeBeforeListing was red before (never applied in 5 s), and passes now.

--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -46,6 +46,10 @@
 	maxAge = time.Hour
 	// minTellChange is the share by which a limit must change to be told again.
 	minTellChange = 0.1
+	// earlyPeriod is how long what another node says of a process that this node does not
+	// list yet is kept, of at most maxEarly upstreams.
+	earlyPeriod = 30 * time.Second
+	maxEarly    = 4096
 	// startTries is how often a node that starts asks the others for the limits that
 	// they know, and startPause the pause before each try.
 	startTries = 3
@@ -67,7 +71,16 @@
 	// missed holds the upstreams of which the node at an address was not told, with the
 	// times since when. Only Run uses it.
 	missed map[string]map[string]time.Time
-	wake   chan struct{}
+	// early holds what other nodes said of processes that this node does not list yet, by
+	// upstream.
+	early map[string]earlyLimit
+	wake  chan struct{}
+}
+
+// earlyLimit is a limit, or the notice that an upstream is leaving, received at a time.
+type earlyLimit struct {
+	limit      *wire.Limit
+	receivedAt time.Time
 }
 
 var _ quetzalpier.Notices = (*Keeper)(nil)
@@ -79,7 +92,7 @@
 		Call: func(context.Context, string, *wire.Call) (*wire.Reply, error) {
 			return nil, errors.New("no other nodes are known")
 		},
-		untold: map[string]bool{}, missed: map[string]map[string]time.Time{}, wake: make(chan struct{}, 1),
+		untold: map[string]bool{}, missed: map[string]map[string]time.Time{}, early: map[string]earlyLimit{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -203,9 +216,13 @@
 			k.Log.Warn().Str("upstream", item.GetUpstream()).Err(err).Msg("limit from another node is invalid")
 			continue
 		}
+		early := false
 		k.Board.Update(func(s *board.State) {
 			u := s.Upstreams[item.GetUpstream()]
-			if u == nil || u.VM.Incarnation != item.GetBorn() {
+			if early = u == nil || u.VM.Incarnation < item.GetBorn(); early {
+				return
+			}
+			if u.VM.Incarnation != item.GetBorn() {
 				return
 			}
 			if item.GetLeaving() && SetLeaving(s, u, true) {
@@ -215,6 +232,49 @@
 				k.logChange(u.VM, before, named, "node")
 			}
 		})
+		if early {
+			k.keepEarly(item, now)
+		}
+	}
+}
+
+// keepEarly keeps what another node says of a process until this node lists it: the list
+// may be late, and the other node takes it for told.
+//
+// Load pattern: upstreams start again and say that they are leaving while the key-value
+// service is out for some of the nodes.
+func (k *Keeper) keepEarly(item *wire.Limit, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before, known := k.early[item.GetUpstream()]
+	if known && before.limit.GetBorn() > item.GetBorn() || !known && len(k.early) >= maxEarly {
+		return
+	}
+	k.early[item.GetUpstream()] = earlyLimit{item, now}
+}
+
+// mergeEarly records what was kept of the processes that are listed now.
+func (k *Keeper) mergeEarly(now time.Time) {
+	k.mu.Lock()
+	kept := k.early
+	k.early = map[string]earlyLimit{}
+	k.mu.Unlock()
+	for id, early := range kept {
+		age := now.Sub(early.receivedAt)
+		if age > earlyPeriod {
+			continue
+		}
+		listed := false
+		k.Board.Do(func(s *board.State) {
+			u := s.Upstreams[id]
+			listed = u != nil && u.VM.Incarnation >= early.limit.GetBorn()
+		})
+		if !listed {
+			k.keepEarly(early.limit, early.receivedAt)
+			continue
+		}
+		early.limit.Age += uint64(max(0, age).Milliseconds())
+		k.merge([]*wire.Limit{early.limit}, now)
 	}
 }
 
@@ -310,6 +370,7 @@
 				k.readAll(ctx)
 			}
 			last = time.Now()
+			k.mergeEarly(last)
 			if ticks++; ticks%retellTicks == 0 {
 				k.retell(ctx, last)
 			}
--- a/limit/keeper_test.go
+++ b/limit/keeper_test.go
@@ -188,3 +188,32 @@
 		require.False(t, leaves(keepers["a"], "u"), "the answer of the process before")
 	})
 }
+
+func TestNoticeBeforeListing(t *testing.T) {
+	var cut atomic.Value
+	// Node b only hears what it is told.
+	cut.Store("a")
+	keepers := newKeepers(t, &cut, "a", "b")
+	ctx, cancel := context.WithCancel(t.Context())
+	var running conc.WaitGroup
+	running.Go(func() { keepers["b"].Run(ctx) })
+	defer func() { cancel(); running.Wait() }()
+	restarted, staying := vm, vm
+	restarted.Incarnation++
+	staying.ID = "staying"
+	list := func(id string) {
+		keepers[id].Board.Update(func(s *board.State) { s.SetListed([]quetzalpier.VM{restarted, staying}, time.Now()) })
+	}
+	leaving := func(id string) (leaving bool) {
+		keepers[id].Board.Do(func(s *board.State) { leaving = s.Upstreams[vm.ID].SaidLeaving })
+		return leaving
+	}
+	list("a")
+	keepers["b"].Board.Update(func(s *board.State) { s.SetListed([]quetzalpier.VM{vm, staying}, time.Now()) })
+	keepers["a"].Observe(restarted, quetzalpier.Notice{Leaving: true, Limit: limit5}, time.Now(), time.Now())
+	reply := keepers["a"].Serve(&wire.Limits{Full: true}, time.Now())
+	keepers["b"].Serve(&wire.Limits{Limits: reply.GetLimits()}, time.Now())
+	require.False(t, leaving("b"), "the process that is listed did not say it")
+	list("b")
+	require.Eventually(t, func() bool { return leaving("b") && named(keepers["b"]) == limit5 }, 5*time.Second, 10*time.Millisecond)
+}
