--- a/board/board.go
+++ b/board/board.go
@@ -161,6 +161,9 @@
 	// Unreachable holds the members that don't answer this node nor others, with the
 	// times since when.
 	Unreachable map[string]time.Time
+	// Silent holds the members that don't answer this node at a time when no other member
+	// does, so that none can confirm it, but the key-value service does.
+	Silent map[string]time.Time
 	// MissingDisks holds the nodes with a disk whose entries are missing, with the times
 	// since when. Their disks may hold jobs.
 	MissingDisks map[string]time.Time
@@ -196,6 +199,13 @@
 	return !unreachable
 }
 
+// Responsive reports whether clients may be sent to a member: a silent one is left out
+// too, since this node serves them itself.
+func (s *State) Responsive(id string) bool {
+	_, silent := s.Silent[id]
+	return !silent && s.Reachable(id)
+}
+
 // Answers reports whether requests may be sent to a member: it is usable and not known
 // to be unreachable.
 func (s *State) Answers(m Member) bool { return m.Usable() && s.Reachable(m.ID) }
@@ -228,6 +238,7 @@
 			Self:           self,
 			Members:        map[string]Member{},
 			Unreachable:    map[string]time.Time{},
+			Silent:         map[string]time.Time{},
 			MissingDisks:   map[string]time.Time{},
 			Upstreams:      map[string]*Upstream{},
 			PastSoftware:   map[string]map[string]time.Time{},
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -63,7 +63,7 @@
 			case !m.Usable():
 				reasons[id] = "draining"
 				delete(e.seenNodes, id)
-				if s.Reachable(id) {
+				if s.Responsive(id) {
 					draining[id] = m.HTTP
 				}
 			default:
@@ -76,7 +76,7 @@
 			case !listed && (kvStable || now.Sub(node.seenAt) > lapsedNodeTTL):
 				reasons[id] = "entry missing"
 				delete(e.seenNodes, id)
-			case !s.Reachable(id):
+			case !s.Responsive(id):
 				reasons[id] = "unreachable"
 			default:
 				named[id] = node.addr
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -192,7 +192,7 @@
 		return err
 	}
 	n.mesh = mesh
-	n.prober = &probe.Prober{Board: n.Board, Ping: mesh.Ping, Ask: mesh.Ask, OnUnreachable: n.evict, Log: n.Log}
+	n.prober = &probe.Prober{Board: n.Board, Ping: mesh.Ping, Ask: mesh.Ask, OnUnreachable: n.evict, InContact: n.inContact, Log: n.Log}
 	return n.serve()
 }
 
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -15,7 +15,6 @@
 	"github.com/sourcegraph/conc"
 
 	"quetzalpier/board"
-	"quetzalpier/sleep"
 )
 
 const (
@@ -40,6 +39,9 @@
 	stagger      = 100 * time.Millisecond
 	tellInterval = 3 * time.Second
 	maxTellCalls = 16
+	// contactValid is how long an answer of the key-value service shows that this node is
+	// not cut off.
+	contactValid = time.Second
 	// forgetAfter is how long a member is probed after it was last listed: the
 	// key-value service may have lost the entry of a live node.
 	forgetAfter = 30 * time.Second
@@ -56,11 +58,23 @@
 	// OnUnreachable is called for a listed member that does not answer, after each
 	// failed probe of this node.
 	OnUnreachable func(ctx context.Context, m board.Member)
-	Log           zerolog.Logger
+	// InContact asks the key-value service whether it answers this node; nil means that
+	// it does not.
+	InContact func(ctx context.Context) bool
+	Log       zerolog.Logger
 
 	mu      sync.Mutex
 	known   map[string]member
 	probing map[string]bool
+	// suspected holds the members being probed that missed a ping, and wake starts the
+	// next round at once.
+	suspected map[string]bool
+	wake      chan struct{}
+
+	// contact is the last answer of InContact, asked for at contactAt.
+	contactMu sync.Mutex
+	contact   bool
+	contactAt time.Time
 }
 
 // member is what a Prober knows of another node.
@@ -77,7 +91,11 @@
 func (p *Prober) Run(ctx context.Context) {
 	var probes conc.WaitGroup
 	defer probes.Wait()
-	for sleep.For(ctx, interval/2+time.Duration(rand.Int64N(int64(interval)))) {
+	wake := make(chan struct{}, 1)
+	p.mu.Lock()
+	p.wake = wake
+	p.mu.Unlock()
+	for awaitRound(ctx, wake, interval/2+time.Duration(rand.Int64N(int64(interval)))) {
 		targets, told := p.startRound(time.Now())
 		for _, target := range targets {
 			probes.Go(func() {
@@ -94,6 +112,36 @@
 	}
 }
 
+// awaitRound waits for the next round of probes. It returns false once ctx has ended.
+func awaitRound(ctx context.Context, wake <-chan struct{}, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// suspect records that a member being probed missed a ping. Those beyond it on the ring
+// are probed at once, not after the verdict on it.
+//
+// Load pattern: two fifths of all nodes stop within the same second, so that some have
+// only probers that stopped as well.
+func (p *Prober) suspect(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.suspected == nil {
+		p.suspected = map[string]bool{}
+	}
+	p.suspected[id] = true
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Refresh updates the known members from the board. It must be called after each change
 // of the list, since a member may be listed for a moment only.
 func (p *Prober) Refresh(now time.Time) {
@@ -106,6 +154,7 @@
 		p.Board.Update(func(s *board.State) {
 			for _, id := range forgotten {
 				delete(s.Unreachable, id)
+				delete(s.Silent, id)
 			}
 		})
 	}
@@ -143,7 +192,8 @@
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	targets = p.startProbes(Targets(self, p.ids(self), func(id string) bool { return !unreachable[id] }, count))
+	trusted := func(id string) bool { return !unreachable[id] && !p.suspected[id] }
+	targets = p.startProbes(Targets(self, p.ids(self), trusted, count))
 	told = p.startProbes(slices.Collect(maps.Keys(unreachable)))
 	return targets, told
 }
@@ -197,6 +247,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.probing, id)
+	delete(p.suspected, id)
 }
 
 // reachableOthers returns the reachable members but one and this node, in random
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -166,6 +166,12 @@
 	return unreachable
 }
 
+// requireResponsive checks whether clients may be sent to a member.
+func (p *testProber) requireResponsive(t *testing.T, id string, want bool) {
+	t.Helper()
+	p.Board.Do(func(s *board.State) { require.Equal(t, want, s.Responsive(id)) })
+}
+
 func (p *testProber) setListed(id string, state board.MemberState, listed bool) {
 	p.Board.Do(func(s *board.State) {
 		delete(s.Members, id)
@@ -232,6 +238,47 @@
 		}
 		require.Empty(t, p.round(start))
 	})
+	t.Run("a node that only the key-value service answers keeps clients from the silent members", func(t *testing.T) {
+		p := newTestProber()
+		for _, id := range []string{"b", "c", "d"} {
+			p.network.failures[id+":1"] = timeout
+		}
+		p.InContact = func(context.Context) bool { return true }
+		require.Empty(t, p.round(start), "no other node is told, and no entry removed")
+		require.Empty(t, p.reported)
+		require.Empty(t, p.network.told)
+		p.requireResponsive(t, "b", false)
+		p.network.answers["c:1"] = true
+		p.round(start.Add(time.Second))
+		p.requireResponsive(t, "b", true)
+		delete(p.network.failures, "d:1")
+		p.round(start.Add(2 * time.Second))
+		p.requireResponsive(t, "d", true)
+	})
+	t.Run("a node that the key-value service does not answer either concludes nothing", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = timeout
+		p.InContact = func(context.Context) bool { return false }
+		require.Empty(t, p.round(start))
+		p.requireResponsive(t, "b", true)
+	})
+	t.Run("the members beyond one that missed a ping are probed before the verdict on it", func(t *testing.T) {
+		p := newTestProber()
+		for i := range 2 * targetCount {
+			p.setListed(fmt.Sprint("x", i), board.Alive, true)
+		}
+		targets, _ := p.startRound(start)
+		require.Len(t, targets, targetCount)
+		p.suspect(targets[0].ID)
+		p.suspect(targets[1].ID)
+		further, _ := p.startRound(start)
+		require.Len(t, further, 2)
+		for _, target := range append(targets, further...) {
+			p.endProbe(target.ID)
+		}
+		again, _ := p.startRound(start)
+		require.Equal(t, targets, again)
+	})
 	t.Run("a refused connection needs no confirmation", func(t *testing.T) {
 		p := newTestProber()
 		p.network.failures["b:1"] = errors.Wrap(syscall.ECONNREFUSED, "dial peer")
@@ -267,6 +314,18 @@
 		require.Equal(t, []string{"b"}, p.round(start.Add(2*time.Second)))
 		require.Equal(t, []string{"b", "b"}, p.reported)
 	})
+	t.Run("the others are told of a lost member whose entry is gone, which they may still name", func(t *testing.T) {
+		p := newTestProber()
+		p.round(start)
+		p.setListed("b", board.Alive, false)
+		p.network.failures["b:1"] = timeout
+		p.network.answers["c:1"] = false
+		for i := range 3 {
+			require.Equal(t, []string{"b"}, p.round(start.Add(time.Duration(i+1)*tellInterval)))
+		}
+		require.ElementsMatch(t, []string{"c:1", "d:1"}, p.network.told["b:1"], "once")
+		require.Empty(t, p.reported, "there is no entry to remove")
+	})
 	t.Run("a node that is not listed probes all members", func(t *testing.T) {
 		p := newTestProber()
 		for i := range 2 * targetCount {
--- a/probe/ring.go
+++ b/probe/ring.go
@@ -1,7 +1,8 @@
 package probe
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"quetzalpier/hash"
 )
@@ -51,15 +52,18 @@
 // ringFrom returns the ring and the position of a member on it, or -1 if it is not
 // among the IDs.
 func ringFrom(member string, ids []string) (ring []string, at int) {
-	ring = append(ring, ids...)
-	sort.Slice(ring, func(i, j int) bool {
-		a, b := hash.Text(ring[i]), hash.Text(ring[j])
-		return a < b || (a == b && ring[i] < ring[j])
-	})
-	for i, id := range ring {
-		if id == member {
-			return ring, i
-		}
+	type point struct {
+		id   string
+		hash uint64
+	}
+	points := make([]point, len(ids))
+	for i, id := range ids {
+		points[i] = point{id, hash.Text(id)}
+	}
+	slices.SortFunc(points, func(a, b point) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id)) })
+	ring = make([]string, len(points))
+	for i, p := range points {
+		ring[i] = p.id
 	}
-	return ring, -1
+	return ring, slices.Index(ring, member)
 }
--- a/probe/tell.go
+++ b/probe/tell.go
@@ -12,8 +12,10 @@
 )
 
 // handleUnreachable tells other nodes of an unreachable member, unless another node has
-// done so, and calls OnUnreachable. Each of the member's probers leaves time to those before it.
-func (p *Prober) handleUnreachable(ctx context.Context, target board.Member) {
+// done so, and calls OnUnreachable while it is listed. One that is not listed is told of
+// when it is lost: nodes cut off from the key-value service may still name it. Each of the
+// member's probers leaves time to those before it.
+func (p *Prober) handleUnreachable(ctx context.Context, target board.Member, lost bool) {
 	p.mu.Lock()
 	ids := p.ids("")
 	p.mu.Unlock()
@@ -22,18 +24,21 @@
 	if !sleep.For(ctx, time.Duration(min(rank, targetCount))*stagger) {
 		return
 	}
+	unreachable := false
 	p.Board.Do(func(s *board.State) {
 		_, listed = s.Members[target.ID]
-		listed = listed && !s.Reachable(target.ID)
+		unreachable = !s.Reachable(target.ID)
 	})
-	if !listed {
+	if !unreachable || !listed && !lost {
 		return
 	}
 	var calls conc.WaitGroup
 	if now := time.Now(); p.recordTold(target.ID, now) {
 		calls.Go(func() { p.tell(ctx, target) })
 	}
-	p.OnUnreachable(ctx, target)
+	if listed {
+		p.OnUnreachable(ctx, target)
+	}
 	calls.Wait()
 }
 
--- a/probe/verdict.go
+++ b/probe/verdict.go
@@ -26,6 +26,7 @@
 			return
 		}
 		refused = errors.Is(err, syscall.ECONNREFUSED)
+		p.suspect(target.ID)
 	}
 	// A VM that refuses connections runs, and the process on it does not.
 	answers := votes{unreached: 1}
@@ -37,9 +38,27 @@
 		if p.recordReached(target, time.Now()) {
 			p.tellMissed(ctx, target)
 		}
-	case answers.unreached > 0 && p.recordUnreachable(target, time.Now()):
-		p.handleUnreachable(ctx, target)
+	case answers.unreached > 0:
+		if known, lost := p.recordUnreachable(target, time.Now()); known {
+			p.handleUnreachable(ctx, target, lost)
+		}
+	case p.inContact(ctx, time.Now()):
+		p.recordSilent(target, time.Now())
+	}
+}
+
+// inContact reports whether the key-value service answers this node. It is asked at most
+// once in contactValid.
+func (p *Prober) inContact(ctx context.Context, now time.Time) bool {
+	if p.InContact == nil {
+		return false
+	}
+	p.contactMu.Lock()
+	defer p.contactMu.Unlock()
+	if now.Sub(p.contactAt) >= contactValid {
+		p.contact, p.contactAt = p.InContact(ctx), now
 	}
+	return p.contact
 }
 
 // probeTold checks whether a member that is unreachable answers again.
@@ -158,6 +177,7 @@
 		since = s.Unreachable[target.ID]
 		recovered = current && !s.Reachable(target.ID)
 	})
+	p.clearSilent(target.ID, current)
 	if !recovered {
 		return false
 	}
@@ -166,20 +186,46 @@
 	return true
 }
 
-// recordUnreachable records that a member does not answer. It returns false if the
-// member is no longer known at that address.
-func (p *Prober) recordUnreachable(target board.Member, now time.Time) bool {
+// recordUnreachable records that a member does not answer. known is unset if the member
+// is no longer known at that address; lost is set if it was reachable before.
+func (p *Prober) recordUnreachable(target board.Member, now time.Time) (known, lost bool) {
 	p.mu.Lock()
 	m, isMember := p.known[target.ID]
 	p.mu.Unlock()
 	if !isMember || m.Peer != target.Peer {
-		return false
+		return false, false
 	}
-	found := false
-	p.Board.Do(func(s *board.State) { found = s.Reachable(target.ID) })
-	if found {
+	p.Board.Do(func(s *board.State) { lost = s.Reachable(target.ID) })
+	if lost {
 		p.Board.Update(func(s *board.State) { s.Unreachable[target.ID] = now })
 		p.Log.Warn().Str("member", target.ID).Time("answered", m.answeredAt).Time("told", m.toldAt).Msg("node does not answer")
 	}
-	return true
+	return true, lost
+}
+
+// recordSilent records that a member does not answer this node while no other member does.
+// Nobody is told, and its entry stays: only this node's clients are not sent to it.
+func (p *Prober) recordSilent(target board.Member, now time.Time) {
+	p.mu.Lock()
+	m, isMember := p.known[target.ID]
+	p.mu.Unlock()
+	if !isMember || m.Peer != target.Peer {
+		return
+	}
+	found := false
+	p.Board.Do(func(s *board.State) { found = s.Responsive(target.ID) })
+	if found {
+		p.Board.Update(func(s *board.State) { s.Silent[target.ID] = now })
+		p.Log.Warn().Str("member", target.ID).Time("answered", m.answeredAt).Msg("node does not answer, nor does any that could confirm it")
+	}
+}
+
+// clearSilent takes back recordSilent for a member that answers.
+func (p *Prober) clearSilent(id string, current bool) {
+	var silent bool
+	p.Board.Do(func(s *board.State) { _, silent = s.Silent[id] })
+	if current && silent {
+		p.Board.Update(func(s *board.State) { delete(s.Silent, id) })
+		p.Log.Info().Str("member", id).Msg("silent node answers again")
+	}
 }
