runner: Leave a pool to the node that stood in for its owner

A candidate asks the last owner and the first two candidates whether they process the pool, and leaves it to one that does for a second. In a calm service no takeover is later: the answers come within the delay of each rank, and the first candidate waits for them only after an outage, for at most 150 ms. A node that runs a pool without owning it looks for the service as often as an owner does.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -49,6 +49,9 @@
 	if message := call.GetOrigin(); message != nil {
 		return &wire.Reply{Kind: &wire.Reply_Began{Began: n.origins.Serve(message, time.Now())}}
 	}
+	if standby := call.GetStandby(); standby != nil {
+		return &wire.Reply{Kind: &wire.Reply_Standby{Standby: &wire.Standby{Pool: standby.GetPool(), Active: n.runner.IsStandby(standby.GetPool())}}}
+	}
 	if question := call.GetProbe(); question != nil {
 		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.prober.Check(ctx, question.GetPeer(), question.GetUnreachable())}}}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -154,7 +154,7 @@
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, TTL: ownerLeaseTTL, RenewInterval: ownerRenewInterval, Margin: leaseMargin,
 		IdleTTL: idleLeaseTTL, IdleRenewInterval: idleRenewInterval,
 	}
-	n.kv.WritesAwaited = n.ownsPool
+	n.kv.WritesAwaited = func() bool { return n.ownsPool() || n.runner.Active() }
 	n.links = link.New()
 	n.links.OnDial = n.countDial
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
@@ -173,7 +173,7 @@
 	engines.Notices = n.limits
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: jobVault, Lease: n.lease, Upstreams: upstreams, Sender: n.sender,
-		KVFailed: n.kv.DirectFailed, Engines: engines, Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
+		KVFailed: n.kv.DirectFailed, KVStableFor: n.kv.StableFor, Engines: engines, Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
 	}
 	n.entry = entry.New(entry.Options{
 		Board: n.Board, Sender: n.sender, Upstreams: upstreams, Origins: n.origins, Vault: jobVault, Meter: n.Meter, Log: n.Log,
--- a/runner/guard.go
+++ b/runner/guard.go
@@ -40,7 +40,13 @@
 		if err == nil || ctx.Err() != nil || !refusesConnections(peer) {
 			continue
 		}
-		sleep.For(ctx, takeOverDelay(rank))
+		if r.runner(pool) == nil {
+			delay := takeOverDelay(rank)
+			if r.hasStandby(ctx, pool) {
+				delay += standbyLead
+			}
+			sleep.For(ctx, delay)
+		}
 		if current, _, _, ok := r.ownerToWatch(pool); ok && current == owner && refusesConnections(peer) {
 			r.replaceOwner(ctx, pool, owner, time.Now())
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -69,13 +69,18 @@
 	// KVFailed reports whether the key-value service is unavailable to this node.
 	KVFailed func() bool
 
-	mu             sync.Mutex
-	ctx            context.Context
-	runners        map[string]*poolRunner
-	ownerlessSince map[string]time.Time
-	goroutines     conc.WaitGroup
-	firstPool      chan struct{}
-	firstPoolOnce  sync.Once
+	// KVStableFor reports whether the key-value service has answered this node for longer
+	// than during; nil means that it always has.
+	KVStableFor func(during time.Duration, now time.Time) bool
+
+	mu            sync.Mutex
+	ctx           context.Context
+	runners       map[string]*poolRunner
+	vacancies     map[string]*vacancy
+	lastOwners    map[string]string
+	goroutines    conc.WaitGroup
+	firstPool     chan struct{}
+	firstPoolOnce sync.Once
 }
 
 // PoolOwned returns a channel that is closed once this node owns a pool or
@@ -96,7 +101,7 @@
 	r.ctx = ctx
 	r.runners = map[string]*poolRunner{}
 	r.mu.Unlock()
-	r.ownerlessSince = map[string]time.Time{}
+	r.vacancies, r.lastOwners = map[string]*vacancy{}, map[string]string{}
 	watched := map[string]bool{}
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -149,8 +154,11 @@
 		rank, candidate = candidateRank(s, pool)
 	})
 	p := r.runner(pool)
+	if owner.Node != "" {
+		delete(r.vacancies, pool)
+		r.setLastOwner(pool, owner.Node)
+	}
 	if owner.Node != "" && owner.Node != self {
-		delete(r.ownerlessSince, pool)
 		if p != nil && !p.continuesStandIn(owner, r.KVFailed(), now) {
 			r.stopRunner(pool, p, owner)
 		}
@@ -158,7 +166,7 @@
 	}
 	fence, held := r.Lease.Fence(pool, now)
 	if held && (owner.Node == "" || owner.Fence <= fence) {
-		delete(r.ownerlessSince, pool)
+		delete(r.vacancies, pool)
 		if p == nil {
 			r.startRunner(newPoolRunner(ctx, r, pool, fence))
 		} else {
@@ -169,14 +177,9 @@
 	if !candidate {
 		return
 	}
-	since, known := r.ownerlessSince[pool]
-	if !known {
-		r.ownerlessSince[pool] = now
-		since = now
-	}
 	// If this node is named as the owner, the key is from an earlier process. A
 	// node that already processes the pool has the most recent state.
-	if owner.Node == self || p != nil || now.Sub(since) >= takeOverDelay(rank) {
+	if owner.Node == self || p != nil || r.vacancy(ctx, pool, now).mayTake(rank, r.kvStable(now), now) {
 		r.takePool(ctx, pool, now)
 	}
 }
@@ -210,8 +213,6 @@
 	return len(ranked), s.Self.HasRole(ClassStore)
 }
 
-func takeOverDelay(rank int) time.Duration { return time.Duration(rank) * candidateDelay }
-
 func (r *Runner) takePool(ctx context.Context, pool string, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
--- a/runner/standin_test.go
+++ b/runner/standin_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"quetzalpier"
@@ -121,6 +123,27 @@
 		require.Equal(t, eventText("j-0", 5), result.Text)
 		require.Equal(t, "s.rj-0", result.Score)
 	})
+	t.Run("a candidate leaves the pool to the node that stood in for its owner", func(t *testing.T) {
+		standby := atomic.Bool{}
+		standby.Store(true)
+		r := outage(t, func(r *fixture) {
+			r.board.Update(func(s *board.State) {
+				s.Members["p"] = board.Member{ID: "p", Peer: "p:1", Roles: []string{runner.ClassStore}}
+			})
+			r.runner.KVStableFor = func(time.Duration, time.Time) bool { return false }
+			r.runner.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+				if peer != "p:1" || call.GetStandby() == nil {
+					return nil, errors.New("no answer")
+				}
+				return &wire.Reply{Kind: &wire.Reply_Standby{Standby: &wire.Standby{Pool: call.GetStandby().GetPool(), Active: standby.Load()}}}, nil
+			}
+		})
+		owns := func() bool { _, held := r.lease.Fence("lm", time.Now()); return held }
+		r.kvFailed.Store(false)
+		r.board.Update(func(s *board.State) { delete(s.Owners, "lm") })
+		require.Never(t, owns, 700*time.Millisecond, 5*time.Millisecond)
+		require.Eventually(t, owns, waitTimeout, 5*time.Millisecond, "the stand-in did not take it over")
+	})
 	t.Run("results stored by another owner before the takeover are kept", func(t *testing.T) {
 		r := outage(t)
 		job := newJob("j", 1, 5, 5, 5)
