mirror, fleet: Read the configuration and the first lists through leaders

The leaders of a failure domain, two of its fronts, read them for the others (docs/design/calls.md). Answers carry their age; a leader that the service has not answered for 2.5 s passes on no configuration. A refusal no longer sends all followers to the service: the second leader is asked, and nobody calls a service that has failed it while the leaders refuse. Starting nodes write their entry first, so that those that start together find each other.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -62,9 +62,9 @@
 	return &wire.Reply{Fault: "unknown call"}
 }
 
-// serveFeed answers a request for the mirrored nodes or upstreams.
+// serveFeed answers a request for the mirrored nodes, upstreams or configuration.
 func (n *Node) serveFeed(ctx context.Context, feed *wire.Feed) *wire.Stored {
-	for _, m := range []*mirror.Mirror{n.nodes, n.workers} {
+	for _, m := range []*mirror.Mirror{n.nodes, n.workers, n.config} {
 		if m.Prefix == feed.GetPrefix() {
 			return m.Serve(ctx, feed)
 		}
@@ -179,32 +179,71 @@
 	return n.mesh.Call(ctx, addr, call)
 }
 
-// feedLeader returns the address of the node that watches the key-value service
-// for this failure domain, or an empty string if it is this node.
-func (n *Node) feedLeader() string {
-	addr := ""
+// feedLeaders returns the addresses of the nodes that read from the key-value service for
+// this failure domain, the first one first; none if this node is the first.
+func (n *Node) feedLeaders() []string {
+	var addrs []string
 	n.Board.Do(func(s *board.State) {
-		var ids []string
-		for id, m := range s.Members {
-			if m.Domain == s.Self.Domain && m.HTTP != "" && s.Answers(m) {
-				ids = append(ids, id)
+		for _, id := range domainLeaders(s) {
+			if id == s.Self.ID {
+				break
 			}
-		}
-		if owner := hash.Owner("watch/"+s.Self.Domain, ids); owner != s.Self.ID {
-			addr = s.Members[owner].Peer
+			addrs = append(addrs, s.Members[id].Peer)
 		}
 	})
-	return addr
+	return addrs
+}
+
+// domainLeaders returns the IDs of the leaders of this node's failure domain, on which all
+// of its nodes agree once they have the same list.
+func domainLeaders(s *board.State) []string {
+	var ids []string
+	for id, m := range s.Members {
+		if m.Domain == s.Self.Domain && m.HTTP != "" && s.Answers(m) {
+			ids = append(ids, id)
+		}
+	}
+	return hash.Owners("watch/"+s.Self.Domain, ids, maxLeaders)
 }
 
-// workersLeader returns the address of the node to read the upstreams from. It
-// is empty if this node owns a pool, since it must not wait for another node
-// then.
-func (n *Node) workersLeader() string {
+// upstreamLeaders returns the addresses of the nodes to read the upstreams from. There is
+// none if this node owns a pool, since it must not wait for another node then.
+func (n *Node) upstreamLeaders() []string {
 	if n.ownsPool() {
-		return ""
+		return nil
 	}
-	return n.feedLeader()
+	return n.feedLeaders()
+}
+
+// configLeaders returns the addresses of the nodes to read the configuration from. There
+// is none in a small failure domain, where the short watches of its leader would be more
+// calls than the long ones of all nodes.
+func (n *Node) configLeaders() []string {
+	if n.ownsPool() || n.domainNodes() < minConfigNodes {
+		return nil
+	}
+	return n.feedLeaders()
+}
+
+// maxConfigWatch limits the watches of the configuration by this node: short ones if
+// others read it from here, since a watch that hangs would delay all of them.
+func (n *Node) maxConfigWatch() time.Duration {
+	if n.domainNodes() < minConfigNodes || n.ownsPool() {
+		return maxWatchTimeout
+	}
+	return leaderConfigWatch
+}
+
+// domainNodes returns the number of nodes of this failure domain.
+func (n *Node) domainNodes() (count int) {
+	n.Board.Do(func(s *board.State) {
+		for _, m := range s.Members {
+			if m.Domain == s.Self.Domain {
+				count++
+			}
+		}
+	})
+	return count
 }
 
 // ownsPool reports whether the node owns a pool, so that other nodes wait for
--- a/fleet/calls_test.go
+++ b/fleet/calls_test.go
@@ -44,14 +44,9 @@
 	t.Run("an unreachable node leads no failure domain", func(t *testing.T) {
 		leader := hash.Owner("watch/d", []string{"a", "b", "c"})
 		next := hash.Owner("watch/d", remaining([]string{"a", "b", "c"}, leader))
-		addr := func(id string) string {
-			if id == "a" {
-				return ""
-			}
-			return id + ":1"
-		}
-		require.Equal(t, addr(leader), newNode().feedLeader())
-		require.Equal(t, addr(next), newNode(leader).feedLeader())
+		first := func(addrs []string) string { return append(addrs, "a:1")[0] }
+		require.Equal(t, leader+":1", first(newNode().feedLeaders()))
+		require.Equal(t, next+":1", first(newNode(leader).feedLeaders()))
 	})
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,6 +62,20 @@
 	// minNodesInterval is the minimum time between two watches of the nodes, which
 	// join and leave in bursts.
 	minNodesInterval = 250 * time.Millisecond
+	// maxLeaders is how many nodes of a failure domain read from the key-value service for
+	// the others: the first one, and the next while the first has nothing to pass on.
+	maxLeaders = 2
+	// minConfigNodes is how many nodes a failure domain has at least for them to read the
+	// configuration through its leader.
+	minConfigNodes = 16
+	// leaderConfigWatch is how long a watch of the configuration waits at a leader. Others
+	// are refused once the service has not answered it for maxConfigAge. With the time for
+	// a hanging watch, a change is in force everywhere within four seconds.
+	leaderConfigWatch = 1500 * time.Millisecond
+	maxConfigAge      = 2500 * time.Millisecond
+	// maxStartWait is how long a starting node waits for its own entry and then for the
+	// list of nodes, which names its leaders.
+	maxStartWait = 300 * time.Millisecond
 	// logBufferLines is the maximum number of log lines that wait to be written;
 	// further ones are dropped and counted.
 	logBufferLines = 4096
@@ -112,6 +127,13 @@
 	origins   *origin.Store
 	views     *viewSharer
 
+	// registered is closed once the node's entry was written, and nodesListed once it has
+	// read the list of nodes.
+	registered     chan struct{}
+	nodesListed    chan struct{}
+	registeredOnce sync.Once
+	listedOnce     sync.Once
+
 	startedAt  time.Time
 	background conc.WaitGroup
 	logs       io.Closer
@@ -123,7 +145,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "parse the log level setting")
 	}
-	n := &Node{Settings: settings, Meter: meter.New(), startedAt: time.Now()}
+	n := &Node{Settings: settings, Meter: meter.New(), startedAt: time.Now(), registered: make(chan struct{}), nodesListed: make(chan struct{})}
 	n.openLog(out, level)
 	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMiB<<20)))
 	n.Board = board.New(board.Member{
@@ -205,9 +227,13 @@
 		n.upstreams.apply(changed, full, n.workers.State(), now)
 	})
 	n.workers.MinInterval, n.workers.Equivalent = minWorkersInterval, sameVM
-	n.workers.KV = &mirror.Feed{Direct: n.kv, Leader: n.workersLeader, Call: n.callPeer}
+	n.workers.KV = &mirror.Feed{Direct: n.kv, Leaders: n.upstreamLeaders, Call: n.callPeer, DirectFailed: n.kv.DirectFailed}
 	n.nodes.MinInterval = minNodesInterval
-	n.nodes.KV = &mirror.Feed{Direct: n.kv, Leader: n.feedLeader, Call: n.callPeer}
+	n.nodes.KV = &mirror.Feed{Direct: n.kv, Leaders: n.feedLeaders, Call: n.callPeer, DirectFailed: n.kv.DirectFailed}
+	n.config.MaxAge = maxConfigAge
+	n.config.KV = &mirror.Feed{
+		Direct: n.kv, Leaders: n.configLeaders, Call: n.callPeer, DirectFailed: n.kv.DirectFailed, MaxDirectWatch: n.maxConfigWatch,
+	}
 	if n.Settings.Front == "" {
 		// A takeover must not wait for another node's feed.
 		n.nodes.Apply = n.applyMembers
@@ -268,7 +294,7 @@
 	ownCtx, releasePools := context.WithCancel(work)
 	defer releasePools()
 	for _, run := range []func(context.Context){
-		n.nodes.Run, n.watchOwners, n.config.Run, n.workers.Run, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.limits.Run, n.origins.Run, n.reportUsage, n.views.run,
+		n.watchNodes, n.watchOwners, n.watchConfig, n.watchUpstreams, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.limits.Run, n.origins.Run, n.reportUsage, n.views.run,
 	} {
 		n.background.Go(func() { run(work) })
 	}
@@ -287,6 +313,36 @@
 	_ = n.logs.Close()
 }
 
+// watchNodes mirrors the nodes, once this node is listed itself or soon after its start:
+// of nodes that start together, each then finds most of the others.
+func (n *Node) watchNodes(ctx context.Context) {
+	awaitStep(ctx, n.registered)
+	n.nodes.Run(ctx)
+}
+
+// watchConfig mirrors the configuration, from the leaders if the list of nodes names any.
+func (n *Node) watchConfig(ctx context.Context) {
+	awaitStep(ctx, n.nodesListed)
+	n.config.Run(ctx)
+}
+
+// watchUpstreams mirrors the upstreams as watchConfig does the configuration.
+func (n *Node) watchUpstreams(ctx context.Context) {
+	awaitStep(ctx, n.nodesListed)
+	n.workers.Run(ctx)
+}
+
+// awaitStep waits for a step of the start, for maxStartWait at most.
+func awaitStep(ctx context.Context, done <-chan struct{}) {
+	timer := time.NewTimer(maxStartWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // watchOwners mirrors the owners of pools on nodes that may own one.
 func (n *Node) watchOwners(ctx context.Context) {
 	if n.owners != nil {
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -63,6 +63,7 @@
 		}
 		if err == nil && next.rev > 0 {
 			written = next
+			n.registeredOnce.Do(func() { close(n.registered) })
 			if evicted {
 				n.Log.Warn().Int("evictions", next.evictions).Msg("entry of this node was removed; wrote it again")
 			}
@@ -166,6 +167,7 @@
 		recordDisks(s, before, now)
 	})
 	n.prober.Refresh(now)
+	n.listedOnce.Do(func() { close(n.nodesListed) })
 }
 
 // recordDisks records the nodes with a disk whose entries are missing.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -48,6 +48,9 @@
 	WatchTimeout time.Duration
 	MinInterval  time.Duration
 	Log          zerolog.Logger
+	// MaxAge is how long after the last answer of the service the content is still
+	// passed on to other nodes; zero means for as long as calls succeed.
+	MaxAge time.Duration
 	// Equivalent reports whether two values of a key mean the same; if it is nil,
 	// no values do. A change to an equivalent value is not passed on, because
 	// heartbeats rewrite keys constantly.
@@ -72,7 +75,8 @@
 
 // State describes a mirror's contact with its source.
 type State struct {
-	// LastContact is the time of the last successful call.
+	// LastContact is the time of the last answer of the service, also if it was passed on
+	// by another node.
 	LastContact time.Time
 	// Failing is set if the last call failed.
 	Failing bool
@@ -112,7 +116,7 @@
 		cur.endUnreliable(start)
 		changes, err := m.next(ctx, cur, start)
 		now := time.Now()
-		m.recordResult(err, now)
+		m.recordResult(err, now, now.Add(-changes.Age))
 		m.logRead(cur, changes, err, now.Sub(start))
 		pause := m.MinInterval - now.Sub(start)
 		if err == nil {
@@ -186,9 +190,9 @@
 	return sleep.Backoff(c.historyLosses-1, backoffBase, backoffLimit, rand.Float64())
 }
 
-// recordResult updates the state with the result of a call, and logs when the
-// source fails or recovers.
-func (m *Mirror) recordResult(err error, now time.Time) {
+// recordResult updates the state with the result of a call, which shows the content of
+// the service at answeredAt, and logs when the source fails or recovers.
+func (m *Mirror) recordResult(err error, now, answeredAt time.Time) {
 	var compacted *quetzalpier.CompactedError
 	failed := err != nil && !errors.As(err, &compacted)
 	m.mu.Lock()
@@ -201,7 +205,9 @@
 		if m.failing {
 			m.recoveredAt = now
 		}
-		m.lastContact = now
+		if answeredAt.After(m.lastContact) {
+			m.lastContact = answeredAt
+		}
 	}
 	m.failing = failed
 }
@@ -333,17 +339,34 @@
 
 // Range returns all keys. It is refused while the mirror has no contact with its
 // own source.
-func (m *Mirror) Range() (quetzalpier.Changes, error) {
+func (m *Mirror) Range(now time.Time) (quetzalpier.Changes, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failing || m.lastContact.IsZero() {
-		return quetzalpier.Changes{}, m.unavailable()
+	if err := m.unavailable(now); err != nil {
+		return quetzalpier.Changes{}, err
+	}
+	return m.passOn(m.changesSince(0), now), nil
+}
+
+// unavailable returns why the content may not be passed on to other nodes, or nil; the
+// caller holds the lock.
+func (m *Mirror) unavailable(now time.Time) error {
+	call := "feed of " + m.Prefix
+	switch age := now.Sub(m.lastContact); {
+	case m.lastContact.IsZero():
+		return &quetzalpier.RefusedError{Call: call, Reason: "this node has not read it yet"}
+	case m.failing:
+		return &quetzalpier.RefusedError{Call: call, Reason: "this node can't reach the key-value service either"}
+	case m.MaxAge > 0 && age > m.MaxAge:
+		return &quetzalpier.RefusedError{Call: call, Reason: "the key-value service has not answered this node for " + age.String()}
 	}
-	return m.changesSince(0), nil
+	return nil
 }
 
-func (m *Mirror) unavailable() error {
-	return &quetzalpier.RefusedError{Call: "feed of " + m.Prefix, Reason: "this node can't reach the key-value service either"}
+// passOn returns changes with their age; the caller holds the lock.
+func (m *Mirror) passOn(changes quetzalpier.Changes, now time.Time) quetzalpier.Changes {
+	changes.Age = max(0, now.Sub(m.lastContact))
+	return changes
 }
 
 // Watch waits for changes after revision rev, at most until ctx ends. It is
@@ -352,27 +375,27 @@
 func (m *Mirror) Watch(ctx context.Context, rev uint64) (quetzalpier.Changes, error) {
 	for {
 		m.mu.Lock()
-		if m.failing || m.lastContact.IsZero() {
+		now := time.Now()
+		if err := m.unavailable(now); err != nil {
 			m.mu.Unlock()
-			return quetzalpier.Changes{}, m.unavailable()
+			return quetzalpier.Changes{}, err
 		}
 		if rev < m.oldest {
 			m.mu.Unlock()
 			return quetzalpier.Changes{}, &quetzalpier.CompactedError{Prefix: m.Prefix, Rev: rev}
 		}
-		changes := m.changesSince(rev)
+		changes := m.passOn(m.changesSince(rev), now)
 		if m.changed == nil {
 			m.changed = make(chan struct{})
 		}
 		changed := m.changed
 		m.mu.Unlock()
-		if len(changes.Entries) > 0 {
+		if len(changes.Entries) > 0 || ctx.Err() != nil {
 			return changes, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return changes, nil
 		}
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -230,7 +230,7 @@
 		kv := newOutKV()
 		m, _ := startMirror(t, kv)
 		require.True(t, m.Seed(seed(5, "five"), time.Now()))
-		_, err := m.Range()
+		_, err := m.Range(time.Now())
 		require.Error(t, err)
 		snapshot, ok := m.Snapshot()
 		require.True(t, ok)
@@ -241,7 +241,7 @@
 func TestFeed(t *testing.T) {
 	feed := func(leader *mirror.Mirror, direct mirror.Source, fault func() error) *mirror.Feed {
 		return &mirror.Feed{
-			Direct: direct, Leader: func() string { return "leader" },
+			Direct: direct, Leaders: func() []string { return []string{"leader"} },
 			Call: func(ctx context.Context, _ string, call *wire.Call) (*wire.Reply, error) {
 				if err := fault(); err != nil {
 					return nil, err
@@ -346,7 +346,7 @@
 		leader, c := startMirror(t, kv)
 		requireValue(t, c, "p/a", "old")
 		f := feed(leader, kv, noFault)
-		lagging, err := leader.Range()
+		lagging, err := leader.Range(time.Now())
 		require.NoError(t, err)
 		put(t, kv, "p/a", "new")
 		requireValue(t, c, "p/a", "new")
@@ -380,7 +380,7 @@
 	put(t, kv, "p/a", "1")
 	leader, read := startMirror(t, kv)
 	requireValue(t, read, "p/a", "1")
-	feed := &mirror.Feed{Direct: stand.NewMemoryKV(), Leader: func() string { return "leader" }, Call: func(ctx context.Context, _ string, call *wire.Call) (*wire.Reply, error) {
+	feed := &mirror.Feed{Direct: stand.NewMemoryKV(), Leaders: func() []string { return []string{"leader"} }, Call: func(ctx context.Context, _ string, call *wire.Call) (*wire.Reply, error) {
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: leader.Serve(ctx, call.GetFeed())}}, nil
 	}}
 	_, followed := startMirror(t, feed)
--- a/platform.go
+++ b/platform.go
@@ -42,6 +42,9 @@
 type Changes struct {
 	Entries []Entry
 	Rev     uint64
+	// Age is how long ago the service last answered the node that they were read from;
+	// zero in an answer of the service itself.
+	Age time.Duration
 }
 
 // KV is the platform's key-value service. The error of a call states its effect:
