--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -53,7 +53,7 @@
 		return &wire.Reply{Kind: &wire.Reply_Standby{Standby: &wire.Standby{Pool: standby.GetPool(), Active: n.runner.IsStandby(standby.GetPool())}}}
 	}
 	if question := call.GetProbe(); question != nil {
-		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.prober.Check(ctx, question.GetPeer(), question.GetUnreachable())}}}
+		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.answerProbe(ctx, question)}}}
 	}
 	if hold := call.GetHold(); hold != nil {
 		sleep.For(ctx, time.Duration(hold.GetWait())*time.Millisecond)
@@ -62,6 +62,17 @@
 	return &wire.Reply{Fault: "unknown call"}
 }
 
+// answerProbe answers whether this node reaches another one. It answers a message that one
+// is unreachable at once and checks that in the background, since the sender has all nodes
+// to tell.
+func (n *Node) answerProbe(ctx context.Context, question *wire.Probe) (alive bool) {
+	if !question.GetUnreachable() {
+		return n.prober.Check(ctx, question.GetPeer())
+	}
+	n.checks.Go(func() { n.prober.Told(context.Background(), question.GetPeer(), time.Now()) })
+	return false
+}
+
 // serveFeed answers a request for the mirrored nodes, upstreams or configuration.
 func (n *Node) serveFeed(ctx context.Context, feed *wire.Feed) *wire.Stored {
 	for _, m := range []*mirror.Mirror{n.nodes, n.workers, n.config} {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,6 +136,8 @@
 
 	startedAt  time.Time
 	background conc.WaitGroup
+	// checks are those of nodes that others have told this node of.
+	checks conc.WaitGroup
 	logs       io.Closer
 }
 
@@ -308,6 +310,7 @@
 	n.kv.Reset()
 	n.background.Wait()
 	n.mesh.Close()
+	n.checks.Wait()
 	n.links.Close()
 	n.Log.Info().Msg("node stopped")
 	_ = n.logs.Close()
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -35,10 +35,12 @@
 	unlistedTargetCount = 64
 	// stagger is the time that a node leaves to each of those that can act first on a
 	// member that it found unreachable, and tellInterval the time between two messages
-	// about the same member. At most maxTellCalls are sent at a time.
+	// about the same member. At most maxTellCalls are sent at a time, each for tellTimeout:
+	// those to nodes that were lost as well must not delay the others.
 	stagger      = 100 * time.Millisecond
 	tellInterval = 3 * time.Second
-	maxTellCalls = 16
+	tellTimeout  = 300 * time.Millisecond
+	maxTellCalls = 64
 	// contactValid is how long an answer of the key-value service shows that this node is
 	// not cut off.
 	contactValid = time.Second
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -196,14 +196,16 @@
 	t.Run("a node that is told of an unreachable member checks it", func(t *testing.T) {
 		p := newTestProber()
 		p.round(start)
-		require.True(t, p.Check(t.Context(), "b:1", true))
+		require.True(t, p.Check(t.Context(), "b:1"))
+		p.Told(t.Context(), "b:1", start)
+		p.Board.Do(func(s *board.State) { require.True(t, s.Reachable("b"), "it answers this node") })
 		p.network.failures["b:1"] = timeout
-		require.False(t, p.Check(t.Context(), "b:1", false))
+		require.False(t, p.Check(t.Context(), "b:1"))
 		p.Board.Do(func(s *board.State) { require.True(t, s.Reachable("b"), "only one node has not reached it") })
-		require.False(t, p.Check(t.Context(), "b:1", true))
+		p.Told(t.Context(), "b:1", start)
 		p.Board.Do(func(s *board.State) { require.False(t, s.Reachable("b")) })
 		p.network.failures["unknown:1"] = timeout
-		require.False(t, p.Check(t.Context(), "unknown:1", true))
+		p.Told(t.Context(), "unknown:1", start)
 	})
 	t.Run("a node is told of a member that was listed between two rounds", func(t *testing.T) {
 		p := newTestProber()
@@ -213,7 +215,7 @@
 		p.setListed("e", board.Alive, false)
 		p.Refresh(start.Add(2 * time.Millisecond))
 		p.network.failures["e:1"] = timeout
-		require.False(t, p.Check(t.Context(), "e:1", true))
+		p.Told(t.Context(), "e:1", start)
 		p.Board.Do(func(s *board.State) { require.False(t, s.Reachable("e")) })
 	})
 	t.Run("a member that another one reaches again is reachable", func(t *testing.T) {
@@ -326,6 +328,29 @@
 		require.ElementsMatch(t, []string{"c:1", "d:1"}, p.network.told["b:1"], "once")
 		require.Empty(t, p.reported, "there is no entry to remove")
 	})
+	t.Run("all members that answer are told soon, also if two fifths of a large fleet do not", func(t *testing.T) {
+		const members, lost = 270, 108
+		p := newTestProber()
+		isLost := map[string]bool{}
+		for i := range members {
+			id := fmt.Sprint("x", i)
+			p.setListed(id, board.Alive, true)
+			isLost[id+":1"] = i < lost
+		}
+		p.Refresh(start)
+		ask := p.network.ask
+		p.Ask = func(ctx context.Context, helper, addr string, unreachable bool) (bool, error) {
+			if isLost[helper] {
+				<-ctx.Done()
+				return false, ctx.Err()
+			}
+			return ask(ctx, helper, addr, unreachable)
+		}
+		began := time.Now()
+		p.tell(t.Context(), board.Member{ID: "x0", Peer: "x0:1"})
+		require.Less(t, time.Since(began), time.Second)
+		require.Len(t, p.network.told["x0:1"], members-lost+3)
+	})
 	t.Run("a node that is not listed probes all members", func(t *testing.T) {
 		p := newTestProber()
 		for i := range 2 * targetCount {
--- a/probe/tell.go
+++ b/probe/tell.go
@@ -57,16 +57,13 @@
 }
 
 // tell tells the reachable members that a member is unreachable. Each checks it.
+//
+// Load pattern: two fifths of a large fleet stop at once, so that many of those to tell
+// don't answer either.
 func (p *Prober) tell(ctx context.Context, target board.Member) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	calls := pool.New().WithMaxGoroutines(maxTellCalls)
 	for _, m := range p.reachableOthers(target.ID) {
-		calls.Go(func() {
-			if _, err := p.Ask(ctx, m.Peer, target.Peer, true); err != nil {
-				p.Log.Debug().Str("member", target.ID).Str("peer", m.Peer).Err(err).Msg("node could not be told of an unreachable one")
-			}
-		})
+		calls.Go(func() { p.tellOne(ctx, m.Member, target) })
 	}
 	calls.Wait()
 }
@@ -84,15 +81,18 @@
 		}
 	})
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	calls := pool.New().WithMaxGoroutines(maxTellCalls)
 	for _, m := range unreachable {
-		calls.Go(func() {
-			if _, err := p.Ask(ctx, to.Peer, m.Peer, true); err != nil {
-				p.Log.Debug().Str("member", m.ID).Str("peer", to.Peer).Err(err).Msg("node could not be told of an unreachable one")
-			}
-		})
+		calls.Go(func() { p.tellOne(ctx, to, m) })
 	}
 	calls.Wait()
 }
+
+// tellOne tells one member that another one is unreachable.
+func (p *Prober) tellOne(ctx context.Context, to, target board.Member) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	if _, err := p.Ask(ctx, to.Peer, target.Peer, true); err != nil {
+		p.Log.Debug().Str("member", target.ID).Str("peer", to.Peer).Err(err).Msg("node could not be told of an unreachable one")
+	}
+}
--- a/probe/verdict.go
+++ b/probe/verdict.go
@@ -75,17 +75,26 @@
 }
 
 // Check answers another node's question whether this node reaches the one at addr.
-// unreachable tells that neither the other node nor others do.
-func (p *Prober) Check(ctx context.Context, addr string, unreachable bool) bool {
-	if p.ping(ctx, addr) == nil {
-		return true
+func (p *Prober) Check(ctx context.Context, addr string) bool { return p.ping(ctx, addr) == nil }
+
+// Told checks the member at addr, after another node has told this one that neither it nor
+// others reach it.
+func (p *Prober) Told(ctx context.Context, addr string, now time.Time) {
+	target, isMember := p.memberAt(addr)
+	if !isMember {
+		return
+	}
+	known := false
+	p.Board.Do(func(s *board.State) { known = !s.Reachable(target.ID) })
+	if known {
+		p.recordTold(target.ID, now)
+		return
 	}
-	if target, isMember := p.memberAt(addr); isMember && unreachable && ctx.Err() == nil {
-		now := time.Now()
+	if p.ping(ctx, addr) != nil && ctx.Err() == nil {
+		now = time.Now()
 		p.recordTold(target.ID, now)
 		p.recordUnreachable(target, now)
 	}
-	return false
 }
 
 func (p *Prober) memberAt(addr string) (board.Member, bool) {
