--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -138,7 +138,7 @@
 	background conc.WaitGroup
 	// checks are those of nodes that others have told this node of.
 	checks conc.WaitGroup
-	logs       io.Closer
+	logs   io.Closer
 }
 
 // New creates a node and listens on its addresses. Logs are written to out.
