fleet: Write the entries of nodes without leases

That a node lives is known from probes between nodes, which find a lost one in two seconds, not eight, and remove its entry.

The entry stays until its node removes it at its stop, at the revision that it wrote, or the nodes that it does not answer do. Nodes whose long watches wait at the service keep an idle lease, since its renewals show that the service answers them: leaders, store VMs, and all in small failure domains. TestRemovedRegistration lost the field of the lease and no case.

--- a/fleet/evict.go
+++ b/fleet/evict.go
@@ -40,22 +40,16 @@
 // contactTimeout limits the call that shows whether the key-value service answers.
 const contactTimeout = 300 * time.Millisecond
 
-// inContact reports whether the key-value service answers this node itself. It renews the
-// node's lease, the cheapest call.
+// inContact reports whether the key-value service answers this node itself.
 func (n *Node) inContact(ctx context.Context) bool {
-	held, ok := n.lease.Lease(time.Now())
-	if !ok {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
-	var lost *quetzalpier.LeaseLostError
-	err := n.kv.Direct.Renew(ctx, held)
-	return err == nil || errors.As(err, &lost)
+	_, err := n.kv.Direct.Get(ctx, vault.Nodes+n.Settings.Name)
+	return err == nil
 }
 
-// evict removes the entry of a member that does not answer, which would otherwise
-// stay until the member's lease expires. A member that runs writes it again.
+// evict removes the entry of a member that does not answer, which would otherwise stay
+// for ever. A member that runs writes it again.
 func (n *Node) evict(ctx context.Context, m board.Member) {
 	due := false
 	n.Board.Do(func(s *board.State) {
--- a/fleet/evict_test.go
+++ b/fleet/evict_test.go
@@ -30,7 +30,7 @@
 }
 
 func TestRemovedRegistration(t *testing.T) {
-	written := registration{lease: "1", rev: 7}
+	written := registration{rev: 7}
 	require.True(t, written.removed(false, mirror.State{Rev: 8}), "the list covers the write and lacks the entry")
 	require.False(t, written.removed(true, mirror.State{Rev: 8}), "the entry is listed")
 	require.False(t, written.removed(false, mirror.State{Rev: 6}), "the list is older than the write")
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"io"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,9 +44,8 @@
 	ownerLeaseTTL      = 1200 * time.Millisecond
 	ownerRenewInterval = 300 * time.Millisecond
 	leaseMargin        = 200 * time.Millisecond
-	// idleLeaseTTL and idleRenewInterval apply to nodes that own no pool: there
-	// are many of them, and each renewal is a call. One renewal may be lost. Lost
-	// nodes are found sooner, by probes.
+	// idleLeaseTTL and idleRenewInterval apply to nodes that own no pool and wait at the
+	// key-value service: each renewal is a call. One may be lost.
 	idleLeaseTTL      = 8 * time.Second
 	idleRenewInterval = 3600 * time.Millisecond
 	// maxWatchTimeout limits how long one watch waits; the platform allows 30 s.
@@ -132,6 +132,8 @@
 	registered     chan struct{}
 	nodesListed    chan struct{}
 	registeredOnce sync.Once
+	// entryRev is the revision of the node's entry as it was last written.
+	entryRev atomic.Uint64
 	listedOnce     sync.Once
 
 	startedAt  time.Time
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -26,6 +26,9 @@
 	registerInterval = 150 * time.Millisecond
 	registerTimeout  = 1200 * time.Millisecond
 	expiryInterval   = 200 * time.Millisecond
+	// idleLeaseDelay is how long after its start a node may request an idle lease: by then
+	// it knows whether it reads through others.
+	idleLeaseDelay = time.Second
 )
 
 // memberEntry is the entry of a node in the key-value service.
@@ -40,37 +43,41 @@
 	Evictions int `json:"evictions,omitempty"`
 }
 
-// register renews the node's lease, and writes the node's entry when the lease
-// or the entry changes or the entry was removed.
+// register writes the node's entry when it changes or was removed, and keeps the node's
+// lease. The entry has no lease: it stays until the node removes it at its stop, or others
+// do because the node does not answer them.
 func (n *Node) register(ctx context.Context) {
 	var written registration
 	for ctx.Err() == nil {
-		leaseID, err := n.keepLease(ctx, time.Now())
+		if err := n.keepLease(ctx, time.Now()); err != nil {
+			n.Log.Debug().Err(err).Msg("node could not renew its lease")
+		}
 		var self board.Member
 		listed := false
 		n.Board.Do(func(s *board.State) {
 			self = s.Self
 			_, listed = s.Members[self.ID]
 		})
-		next := registration{lease: leaseID, state: self.State, evictions: written.evictions}
-		evicted := written.lease == leaseID && written.removed(listed, n.nodes.State())
+		next := registration{state: self.State, evictions: written.evictions}
+		evicted := written.removed(listed, n.nodes.State())
 		if evicted {
 			next.evictions++
 		}
-		if err == nil && !next.same(written) {
+		if written.rev == 0 || !next.same(written) {
 			self.Evictions = next.evictions
-			next.rev, err = n.writeEntry(ctx, self, leaseID)
-		}
-		if err == nil && next.rev > 0 {
-			written = next
-			n.registeredOnce.Do(func() { close(n.registered) })
-			if evicted {
-				n.Log.Warn().Int("evictions", next.evictions).Msg("entry of this node was removed; wrote it again")
+			rev, err := n.writeEntry(ctx, self)
+			if err != nil {
+				n.Log.Debug().Err(err).Msg("node could not write its entry")
+			} else {
+				written = next
+				written.rev = rev
+				n.entryRev.Store(rev)
+				n.registeredOnce.Do(func() { close(n.registered) })
+				if evicted {
+					n.Log.Warn().Int("evictions", next.evictions).Msg("entry of this node was removed; wrote it again")
+				}
 			}
 		}
-		if err != nil {
-			n.Log.Debug().Err(err).Msg("node could not renew its lease or write its entry")
-		}
 		sleep.For(ctx, registerInterval)
 	}
 }
@@ -78,7 +85,6 @@
 // registration is what a node has written to the key-value service about itself, and
 // the revision of that write.
 type registration struct {
-	lease     string
 	state     board.MemberState
 	evictions int
 	rev       uint64
@@ -96,17 +102,28 @@
 	return r.rev > 0 && !listed && !nodes.Failing && nodes.Rev >= r.rev
 }
 
-func (n *Node) keepLease(ctx context.Context, now time.Time) (string, error) {
+// keepLease renews the lease of the pools that the node owns. A node that waits for answers
+// of the key-value service keeps an idle lease, whose renewals show that it answers.
+func (n *Node) keepLease(ctx context.Context, now time.Time) error {
+	if !n.ownsPool() && !n.awaitsService(now) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	var lost *quetzalpier.LeaseLostError
 	if err := n.lease.RenewIfDue(ctx, now); err != nil && !errors.As(err, &lost) {
-		return "", err
+		return err
 	}
-	return n.lease.GrantIdle(ctx, now)
+	_, err := n.lease.GrantIdle(ctx, now)
+	return err
+}
+
+// awaitsService reports whether long watches of this node wait at the key-value service.
+func (n *Node) awaitsService(now time.Time) bool {
+	return now.Sub(n.startedAt) > idleLeaseDelay && (n.owners != nil || len(n.configLeaders()) == 0)
 }
 
-func (n *Node) writeEntry(ctx context.Context, self board.Member, held string) (rev uint64, err error) {
+func (n *Node) writeEntry(ctx context.Context, self board.Member) (rev uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	value, err := json.Marshal(memberEntry{
@@ -116,24 +133,25 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode the node's entry")
 	}
-	rev, err = n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{{Key: vault.Nodes + self.ID, Value: value, Lease: held}}})
-	var lost *quetzalpier.LeaseLostError
-	if errors.As(err, &lost) {
-		n.lease.Invalidate(held)
-	}
-	return rev, err
+	return n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{{Key: vault.Nodes + self.ID, Value: value}}})
 }
 
-// unregister releases the node's lease, which deletes its entry immediately.
+// unregister removes the node's entry, unless a later process of the node wrote it again.
+// A lease that is left expires.
 func (n *Node) unregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
-	defer cancel()
-	held, ok := n.lease.Lease(time.Now())
-	if !ok {
+	rev := n.entryRev.Load()
+	if rev == 0 {
 		return
 	}
-	if err := n.kv.Release(ctx, held); err != nil {
-		n.Log.Warn().Err(err).Msg("lease could not be released; it will expire")
+	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	defer cancel()
+	err := n.kv.Delete(ctx, vault.Nodes+n.Settings.Name, rev)
+	var changed *quetzalpier.RevisionError
+	switch {
+	case errors.As(err, &changed):
+		n.Log.Info().Err(err).Msg("entry of this node was removed or written by another process")
+	case err != nil:
+		n.Log.Warn().Err(err).Msg("entry of this node could not be removed; the nodes that it no longer answers will remove it")
 	}
 }
 
