--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -50,6 +50,9 @@
 	// list yet is kept, of at most maxEarly upstreams.
 	earlyPeriod = 30 * time.Second
 	maxEarly    = 4096
+	// rereadDelay is how long after this node was listed it reads the limits again. Those
+	// that list it later than that tell it themselves.
+	rereadDelay = 2 * time.Second
 	// startTries is how often a node that starts asks the others for the limits that
 	// they know, and startPause the pause before each try.
 	startTries = 3
@@ -351,12 +354,16 @@
 }
 
 // Run reads the limits that other nodes know, and tells them those that this node
-// learns, until ctx ends. After a pause of the process it reads them again, since it may
-// have missed what it was told.
+// learns, until ctx ends. It reads them again when it may have missed what others were
+// told: after a pause of the process, and once this node is listed.
+//
+// Load pattern: nodes start in an outage of the key-value service, so that the others
+// don't know them until it ends.
 func (k *Keeper) Run(ctx context.Context) {
 	k.readAll(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var listed listing
 	for last, ticks := time.Now(), 0; ; {
 		select {
 		case <-ctx.Done():
@@ -366,7 +373,8 @@
 			k.tell(ctx, k.takeUntold(), time.Now())
 		case <-ticker.C:
 			now := time.Now()
-			if WasPaused(last, now) {
+			due := listed.due(k.isListed(), now)
+			if due || WasPaused(last, now) {
 				k.readAll(ctx)
 			}
 			last = time.Now()
@@ -378,6 +386,35 @@
 	}
 }
 
+// listing is the time since which this node is listed, and whether it has read the limits
+// since then.
+type listing struct {
+	since time.Time
+	read  bool
+}
+
+// due reports whether the limits are to be read now, once rereadDelay after the node was
+// listed.
+func (l *listing) due(listed bool, now time.Time) bool {
+	switch {
+	case !listed:
+		*l = listing{}
+		return false
+	case l.since.IsZero():
+		l.since = now
+	}
+	if l.read || now.Sub(l.since) < rereadDelay {
+		return false
+	}
+	l.read = true
+	return true
+}
+
+func (k *Keeper) isListed() (listed bool) {
+	k.Board.Do(func(s *board.State) { _, listed = s.Members[s.Self.ID] })
+	return listed
+}
+
 // WasPaused reports whether the process was paused between two ticks, or its VM was
 // suspended, for which the monotonic clock stands still.
 func WasPaused(last, now time.Time) bool {
--- a/limit/keeper_test.go
+++ b/limit/keeper_test.go
@@ -217,3 +217,44 @@
 	list("b")
 	require.Eventually(t, func() bool { return leaving("b") && named(keepers["b"]) == limit5 }, 5*time.Second, 10*time.Millisecond)
 }
+
+// Load pattern: a node starts in an outage of the key-value service, and the others learn
+// that an upstream is leaving before they know that node.
+func TestNoticeToUnlistedNode(t *testing.T) {
+	var cut atomic.Value
+	cut.Store("")
+	keepers := newKeepers(t, &cut, "a", "b")
+	staying := vm
+	staying.ID = "staying"
+	for _, k := range keepers {
+		k.Board.Update(func(s *board.State) { s.SetListed([]quetzalpier.VM{vm, staying}, time.Now()) })
+	}
+	setListed := func(listed bool) {
+		keepers["b"].Board.Update(func(s *board.State) {
+			delete(s.Members, "b")
+			if listed {
+				s.Members["b"] = board.Member{ID: "b", Peer: "b"}
+			}
+		})
+	}
+	setListed(false)
+	reads := atomic.Int32{}
+	call := keepers["b"].Call
+	keepers["b"].Call = func(ctx context.Context, addr string, message *wire.Call) (*wire.Reply, error) {
+		reads.Add(1)
+		return call(ctx, addr, message)
+	}
+	keepers["b"].Board.Update(func(s *board.State) { s.Members["c"] = board.Member{ID: "c"} })
+	ctx, cancel := context.WithCancel(t.Context())
+	var running conc.WaitGroup
+	running.Go(func() { keepers["b"].Run(ctx) })
+	defer func() { cancel(); running.Wait() }()
+	require.Eventually(t, func() bool { return reads.Load() > 0 }, 5*time.Second, time.Millisecond)
+	keepers["a"].Observe(vm, quetzalpier.Notice{Leaving: true}, time.Now(), time.Now())
+	setListed(true)
+	leaving := func() (leaving bool) {
+		keepers["b"].Board.Do(func(s *board.State) { leaving = s.Upstreams[vm.ID].SaidLeaving })
+		return leaving
+	}
+	require.Eventually(t, leaving, 4*time.Second, 10*time.Millisecond)
+}
