--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -82,6 +82,9 @@
 	// heapShare is the soft memory limit of the Go runtime as a share of the
 	// memory setting; near it, the garbage collector runs more often.
 	heapShare = 0.7
+	// gcPercent is how much the heap may grow between two garbage collections, as a
+	// percentage of what was live: memory is scarcer on the VMs than processor time.
+	gcPercent = 30
 	// closeReserve is the last part of the grace period, in which the remaining
 	// requests are aborted before the platform kills the process.
 	closeReserve = 700 * time.Millisecond
@@ -152,6 +155,7 @@
 	n := &Node{Settings: settings, Meter: meter.New(), startedAt: time.Now(), registered: make(chan struct{}), nodesListed: make(chan struct{})}
 	n.openLog(out, level)
 	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMiB<<20)))
+	debug.SetGCPercent(gcPercent)
 	n.Board = board.New(board.Member{
 		ID: settings.Name, Peer: settings.Peer, HTTP: settings.Front, Domain: settings.Domain, Region: settings.Region,
 		Roles: []string{settings.Class},
