fleet: Log what many entries say alike in one line

Upstreams and nodes that changed alike share a line that names them all. Followers log changes of upstreams at the debug level, since their leader logs the same; the first list of nodes, the configuration and what an upstream says to the node itself stay.

Two bare goroutines (origin, platform) run in groups that are waited for.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -226,6 +226,9 @@
 	return n.feedLeaders()
 }
 
+// followsUpstreams reports whether the node reads the upstreams from another node.
+func (n *Node) followsUpstreams() bool { return len(n.upstreamLeaders()) > 0 }
+
 // configLeaders returns the addresses of the nodes to read the configuration from. There
 // is none in a small failure domain, where the short watches of its leader would be more
 // calls than the long ones of all nodes.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,6 +106,7 @@
 	Meter    *meter.Meter
 	Log      zerolog.Logger
 
+	direct *platform.KV
 	kv     *relay.KV
 	lease  *lease.Holder
 	mesh   *peer.Mesh
@@ -136,8 +137,8 @@
 	nodesListed    chan struct{}
 	registeredOnce sync.Once
 	// entryRev is the revision of the node's entry as it was last written.
-	entryRev atomic.Uint64
-	listedOnce     sync.Once
+	entryRev   atomic.Uint64
+	listedOnce sync.Once
 
 	startedAt  time.Time
 	background conc.WaitGroup
@@ -177,9 +178,9 @@
 
 func (n *Node) open() error {
 	seed := hash.Text(n.Settings.Name + time.Now().String())
-	direct := platform.NewKV(n.Settings.KV)
-	counted := &tally.KV{KV: direct, Purpose: callPurpose, Calls: n.Meter.PlatformCalls}
-	n.kv = &relay.KV{Direct: counted, Peers: n.peerAddrs, Call: n.callPeer, Reset: direct.Reset, Log: n.Log}
+	n.direct = platform.NewKV(n.Settings.KV)
+	counted := &tally.KV{KV: n.direct, Purpose: callPurpose, Calls: n.Meter.PlatformCalls}
+	n.kv = &relay.KV{Direct: counted, Peers: n.peerAddrs, Call: n.callPeer, Reset: n.direct.Reset, Log: n.Log}
 	n.lease = &lease.Holder{
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, TTL: ownerLeaseTTL, RenewInterval: ownerRenewInterval, Margin: leaseMargin,
 		IdleTTL: idleLeaseTTL, IdleRenewInterval: idleRenewInterval,
@@ -194,7 +195,7 @@
 	n.origins = origin.New(n.Board, n.Log)
 	n.origins.Call = n.callPeer
 	upstreams := &platform.Upstreams{Links: n.links, Notices: n.limits}
-	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log}
+	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log, quiet: n.followsUpstreams}
 	n.openMirrors()
 	n.views = &viewSharer{node: n, lapsed: map[string]lapsedMember{}}
 	n.vault = &vault.Vault{KV: n.kv}
@@ -315,6 +316,7 @@
 	n.unregister()
 	n.kv.Reset()
 	n.background.Wait()
+	n.direct.Close()
 	n.mesh.Close()
 	n.checks.Wait()
 	n.links.Close()
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -4,13 +4,10 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"reflect"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 
 	"quetzalpier"
 	"quetzalpier/board"
@@ -228,16 +225,7 @@
 	if len(before) == 0 {
 		n.Log.Info().Int("members", len(after)).Msg("first list of nodes read")
 	}
-	for id, m := range after {
-		if old, known := before[id]; len(before) > 0 && (!known || old.State != m.State) {
-			n.Log.Info().Str("member", id).Stringer("state", m.State).Msg("node listed or its state changed")
-		}
-	}
-	for id := range before {
-		if _, listed := after[id]; !listed {
-			n.Log.Info().Str("member", id).Msg("entry of a node is missing")
-		}
-	}
+	logMemberChanges(n.Log, before, after)
 	counts := map[board.MemberState]int{board.Alive: 0, board.Draining: 0}
 	for _, m := range after {
 		counts[m.State]++
@@ -323,109 +311,3 @@
 		n.Log.Info().Str("retired", entry.RetireNode).Dur("over_ms", entry.DrainWithin).Msg("a node is to be retired")
 	}
 }
-
-// upstreamList is the list of upstreams. An entry that is missing after an
-// outage of the key-value service stays in use until the upstream has had time
-// to write it again.
-type upstreamList struct {
-	board        *board.Board
-	settlePeriod time.Duration
-	log          zerolog.Logger
-
-	mu        sync.Mutex
-	current   map[string]quetzalpier.VM
-	expiresAt map[string]time.Time
-}
-
-func (v *upstreamList) apply(changed []quetzalpier.Entry, full bool, state mirror.State, now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.current == nil {
-		v.current = map[string]quetzalpier.VM{}
-		v.expiresAt = map[string]time.Time{}
-	}
-	listed := map[string]bool{}
-	for _, e := range changed {
-		id := strings.TrimPrefix(e.Key, platform.PrefixWorkers)
-		if e.Deleted {
-			v.expire(id, state, now)
-			continue
-		}
-		vm, err := platform.DecodeVM(e)
-		if err != nil {
-			v.log.Warn().Str("key", e.Key).Uint64("rev", e.Rev).Err(err).Msg("entry of an upstream could not be decoded")
-			// The upstream is removed, even if its previous entry was valid.
-			v.expire(id, mirror.State{}, now)
-			listed[id] = true
-			continue
-		}
-		listed[id] = true
-		if old := v.current[id]; old.State != vm.State || old.Software != vm.Software {
-			v.log.Info().Str("upstream", id).Str("pool", vm.Pool).Str("state", vm.State).Str("software", vm.Software).Str("before", old.Software).Int64("born", vm.Incarnation).Msg("upstream added or its state changed")
-		}
-		v.current[id] = vm
-		delete(v.expiresAt, id)
-	}
-	if full {
-		for id := range v.current {
-			if !listed[id] {
-				v.expire(id, state, now)
-			}
-		}
-	}
-	v.publish(now)
-}
-
-// sameVM reports whether two entries describe the same upstream in the same
-// state: most updates are heartbeats without a change.
-func sameVM(old, latest quetzalpier.Entry) bool {
-	before, err := platform.DecodeVM(old)
-	if err != nil {
-		return false
-	}
-	after, err := platform.DecodeVM(latest)
-	return err == nil && reflect.DeepEqual(before, after)
-}
-
-// expire records that an entry is missing. The upstream stays in use for
-// settlePeriod if the service is out, and until settlePeriod after the end of the
-// last outage otherwise; the caller holds the lock.
-func (v *upstreamList) expire(id string, state mirror.State, now time.Time) {
-	until := now
-	if state.Failing {
-		until = now.Add(v.settlePeriod)
-	} else if settledAt := state.RecoveredAt.Add(v.settlePeriod); settledAt.After(now) {
-		until = settledAt
-	}
-	if _, known := v.current[id]; known {
-		v.expiresAt[id] = until
-		v.log.Info().Str("upstream", id).Dur("believed_ms", until.Sub(now)).Msg("entry of an upstream is missing")
-	}
-}
-
-// publish drops expired entries and writes the list to the board; the caller
-// holds the lock.
-func (v *upstreamList) publish(now time.Time) {
-	for id, until := range v.expiresAt {
-		if !now.Before(until) {
-			delete(v.current, id)
-			delete(v.expiresAt, id)
-		}
-	}
-	list := make([]quetzalpier.VM, 0, len(v.current))
-	for _, vm := range v.current {
-		list = append(list, vm)
-	}
-	v.board.Update(func(s *board.State) { s.SetListed(list, now) })
-}
-
-// dropExpired periodically publishes the list while entries wait to expire.
-func (v *upstreamList) dropExpired(ctx context.Context) {
-	for sleep.For(ctx, expiryInterval) {
-		v.mu.Lock()
-		if len(v.expiresAt) > 0 {
-			v.publish(time.Now())
-		}
-		v.mu.Unlock()
-	}
-}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -52,7 +52,7 @@
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
 	Log  zerolog.Logger
 
-	// calls are the calls in progress that tell origins; telling has an element for each.
+	// calls are the calls in progress; telling has an element for each that tells an origin.
 	calls   conc.WaitGroup
 	telling chan struct{}
 	mu      sync.Mutex
@@ -166,13 +166,13 @@
 	defer cancel()
 	replies := make(chan *wire.Began, len(addrs))
 	for _, addr := range addrs {
-		go func() {
+		s.calls.Go(func() {
 			reply, err := s.Call(ctx, addr, message(attempt, Origin{}))
 			if err != nil {
 				s.Log.Info().Str("request", attempt).Str("peer", addr).Err(err).Msg("another node could not be asked for the origin of a stream")
 			}
 			replies <- reply.GetBegan()
-		}()
+		})
 	}
 	for range addrs {
 		if reply := <-replies; reply.GetSoftware() != "" {
