tasks, runner: Place tasks among the engines with room only

Cause: each round compared all engines for each waiting task, and sorted with the slack computed in each comparison; a round follows each end of a run.

Rounds take a fifth of the time at most, with pauses of up to 20 ms.

--- a/runner/pool.go
+++ b/runner/pool.go
@@ -22,6 +22,10 @@
 const (
 	// planInterval limits the time between two checks of the waiting tasks.
 	planInterval = 50 * time.Millisecond
+	// planShare is the share of the time that planning may take, as long as the pause
+	// after it is not longer than maxPlanPause.
+	planShare    = 0.2
+	maxPlanPause = 20 * time.Millisecond
 	// historyMargin is added to the time for which results must stay readable,
 	// since the clocks of VMs differ.
 	historyMargin = 30 * time.Second
@@ -165,7 +169,9 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for p.ctx.Err() == nil {
-		p.plan(time.Now())
+		began := time.Now()
+		p.plan(began)
+		sleep.For(p.ctx, planPause(time.Since(began)))
 		select {
 		case <-p.ctx.Done():
 		case <-p.wake:
@@ -175,6 +181,14 @@
 	p.goroutines.Wait()
 }
 
+// planPause returns how long to wait after planning took a while: wakes come with each end
+// of a run, hundreds a second in a large pool, and those meanwhile are handled together.
+//
+// Load pattern: runs end all the time while a thousand tasks wait.
+func planPause(took time.Duration) time.Duration {
+	return min(maxPlanPause, time.Duration(float64(took)*(1/planShare-1)))
+}
+
 func (p *poolRunner) newMirror(prefix string, watchTimeout time.Duration, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
 	return &mirror.Mirror{KV: p.runner.KV, Prefix: prefix, WatchTimeout: watchTimeout, Log: p.runner.Log, Apply: apply}
 }
--- /dev/null
+++ b/tasks/candidates.go
@@ -0,0 +1,68 @@
+package tasks
+
+import (
+	"slices"
+	"time"
+
+	"quetzalpier"
+)
+
+// candidates are the engines that a round of placement chooses from. Most rounds of a
+// loaded pool find few engines with room, so that only those are compared for each task.
+//
+// Load pattern: a thousand tasks wait for the slots that free up one by one.
+type candidates struct {
+	// choose is the heuristic that selects an engine.
+	choose func(pool *candidates, task *Task, pace time.Duration, now time.Time) *Engine
+	all    []*Engine
+	// open are the engines that can accept a run of some job now.
+	open []*Engine
+	// steady holds, by job, whether an engine that is not slow can run its tasks once it
+	// has room.
+	steady map[*quetzalpier.Job]bool
+}
+
+func newCandidates(engines []*Engine, now time.Time) *candidates {
+	pool := &candidates{choose: chooseEngine, all: engines, steady: map[*quetzalpier.Job]bool{}}
+	for _, engine := range engines {
+		if engine.accepts(now) {
+			pool.open = append(pool.open, engine)
+		}
+	}
+	return pool
+}
+
+// update removes an engine that got its last run for now.
+func (c *candidates) update(engine *Engine, now time.Time) {
+	if !engine.accepts(now) {
+		c.open = slices.DeleteFunc(c.open, func(e *Engine) bool { return e == engine })
+	}
+}
+
+// fitting returns the candidates that a text fits.
+func (c *candidates) fitting(text *Text) *candidates {
+	unfit := func(e *Engine) bool { return !text.Fits(e.VM) }
+	if !slices.ContainsFunc(c.all, unfit) {
+		return c
+	}
+	return &candidates{
+		choose: c.choose, steady: map[*quetzalpier.Job]bool{},
+		all: slices.DeleteFunc(slices.Clone(c.all), unfit), open: slices.DeleteFunc(slices.Clone(c.open), unfit),
+	}
+}
+
+// willHaveRoom reports whether an engine that is not too slow for the task can run it once
+// it has room.
+func (c *candidates) willHaveRoom(task *Task, pace time.Duration, now time.Time) bool {
+	job := task.Job.Spec
+	steady, known := c.steady[job]
+	if !known {
+		steady = slices.ContainsFunc(c.all, func(e *Engine) bool {
+			return e.EventTime <= slowFactor*pace && e.eligible(job) && !e.failing(now)
+		})
+		c.steady[job] = steady
+	}
+	return steady || slices.ContainsFunc(c.all, func(e *Engine) bool {
+		return !tooSlow(e, task, pace) && e.eligible(job) && !e.failing(now)
+	})
+}
--- a/tasks/naive.go
+++ b/tasks/naive.go
@@ -9,8 +9,8 @@
 }
 
 // firstWithRoom returns the first engine that can run the task now.
-func firstWithRoom(engines []*Engine, task *Task, _ time.Duration, now time.Time) *Engine {
-	for _, engine := range engines {
+func firstWithRoom(pool *candidates, task *Task, _ time.Duration, now time.Time) *Engine {
+	for _, engine := range pool.open {
 		if engine.HasRoom(task.Job.Spec, now) {
 			return engine
 		}
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -1,9 +1,9 @@
 package tasks
 
 import (
+	"cmp"
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"quetzalpier"
@@ -104,13 +104,12 @@
 
 // HasRoom reports whether the engine can run a task of the job now.
 func (e *Engine) HasRoom(job *quetzalpier.Job, now time.Time) bool {
-	if e.VM.State != quetzalpier.VMLive || now.Before(e.NotUntil) {
-		return false
-	}
-	if e.Running >= e.VM.Slots || e.Loading == job.Model || e.Limited && e.Permits <= 0 {
-		return false
-	}
-	return e.Versions[job.Model] >= job.MinVersion
+	return e.accepts(now) && e.Loading != job.Model && e.Versions[job.Model] >= job.MinVersion
+}
+
+// accepts reports whether the engine has a free slot that may be used now.
+func (e *Engine) accepts(now time.Time) bool {
+	return e.VM.State == quetzalpier.VMLive && !now.Before(e.NotUntil) && e.Running < e.VM.Slots && !(e.Limited && e.Permits <= 0)
 }
 
 // Launch is a run to start.
@@ -158,9 +157,9 @@
 	if heuristics.Order {
 		s.sortBySlack(waiting, pace, now)
 	}
-	selectEngine := chooseEngine
+	pool := newCandidates(engines, now)
 	if !heuristics.Place {
-		selectEngine = firstWithRoom
+		pool.choose = firstWithRoom
 	}
 	var launches []Launch
 	loaded := map[*Job]bool{}
@@ -182,11 +181,15 @@
 		if task.Text.MayBeMixed(softwareOf) {
 			task.DropText()
 		}
-		engine := placeTask(selectEngine, engines, task, pace, now)
+		if len(pool.open) == 0 {
+			continue
+		}
+		engine := placeTask(pool, task, pace, now)
 		if engine == nil {
 			continue
 		}
 		launches = append(launches, startTask(task, engine, now))
+		pool.update(engine, now)
 	}
 	return launches
 }
@@ -205,12 +208,21 @@
 
 // sortBySlack sorts tasks by slack, and longer tasks first at equal slack.
 func (s *Scheduler) sortBySlack(waiting []*Task, pace time.Duration, now time.Time) {
-	sort.SliceStable(waiting, func(i, j int) bool {
-		if a, c := s.slack(waiting[i], pace, now), s.slack(waiting[j], pace, now); a != c {
-			return a < c
-		}
-		return waiting[i].remainingEvents() > waiting[j].remainingEvents()
+	type keyed struct {
+		task      *Task
+		slack     time.Duration
+		remaining int
+	}
+	keys := make([]keyed, len(waiting))
+	for i, task := range waiting {
+		keys[i] = keyed{task, s.slack(task, pace, now), task.remainingEvents()}
+	}
+	slices.SortStableFunc(keys, func(a, b keyed) int {
+		return cmp.Or(cmp.Compare(a.slack, b.slack), cmp.Compare(b.remaining, a.remaining))
 	})
+	for i, key := range keys {
+		waiting[i] = key.task
+	}
 }
 
 // startTask marks a task as running on the engine.
@@ -242,7 +254,7 @@
 		}
 	}
 	// Map iteration order is random; the plan must be deterministic at equal slack.
-	sort.Slice(waiting, func(i, j int) bool { return waiting[i].Spec.ID < waiting[j].Spec.ID })
+	slices.SortFunc(waiting, func(a, b *Task) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
 	return waiting
 }
 
@@ -276,20 +288,20 @@
 // placeTask returns the engine for a task, or nil if it should wait. A task with events
 // goes on at an engine that its text fits. If there is none, or the wait for one takes
 // longer than generating the events again, it starts over at another.
-func placeTask(selectEngine func([]*Engine, *Task, time.Duration, time.Time) *Engine, engines []*Engine, task *Task, pace time.Duration, now time.Time) *Engine {
+func placeTask(pool *candidates, task *Task, pace time.Duration, now time.Time) *Engine {
 	if len(task.Text.Events) == 0 {
-		return selectEngine(engines, task, pace, now)
+		return pool.choose(pool, task, pace, now)
 	}
-	fitting := slices.DeleteFunc(slices.Clone(engines), func(e *Engine) bool { return !task.Text.Fits(e.VM) })
-	engine := selectEngine(fitting, task, pace, now)
-	if engine != nil || len(fitting) == len(engines) {
+	fitting := pool.fitting(&task.Text)
+	engine := fitting.choose(fitting, task, pace, now)
+	if engine != nil || len(fitting.all) == len(pool.all) {
 		return engine
 	}
-	expected := slices.ContainsFunc(fitting, func(e *Engine) bool { return e.eligible(task.Job.Spec) && !e.failing(now) })
+	expected := slices.ContainsFunc(fitting.all, func(e *Engine) bool { return e.eligible(task.Job.Spec) && !e.failing(now) })
 	if expected && !task.soonRegenerated(pace) && task.waited.Busy+task.waited.Unloaded < task.lostTime(pace) {
 		return nil
 	}
-	if engine = selectEngine(engines, task, pace, now); engine != nil {
+	if engine = pool.choose(pool, task, pace, now); engine != nil {
 		task.DropText()
 	}
 	return engine
@@ -311,16 +323,11 @@
 // Load pattern: a fifth of the engines become several times slower in the middle
 // of a step. A long task started there finishes late, although the other engines
 // have free slots again shortly after.
-func chooseEngine(engines []*Engine, task *Task, pace time.Duration, now time.Time) *Engine {
+func chooseEngine(pool *candidates, task *Task, pace time.Duration, now time.Time) *Engine {
 	var best *Engine
 	var lowest time.Duration
-	anyEligible := false
-	for _, engine := range engines {
-		if tooSlow(engine, task, pace) {
-			continue
-		}
-		anyEligible = anyEligible || (engine.eligible(task.Job.Spec) && !engine.failing(now))
-		if !engine.HasRoom(task.Job.Spec, now) {
+	for _, engine := range pool.open {
+		if tooSlow(engine, task, pace) || !engine.HasRoom(task.Job.Spec, now) {
 			continue
 		}
 		cost := engine.paceOrDefault() * time.Duration(engine.Running+engine.VM.Slots)
@@ -331,10 +338,10 @@
 			best, lowest = engine, cost
 		}
 	}
-	if best != nil || anyEligible {
+	if best != nil || pool.willHaveRoom(task, pace, now) {
 		return best
 	}
-	return fastestWithRoom(engines, task, now)
+	return fastestWithRoom(pool.open, task, now)
 }
 
 // tooSlow reports whether the engine is expected to finish the task later than
@@ -371,7 +378,7 @@
 	if len(paces) == 0 {
 		return defaultPace
 	}
-	sort.Slice(paces, func(i, j int) bool { return paces[i] < paces[j] })
+	slices.Sort(paces)
 	return paces[len(paces)/2]
 }
 
@@ -387,6 +394,13 @@
 		byID[engine.VM.ID] = engine
 	}
 	pace := medianPace(engines)
+	slow := slices.DeleteFunc(s.runningTasks(now), func(task *Task) bool {
+		engine := byID[task.Engine]
+		return engine == nil || engine.Loading == task.Job.Spec.Model || !worthMoving(task, engine, pace, now)
+	})
+	if len(slow) == 0 {
+		return nil
+	}
 	// Waiting tasks have priority for the free slots. Otherwise a canceled run
 	// would lose the faster slot to one of them and start again on the same
 	// engine.
@@ -395,11 +409,8 @@
 		free.reserve(nil, task, true, now)
 	}
 	var toMove []*Task
-	for _, task := range s.runningTasks(now) {
+	for _, task := range slow {
 		engine := byID[task.Engine]
-		if engine == nil || engine.Loading == task.Job.Spec.Model || !worthMoving(task, engine, pace, now) {
-			continue
-		}
 		if isSilent(task, pace, now) {
 			engine.NotUntil = now.Add(silentPause)
 		}
@@ -424,11 +435,8 @@
 			}
 		}
 	}
-	sort.Slice(running, func(i, j int) bool {
-		if a, b := running[i].remainingEvents(), running[j].remainingEvents(); a != b {
-			return a > b
-		}
-		return running[i].Spec.ID < running[j].Spec.ID
+	slices.SortFunc(running, func(a, b *Task) int {
+		return cmp.Or(cmp.Compare(b.remainingEvents(), a.remainingEvents()), cmp.Compare(a.Spec.ID, b.Spec.ID))
 	})
 	return running
 }
@@ -443,12 +451,13 @@
 	f := &freeSlots{}
 	for _, engine := range engines {
 		if engine.paceOrDefault() < slowFactor*pace {
-			f.engines = append(f.engines, engine)
 			free := engine.VM.Slots - engine.Running
 			if engine.Limited {
 				free = min(free, engine.Permits)
 			}
-			f.free = append(f.free, free)
+			if free > 0 {
+				f.engines, f.free = append(f.engines, engine), append(f.free, free)
+			}
 		}
 	}
 	return f
@@ -458,8 +467,10 @@
 // text must fit if fitting is set. It reports whether there was one.
 func (f *freeSlots) reserve(from *Engine, task *Task, fitting bool, now time.Time) bool {
 	for i, engine := range f.engines {
-		if engine != from && f.free[i] > 0 && engine.HasRoom(task.Job.Spec, now) && (!fitting || task.Text.Fits(engine.VM)) {
-			f.free[i]--
+		if engine != from && engine.HasRoom(task.Job.Spec, now) && (!fitting || task.Text.Fits(engine.VM)) {
+			if f.free[i]--; f.free[i] == 0 {
+				f.engines, f.free = slices.Delete(f.engines, i, i+1), slices.Delete(f.free, i, i+1)
+			}
 			return true
 		}
 	}
