runner: Pass a job to the node that stands in already

Both ran all jobs on the same engines; when the first one took the pool over, 236 runs of the other were cancelled.

A node that is to stand in first asks whether another one processes the pool, and passes the job to it.

--- a/runner/guard.go
+++ b/runner/guard.go
@@ -42,7 +42,7 @@
 		}
 		if r.runner(pool) == nil {
 			delay := takeOverDelay(rank)
-			if r.hasStandby(ctx, pool) {
+			if r.findStandby(ctx, pool) != "" {
 				delay += standbyLead
 			}
 			sleep.For(ctx, delay)
--- a/runner/standin.go
+++ b/runner/standin.go
@@ -29,12 +29,38 @@
 // no node can take over the pool, while trainers continue to submit steps.
 func (r *Runner) StandIn(job *quetzalpier.Job) {
 	r.goroutines.Go(func() {
+		if r.runner(job.Pool) == nil && r.passToStandby(job) {
+			return
+		}
 		if r.startStandIn(job.Pool) {
 			r.OpenJob(job, time.Now())
 		}
 	})
 }
 
+// passToStandby passes a job to another node that processes its pool already. It reports
+// whether there is one and it accepted the job.
+//
+// Load pattern: in an outage, the node that stands in for an owner is too busy to answer
+// one of the fronts in time, which turns to the next node with a disk. Two nodes would run
+// all jobs on the same engines, and one of them in vain.
+func (r *Runner) passToStandby(job *quetzalpier.Job) bool {
+	peer := r.findStandby(context.Background(), job.Pool)
+	if peer == "" {
+		return false
+	}
+	data, err := wire.EncodeJob(job)
+	if err != nil {
+		r.Log.Error().Str("job", job.ID).Err(err).Msg("job could not be encoded for the node that processes its pool")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ownerProbeTimeout)
+	defer cancel()
+	_, err = r.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: &wire.Keep{Job: data, Stored: true}}})
+	r.Log.Info().Str("job", job.ID).Str("pool", job.Pool).Str("peer", peer).AnErr("cause", err).Msg("passed a job to the node that processes its pool")
+	return err == nil
+}
+
 // startStandIn ensures that this node processes the pool. It returns false if
 // the pool's owner responds or the node is stopping.
 func (r *Runner) startStandIn(pool string) bool {
--- a/runner/standin_test.go
+++ b/runner/standin_test.go
@@ -123,6 +123,27 @@
 		require.Equal(t, eventText("j-0", 5), result.Text)
 		require.Equal(t, "s.rj-0", result.Score)
 	})
+	t.Run("a job is passed to a node that stands in already", func(t *testing.T) {
+		var passed atomic.Int32
+		r := outage(t, func(r *fixture) {
+			r.board.Update(func(s *board.State) {
+				s.Members["p"] = board.Member{ID: "p", Peer: "p:1", Roles: []string{runner.ClassStore}}
+			})
+			r.runner.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+				switch {
+				case peer != "p:1":
+					return nil, errors.New("no answer")
+				case call.GetStandby() != nil:
+					return &wire.Reply{Kind: &wire.Reply_Standby{Standby: &wire.Standby{Active: true}}}, nil
+				}
+				passed.Add(1)
+				return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}, nil
+			}
+		})
+		r.runner.StandIn(newJob("j", 1, 5))
+		require.Eventually(t, func() bool { return passed.Load() == 1 }, waitTimeout, time.Millisecond)
+		require.Never(t, ranTask(r), 200*time.Millisecond, 10*time.Millisecond)
+	})
 	t.Run("a candidate leaves the pool to the node that stood in for its owner", func(t *testing.T) {
 		standby := atomic.Bool{}
 		standby.Store(true)
--- a/runner/vacancy.go
+++ b/runner/vacancy.go
@@ -43,10 +43,10 @@
 	v := &vacancy{since: now}
 	r.vacancies[pool] = v
 	r.goroutines.Go(func() {
-		standby := r.hasStandby(ctx, pool)
+		standby := r.findStandby(ctx, pool)
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.answered, v.standby = true, standby
+		v.answered, v.standby = true, standby != ""
 	})
 	return v
 }
@@ -82,13 +82,13 @@
 	r.lastOwners[pool] = node
 }
 
-// hasStandby asks the nodes that may process a pool without owning it whether one does:
-// its last owner, and the first candidates, to which jobs go in an outage.
-func (r *Runner) hasStandby(ctx context.Context, pool string) bool {
+// findStandby asks the nodes that may process a pool without owning it whether one does:
+// its last owner, and the first candidates, to which jobs go in an outage. It returns the
+// address of one that does, or an empty string.
+func (r *Runner) findStandby(ctx context.Context, pool string) (found string) {
 	ctx, cancel := context.WithTimeout(ctx, standbyTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	found := false
 	var calls conc.WaitGroup
 	for _, peer := range r.standbyPeers(pool) {
 		calls.Go(func() {
@@ -99,7 +99,7 @@
 			}
 			if reply.GetStandby().GetActive() {
 				mu.Lock()
-				found = true
+				found = peer
 				mu.Unlock()
 				cancel()
 			}
