link, platform: Skip a second copy of an answer

Where it could happen: an upstream's copy that arrives after the next request was sent was recognized by the echoed ID only after its status. So a copy of "not run", of another upstream's 421 or of a 422 was taken for the answer to the next request or run: a client was told "not run" while its request ran, and a task could fail for another one's error. Calls to the key-value service and orders read what had arrived on an idle connection.

Responses with another ID are skipped, and the own one must follow within 0.3 s.

--- a/link/error.go
+++ b/link/error.go
@@ -38,6 +38,18 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// ForeignError reports that a call got no response but one that belongs to an earlier
+// request on the connection.
+type ForeignError struct{ Cause error }
+
+// Error implements error.
+func (e *ForeignError) Error() string {
+	return "only a response to an earlier request arrived: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ForeignError) Unwrap() error { return e.Cause }
+
 // Ran reports whether the request ran on the upstream: no if no byte of it was
 // sent, unknown otherwise.
 func (e *Error) Ran() quetzalpier.Ran {
--- a/link/link.go
+++ b/link/link.go
@@ -16,6 +16,15 @@
 // is still found by the timeout of a read.
 const headerSlack = 100 * time.Millisecond
 
+const (
+	// maxForeign is how many responses to earlier requests are skipped, of at most
+	// maxForeignBytes each. The own one has to follow within foreignWait: if it does not,
+	// the request is better sent elsewhere.
+	maxForeign      = 4
+	maxForeignBytes = 1 << 20
+	foreignWait     = 300 * time.Millisecond
+)
+
 // HopHeaders are the hop-by-hop headers, which are not forwarded.
 var HopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
@@ -23,6 +32,9 @@
 type Call struct {
 	Addr    string
 	Request *fasthttp.Request
+	// Foreign reports, by the header of a response, that it belongs to an earlier request.
+	// Such a response is skipped; nil means that none does.
+	Foreign func(*fasthttp.ResponseHeader) bool
 	// Fresh requires a new connection instead of an idle one.
 	Fresh bool
 	// Purpose names the kind of call in the counts of opened connections.
@@ -86,12 +98,10 @@
 	if err != nil {
 		return nil, l.closeFailed(ctx, call.Addr, c, stopCancel, StageSend, err)
 	}
-	resp := &fasthttp.Response{StreamBody: true}
-	resp.SkipBody = call.Request.Header.IsHead()
 	// Each read has its own deadline, so that a header that comes in small pieces could
 	// take any time.
 	overdue := time.AfterFunc(call.HeaderTimeout+headerSlack, c.abort)
-	err = resp.ReadLimitBody(c.reader, 0)
+	resp, err := c.readHeader(call, overdue)
 	if !overdue.Stop() && err == nil {
 		err = errors.Errorf("response header took longer than %s", call.HeaderTimeout)
 	}
@@ -107,6 +117,37 @@
 	return r, nil
 }
 
+// readHeader reads the header of the response to a call, and skips responses that belong
+// to earlier requests on the connection. overdue breaks it off.
+func (c *conn) readHeader(call Call, overdue *time.Timer) (*fasthttp.Response, error) {
+	for skipped := range maxForeign {
+		resp := &fasthttp.Response{StreamBody: true}
+		resp.SkipBody = call.Request.Header.IsHead()
+		err := resp.ReadLimitBody(c.reader, 0)
+		switch {
+		case err != nil && skipped > 0:
+			return nil, &ForeignError{err}
+		case err != nil:
+			return nil, err
+		}
+		if call.Foreign == nil || !call.Foreign(&resp.Header) {
+			return resp, nil
+		}
+		if skipped == 0 {
+			overdue.Reset(min(call.HeaderTimeout, foreignWait))
+		}
+		if body := resp.BodyStream(); body != nil {
+			if n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1)); err != nil || n > maxForeignBytes {
+				return nil, &ForeignError{errors.Errorf("it did not end within %d bytes (cause: %v)", maxForeignBytes, err)}
+			}
+		}
+		if err := resp.CloseBodyStream(); err != nil {
+			return nil, &ForeignError{err}
+		}
+	}
+	return nil, &ForeignError{errors.Errorf("%d of them", maxForeign)}
+}
+
 // Read reads the response body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	if r.complete {
