runner, tasks: Let runs on slow engines get on

A run without an event for 2.5 s was broken off, and one without an event for 20 times the median pace moved, each time anew: where all engines need longer than that for an event, tasks ran for ever. Stalled streams that send a byte now and then were bounded already (TestEndlessRun); streams of clients last as long as their routes allow.

The times double with each run of a task that ended without an event, up to 20 s, until one comes.

--- a/runner/stream.go
+++ b/runner/stream.go
@@ -22,11 +22,13 @@
 )
 
 const (
-	// headerTimeout limits the time to the response header of a stream, and
-	// readTimeout the time between two reads. An engine that changes its
-	// weights pauses for a second or two.
-	headerTimeout = 2500 * time.Millisecond
-	readTimeout   = 2500 * time.Millisecond
+	// minEventTimeout and maxEventTimeout bound how long a run may send no event. An
+	// engine that changes its weights pauses for a second or two.
+	minEventTimeout = 2500 * time.Millisecond
+	maxEventTimeout = 20 * time.Second
+	// minSilence is how long a run without an event takes to count as silent: one that
+	// ends sooner failed.
+	minSilence = time.Second
 	// maxErrorBytes is how much of the body of an error is read to keep its connection.
 	maxErrorBytes = 64 << 10
 	// refusedDelay is how long an engine gets no new run after it refused one, and
@@ -82,6 +84,8 @@
 	// one.
 	lastEvent int
 	startedAt time.Time
+	// timeout is how long the run may send no event.
+	timeout time.Duration
 	// firstEvent is the last event before the run.
 	firstEvent int
 	// waited is how long the task waited for the run.
@@ -100,7 +104,7 @@
 	events := len(l.Task.Text.Events)
 	r := &run{
 		parent: p, task: l.Task, engine: p.engines[l.Engine.VM.ID], vm: l.Engine.VM, startedAt: l.Task.StartedAt,
-		firstEvent: events, lastEvent: events, waited: l.Waited,
+		firstEvent: events, lastEvent: events, waited: l.Waited, timeout: eventTimeout(l.Task.SilentRuns),
 	}
 	p.goroutines.Go(func() {
 		err := r.stream(ctx)
@@ -110,19 +114,29 @@
 	})
 }
 
+// eventTimeout returns how long a run of a task may send no event, after as many of its
+// runs in a row sent none.
+//
+// Load pattern: all engines are so slow that each event takes longer than the usual
+// timeout. Runs that are broken off over and over would never get on.
+func eventTimeout(silentRuns int) time.Duration {
+	return min(maxEventTimeout, minEventTimeout<<min(silentRuns, 4))
+}
+
 // stream runs the task on the engine, starting after the last event that it
-// has. A stream without an event for readTimeout is broken off, also if other bytes come.
+// has. A stream without an event for the run's timeout is broken off, also if other bytes
+// come.
 func (r *run) stream(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resp, err := r.parent.runner.Upstreams.Send(ctx, r.vm, link.Call{
-		Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: r.timeout, ReadTimeout: r.timeout,
 	})
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Close() }()
-	overdue := time.AfterFunc(readTimeout, cancel)
+	overdue := time.AfterFunc(r.timeout, cancel)
 	defer overdue.Stop()
 	if resp.Status != http.StatusOK {
 		// The connection is kept if the body is short.
@@ -169,7 +183,7 @@
 // regular end of the stream. overdue breaks it off.
 func (r *run) readEvents(events *platform.EventDecoder, version quetzalpier.Version, overdue *time.Timer) error {
 	for {
-		overdue.Reset(readTimeout)
+		overdue.Reset(r.timeout)
 		event, err := events.Next()
 		if err == io.EOF {
 			return nil
@@ -208,6 +222,7 @@
 		r.engine.ObserveEvent(now.Sub(r.task.LastEventAt))
 	}
 	r.task.LastEventAt = now
+	r.task.SilentRuns = 0
 	return r.task.Text.MeetsPolicy(job)
 }
 
@@ -226,6 +241,9 @@
 		return
 	}
 	r.task.Phase = tasks.Waiting
+	if err != nil && r.lastEvent == r.firstEvent && now.Sub(r.startedAt) >= minSilence {
+		r.task.SilentRuns++
+	}
 	dropped := !r.task.Text.MeetsPolicy(r.task.Job.Spec) || r.task.Text.MayBeMixed(p.softwareOf)
 	if dropped {
 		r.task.DropText()
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -491,9 +491,10 @@
 	slowFactor = 2
 )
 
-// isSilent reports whether the run of a task has sent no event for too long.
+// isSilent reports whether the run of a task has sent no event for too long, which is
+// longer after runs that sent none: the engines may be slow.
 func isSilent(task *Task, pace time.Duration, now time.Time) bool {
-	return now.Sub(task.LastEventAt) > maxSilentEvents*pace
+	return now.Sub(task.LastEventAt) > (maxSilentEvents*pace)<<min(task.SilentRuns, 4)
 }
 
 // worthMoving reports whether the task would finish earlier on an engine of
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -133,6 +133,9 @@
 	SavedEvents int
 	// Saved reports whether any text of the task was stored.
 	Saved bool
+	// SilentRuns is how many runs of the task in a row ended without an event because
+	// none came for too long.
+	SilentRuns int
 	// Canceled reports whether the current run has been canceled.
 	Canceled bool
 
