swap, runner: Measure the interval of versions by model, as a mean

Trainers that were late publish two versions within 0.5 to 1.5 s; the shortest interval of any model counted at once for all, and with it the weight store seemed to serve an eighth of the loads that it serves.

The interval is the mean of a model's last four, and models share the loads in proportion to theirs.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -25,8 +25,7 @@
 	// firstPollMargin is how long before the average load time polling starts;
 	// the first report is requested one loadPollInterval later.
 	firstPollMargin = 150 * time.Millisecond
-	// averageWeight is the weight of a new value in the moving averages of load
-	// times and version intervals.
+	// averageWeight is the weight of a new value in the moving average of load times.
 	averageWeight = 0.2
 	// maxOrderTries limits the attempts to send an order to an engine that does
 	// not respond.
@@ -38,10 +37,8 @@
 	// minConcurrentLoads, which the weight store can serve in any case.
 	minConcurrentLoads = 2
 	enginesPerLoad     = 5
-	// defaultLoadTime and defaultVersionInterval are used until the time of a
-	// load and the time between two versions have been measured.
-	defaultLoadTime        = time.Second
-	defaultVersionInterval = 4 * time.Second
+	// defaultLoadTime is used until the time of a load has been measured.
+	defaultLoadTime = time.Second
 	// failedOrderDelay is the delay before an engine gets another order after a
 	// failed one.
 	failedOrderDelay = 300 * time.Millisecond
@@ -90,7 +87,9 @@
 	targets := p.targetVersions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recordTargets(targets, now)
+	for model, version := range targets {
+		p.intervals.Observe(model, version, now)
+	}
 	models := slices.Sorted(maps.Keys(targets))
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
@@ -99,18 +98,15 @@
 		}
 	}
 	maxLoads := max(minConcurrentLoads, len(ids)/enginesPerLoad)
-	loadTime, versionInterval := p.loadTime, p.versionInterval
+	loadTime := p.loadTime
 	if loadTime == 0 {
 		loadTime = defaultLoadTime
 	}
-	if versionInterval == 0 {
-		versionInterval = defaultVersionInterval
-	}
-	work := make([]float64, len(models))
+	work, intervals := make([]float64, len(models)), make([]time.Duration, len(models))
 	for i, model := range models {
-		work[i] = p.scheduler.ExpectedEvents(model)
+		work[i], intervals[i] = p.scheduler.ExpectedEvents(model), p.intervals.Mean(model)
 	}
-	assignments := swap.AssignEngines(ids, swap.EngineCounts(len(ids), work, maxLoads, loadTime, versionInterval))
+	assignments := swap.AssignEngines(ids, swap.EngineCounts(len(ids), work, intervals, maxLoads, loadTime))
 	var coverages []swap.Coverage
 	assigned := map[string][]string{}
 	for i, model := range models {
@@ -135,32 +131,6 @@
 	return coverage
 }
 
-// recordTargets measures the time between two versions of one model. The caller
-// holds the lock.
-func (p *poolRunner) recordTargets(targets map[string]quetzalpier.Version, now time.Time) {
-	for model, version := range targets {
-		last := p.lastSeen[model]
-		if last.version == version {
-			continue
-		}
-		p.lastSeen[model] = seenVersion{version, now}
-		if last.version == 0 || version != last.version+1 {
-			continue
-		}
-		if took := now.Sub(last.at); p.versionInterval == 0 || took < p.versionInterval {
-			p.versionInterval = took
-		} else {
-			p.versionInterval += time.Duration(averageWeight * float64(took-p.versionInterval))
-		}
-	}
-}
-
-// seenVersion is a target version and the time at which it was first seen.
-type seenVersion struct {
-	version quetzalpier.Version
-	at      time.Time
-}
-
 func (p *poolRunner) targetVersions() map[string]quetzalpier.Version {
 	targets := map[string]quetzalpier.Version{}
 	p.runner.Board.Do(func(s *board.State) {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -15,6 +15,7 @@
 	"quetzalpier/limit"
 	"quetzalpier/mirror"
 	"quetzalpier/sleep"
+	"quetzalpier/swap"
 	"quetzalpier/tasks"
 	"quetzalpier/vault"
 )
@@ -108,12 +109,10 @@
 	ordersFrom  time.Time
 	// orderFailures counts the consecutive failures to take over the orders.
 	orderFailures int
-	// versionInterval and loadTime are the moving averages of the time between
-	// two versions of one model and of the time of a load. lastSeen holds the
-	// last version of each model.
-	versionInterval time.Duration
-	lastSeen        map[string]seenVersion
-	loadTime        time.Duration
+	// intervals are the times between two versions of each model, which only
+	// rotationLoop uses, and loadTime is the moving average of the time of a load.
+	intervals swap.Intervals
+	loadTime  time.Duration
 }
 
 func newPoolRunner(ctx context.Context, r *Runner, pool string, fence uint64) *poolRunner {
@@ -122,7 +121,7 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: tasks.NewScheduler(), engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, lastSeen: map[string]seenVersion{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 }
 
--- a/swap/assign.go
+++ b/swap/assign.go
@@ -18,13 +18,13 @@
 // to the work of its steps, as far as the weight store can update them, but at least
 // minEnginesPerModel and half of an equal share of the engines. Half of a model's
 // engines load each new version. The store serves atOnce concurrent loads of duration
-// load, and gap is the time between two versions.
+// load, and intervals are the times between two versions of each model.
 //
 // Load pattern: several trainers share the engines and publish versions every
 // few seconds. Updating all engines for all models exceeds the capacity of the
 // weight store, and every model falls behind. A model with long steps needs more
 // engines than one with short steps.
-func EngineCounts(engines int, work []float64, atOnce int, load, gap time.Duration) []int {
+func EngineCounts(engines int, work []float64, intervals []time.Duration, atOnce int, load time.Duration) []int {
 	counts := make([]int, len(work))
 	if len(work) == 0 {
 		return counts
@@ -33,13 +33,20 @@
 	for _, w := range work {
 		total += w
 	}
-	capacity := 2 * plannedLoadShare * float64(atOnce) * gap.Seconds() / load.Seconds()
-	minCount := min(engines, max(minEnginesPerModel, (engines+2*len(work)-1)/(2*len(work))))
+	shares := make([]float64, len(work))
+	// versions is how many versions there are in a second for an engine that is assigned
+	// to the models in proportion to their shares.
+	versions := 0.0
 	for i, w := range work {
-		share := 1 / float64(len(work))
+		shares[i] = 1 / float64(len(work))
 		if total > 0 {
-			share = w / total
+			shares[i] = w / total
 		}
+		versions += shares[i] / intervals[i].Seconds()
+	}
+	capacity := 2 * plannedLoadShare * float64(atOnce) / load.Seconds() / versions
+	minCount := min(engines, max(minEnginesPerModel, (engines+2*len(work)-1)/(2*len(work))))
+	for i, share := range shares {
 		counts[i] = min(engines, max(minCount, int(capacity*share)))
 	}
 	return counts
--- a/swap/rotate_test.go
+++ b/swap/rotate_test.go
@@ -84,16 +84,16 @@
 func TestAssignEngines(t *testing.T) {
 	even := []float64{1, 1, 1, 1}
 	t.Run("one model has all engines", func(t *testing.T) {
-		require.Equal(t, []int{36}, swap.EngineCounts(36, even[:1], 7, time.Second, 4*time.Second))
+		require.Equal(t, []int{36}, swap.EngineCounts(36, even[:1], every(1, 4*time.Second), 7, time.Second))
 	})
 	t.Run("four models have as many engines as the store can update", func(t *testing.T) {
-		require.Equal(t, []int{11, 11, 11, 11}, swap.EngineCounts(36, even, 7, time.Second, 4*time.Second))
+		require.Equal(t, []int{11, 11, 11, 11}, swap.EngineCounts(36, even, every(4, 4*time.Second), 7, time.Second))
 	})
 	t.Run("models with longer steps have more engines, and none has too few", func(t *testing.T) {
-		require.Equal(t, []int{5, 7, 15, 19}, swap.EngineCounts(36, []float64{672, 1008, 2128, 2592}, 7, time.Second, 4*time.Second))
+		require.Equal(t, []int{5, 7, 15, 19}, swap.EngineCounts(36, []float64{672, 1008, 2128, 2592}, every(4, 4*time.Second), 7, time.Second))
 	})
 	t.Run("every model has all engines if versions are rare", func(t *testing.T) {
-		require.Equal(t, []int{36, 36, 36, 36}, swap.EngineCounts(36, even, 7, time.Second, 7*time.Minute))
+		require.Equal(t, []int{36, 36, 36, 36}, swap.EngineCounts(36, even, every(4, 7*time.Minute), 7, time.Second))
 	})
 	t.Run("every engine is assigned to a model", func(t *testing.T) {
 		var ids []string
@@ -114,3 +114,49 @@
 		require.Equal(t, []string{"b", "a", "c"}, order)
 	})
 }
+
+// every returns the same interval for all models.
+func every(models int, interval time.Duration) []time.Duration {
+	list := make([]time.Duration, models)
+	for i := range list {
+		list[i] = interval
+	}
+	return list
+}
+
+// TestIntervals replays the versions of the six trainers of a large pool around a fault:
+// each publishes one late and the next within a second.
+func TestIntervals(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	published := map[string][]float64{
+		"a": {4.2, 8.4, 12.0, 16.4, 20.8, 28.9, 29.7}, "b": {5.0, 10.0, 13.0, 17.7, 21.5, 29.4, 30.5},
+		"c": {6.9, 10.8, 14.9, 19.6, 25.0, 28.7, 37.0, 37.7}, "d": {6.9, 9.9, 15.8, 19.6, 25.0, 29.2, 36.7, 37.2},
+		"e": {7.5, 12.3, 15.1, 19.6, 25.0, 29.0, 36.7, 37.2}, "f": {8.0, 12.0, 16.8, 22.4, 29.4, 30.4},
+	}
+	var intervals swap.Intervals
+	require.Equal(t, swap.DefaultInterval, intervals.Mean("a"))
+	for model, times := range published {
+		for i, at := range times {
+			intervals.Observe(model, quetzalpier.Version(i+2), start.Add(time.Duration(at*float64(time.Second))))
+		}
+	}
+	var means []time.Duration
+	for model := range published {
+		means = append(means, intervals.Mean(model))
+	}
+	work := []float64{1, 1, 1, 1, 1, 1}
+	for _, count := range swap.EngineCounts(81, work, means, 16, 1100*time.Millisecond) {
+		require.Greater(t, count, 81/6, "the weight store can keep each model up to date on more engines than an equal share")
+	}
+	t.Run("one trainer without pauses takes engines from all only in proportion", func(t *testing.T) {
+		fast := every(6, 4*time.Second)
+		fast[0] = time.Second
+		require.Equal(t, []int{10, 10, 10, 10, 10, 10}, swap.EngineCounts(81, work, fast, 16, 1100*time.Millisecond))
+	})
+	t.Run("versions that were missed give no interval", func(t *testing.T) {
+		var i swap.Intervals
+		i.Observe("m", 2, start)
+		i.Observe("m", 9, start.Add(time.Second))
+		require.Equal(t, swap.DefaultInterval, i.Mean("m"))
+	})
+}
