--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -360,18 +360,22 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
 	defer cancel()
-	spec, err := e.Vault.Get(ctx, job)
-	if err != nil {
-		return 0, nil, quetzalpier.Unavailable("store", "the job could not be looked up: "+err.Error(), quetzalpier.RanNo, e.Sender.Jitter(storeRetryDelay))
-	}
-	if spec == nil {
-		return 0, nil, e.jobNotFound(job)
+	total, _ := e.cachedResults(job, after)
+	if total == 0 {
+		spec, err := e.Vault.Get(ctx, job)
+		if err != nil {
+			return 0, nil, quetzalpier.Unavailable("store", "the job could not be looked up: "+err.Error(), quetzalpier.RanNo, e.Sender.Jitter(storeRetryDelay))
+		}
+		if spec == nil {
+			return 0, nil, e.jobNotFound(job)
+		}
+		total = len(spec.Tasks)
 	}
 	listed, err := e.Vault.Results(ctx, job)
 	if err != nil {
 		return 0, nil, quetzalpier.Unavailable("store", "the results could not be read: "+err.Error(), quetzalpier.RanNo, e.Sender.Jitter(storeRetryDelay))
 	}
-	e.cacheResults(job, len(spec.Tasks), 0, listed, now)
+	e.cacheResults(job, total, 0, listed, now)
 	total, results := e.cachedResults(job, after)
 	return total, results, nil
 }
