swap, runner: Keep the measured time of a load from rising by itself

An engine is first asked shortly before the mean time is over, so that no load seemed shorter; each late answer raised the mean. Engines waited idle for their owner, half as many models were up to date, and steps waited 2 to 7 s for slots while half of the slots were free.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -22,11 +22,6 @@
 	// that is about to finish a load. Its reports are some hundred milliseconds
 	// old.
 	loadPollInterval = 100 * time.Millisecond
-	// firstPollMargin is how long before the average load time polling starts;
-	// the first report is requested one loadPollInterval later.
-	firstPollMargin = 150 * time.Millisecond
-	// averageWeight is the weight of a new value in the moving average of load times.
-	averageWeight = 0.2
 	// maxOrderTries limits the attempts to send an order to an engine that does
 	// not respond.
 	maxOrderTries = 3
@@ -37,8 +32,6 @@
 	// minConcurrentLoads, which the weight store can serve in any case.
 	minConcurrentLoads = 2
 	enginesPerLoad     = 5
-	// defaultLoadTime is used until the time of a load has been measured.
-	defaultLoadTime = time.Second
 	// failedOrderDelay is the delay before an engine gets another order after a
 	// failed one.
 	failedOrderDelay = 300 * time.Millisecond
@@ -98,15 +91,11 @@
 		}
 	}
 	maxLoads := max(minConcurrentLoads, len(ids)/enginesPerLoad)
-	loadTime := p.loadTime
-	if loadTime == 0 {
-		loadTime = defaultLoadTime
-	}
 	work, intervals := make([]float64, len(models)), make([]time.Duration, len(models))
 	for i, model := range models {
 		work[i], intervals[i] = p.scheduler.ExpectedEvents(model), p.intervals.Mean(model)
 	}
-	assignments := swap.AssignEngines(ids, swap.EngineCounts(len(ids), work, intervals, maxLoads, loadTime))
+	assignments := swap.AssignEngines(ids, swap.EngineCounts(len(ids), work, intervals, maxLoads, p.loadTime.Mean()))
 	var coverages []swap.Coverage
 	assigned := map[string][]string{}
 	for i, model := range models {
@@ -234,7 +223,7 @@
 	p.mu.Lock()
 	vm := e.VM
 	p.mu.Unlock()
-	err := p.loadVersion(ctx, vm, &order, start)
+	polls, err := p.loadVersion(ctx, vm, &order, start)
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -245,7 +234,9 @@
 		e.NotUntil = now.Add(failedOrderDelay)
 	} else {
 		e.Versions[order.Model] = max(e.Versions[order.Model], order.Version)
-		p.recordLoadTime(now.Sub(start))
+		if polls > 0 {
+			p.loadTime.Observe(now.Sub(start), polls)
+		}
 	}
 	p.runner.Meter.Orders.WithLabelValues(p.pool, outcome).Inc()
 	p.runner.Log.Info().Str("engine", vm.ID).Str("model", order.Model).Uint64("version", uint64(order.Version)).
@@ -254,40 +245,42 @@
 	signal(p.wake)
 }
 
-func (p *poolRunner) loadVersion(ctx context.Context, vm quetzalpier.VM, order *platform.SwapOrder, start time.Time) error {
+// loadVersion orders an engine to load a version and waits until it has. It returns how
+// often it asked; zero if the engine had the version already.
+func (p *poolRunner) loadVersion(ctx context.Context, vm quetzalpier.VM, order *platform.SwapOrder, start time.Time) (polls int, err error) {
 	report, err := p.runner.Engines.Report(ctx, vm)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if report.Versions[order.Model] >= order.Version {
-		return nil
+		return 0, nil
 	}
 	if !report.Busy {
 		order.ExpectedOrders = report.AcceptedOrders
 		// Check the lease last, since the report may have taken long.
 		fence, ok := p.validFence(time.Now())
 		if !ok || fence != order.Fence {
-			return errors.Errorf("pool %s is no longer owned under the same fencing token", p.pool)
+			return 0, errors.Errorf("pool %s is no longer owned under the same fencing token", p.pool)
 		}
 		if err := p.sendOrder(ctx, vm, *order); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	sleep.For(ctx, max(loadPollInterval, p.firstPollDelay()))
-	for sleep.For(ctx, loadPollInterval) {
+	for wait := max(loadPollInterval, p.firstPoll()); sleep.For(ctx, wait); wait = loadPollInterval {
+		polls++
 		report, err := p.runner.Engines.Report(ctx, vm)
 		switch {
 		case err != nil:
-			return err
+			return polls, err
 		case report.Versions[order.Model] >= order.Version:
-			return nil
+			return polls, nil
 		case !report.Busy:
-			return errors.New("engine is idle without having loaded the version")
+			return polls, errors.New("engine is idle without having loaded the version")
 		case time.Since(start) > loadTimeout:
-			return errors.New("engine did not load the version in time")
+			return polls, errors.New("engine did not load the version in time")
 		}
 	}
-	return ctx.Err()
+	return polls, ctx.Err()
 }
 
 // sendOrder sends an order until the engine has accepted it. An order without a
@@ -312,21 +305,11 @@
 	}
 }
 
-// recordLoadTime adds the time of a load to the moving average.
-func (p *poolRunner) recordLoadTime(took time.Duration) {
-	if p.loadTime == 0 {
-		p.loadTime = took
-		return
-	}
-	p.loadTime += time.Duration(averageWeight * float64(took-p.loadTime))
-}
-
-// firstPollDelay returns the time from the start of a load until polling starts:
-// the average load time less firstPollMargin.
-func (p *poolRunner) firstPollDelay() time.Duration {
+// firstPoll returns how long after its start a load is first asked for.
+func (p *poolRunner) firstPoll() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.loadTime - firstPollMargin
+	return p.loadTime.FirstPoll()
 }
 
 // maySendOrders reports whether a node may still send orders: it is a known
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -110,9 +110,9 @@
 	// orderFailures counts the consecutive failures to take over the orders.
 	orderFailures int
 	// intervals are the times between two versions of each model, which only
-	// rotationLoop uses, and loadTime is the moving average of the time of a load.
+	// rotationLoop uses, and loadTime is the time of a load.
 	intervals swap.Intervals
-	loadTime  time.Duration
+	loadTime  swap.LoadTime
 }
 
 func newPoolRunner(ctx context.Context, r *Runner, pool string, fence uint64) *poolRunner {
