--- a/runner/runner.go
+++ b/runner/runner.go
@@ -73,10 +73,12 @@
 	// than during; nil means that it always has.
 	KVStableFor func(during time.Duration, now time.Time) bool
 
+	// vacancies are the pools without an owner. Only Run uses them.
+	vacancies map[string]*vacancy
+
 	mu            sync.Mutex
 	ctx           context.Context
 	runners       map[string]*poolRunner
-	vacancies     map[string]*vacancy
 	lastOwners    map[string]string
 	goroutines    conc.WaitGroup
 	firstPool     chan struct{}
@@ -99,9 +101,9 @@
 func (r *Runner) Run(ctx context.Context) {
 	r.mu.Lock()
 	r.ctx = ctx
-	r.runners = map[string]*poolRunner{}
+	r.runners, r.lastOwners = map[string]*poolRunner{}, map[string]string{}
 	r.mu.Unlock()
-	r.vacancies, r.lastOwners = map[string]*vacancy{}, map[string]string{}
+	r.vacancies = map[string]*vacancy{}
 	watched := map[string]bool{}
 	for ctx.Err() == nil {
 		now := time.Now()
