relay, mirror, fleet: Bound how long a leader's silence delays the configuration

Followers that had asked in time waited at the leader although its content had become too old meanwhile.

A watch without an answer until its timeout counts as silence, and is made through another node. A follower that waits is refused once the content is too old, after 1.9 s instead of 2.5 s, and reads from the service; watches of a leader last 1 s, and domains of under 24 nodes have none. Tests of relay and mirror were red before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,12 +67,12 @@
 	maxLeaders = 2
 	// minConfigNodes is how many nodes a failure domain has at least for them to read the
 	// configuration through its leader.
-	minConfigNodes = 16
+	minConfigNodes = 24
 	// leaderConfigWatch is how long a watch of the configuration waits at a leader. Others
-	// are refused once the service has not answered it for maxConfigAge. With the time for
-	// a hanging watch, a change is in force everywhere within four seconds.
-	leaderConfigWatch = 1500 * time.Millisecond
-	maxConfigAge      = 2500 * time.Millisecond
+	// are refused once the service has not answered it for maxConfigAge, and then read from
+	// the service: a change must be in force everywhere within three seconds.
+	leaderConfigWatch = time.Second
+	maxConfigAge      = 1900 * time.Millisecond
 	// maxStartWait is how long a starting node waits for its own entry and then for the
 	// list of nodes, which names its leaders.
 	maxStartWait = 300 * time.Millisecond
--- a/mirror/feed_test.go
+++ b/mirror/feed_test.go
@@ -7,8 +7,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"quetzalpier"
 	"quetzalpier/mirror"
 	"quetzalpier/stand"
 	"quetzalpier/wire"
@@ -66,6 +69,14 @@
 	f.failing[addr] = err
 }
 
+// hangingKV is a service whose watches get no answer.
+type hangingKV struct{ *faultyKV }
+
+func (hangingKV) WatchPrefix(ctx context.Context, _ string, _ uint64, _ time.Duration) (quetzalpier.Changes, error) {
+	<-ctx.Done()
+	return quetzalpier.Changes{}, ctx.Err()
+}
+
 // requireNoDirect checks that the follower did not call the service.
 func (f *followers) requireNoDirect(t *testing.T) {
 	t.Helper()
@@ -139,6 +150,19 @@
 		_, err = leader.Range(time.Now().Add(2 * maxAge))
 		require.ErrorContains(t, err, "has not answered this node for")
 	})
+	t.Run("a follower that waits is refused as soon as the content is too old", func(t *testing.T) {
+		f := newFollowers(t, maxAge)
+		m := &mirror.Mirror{KV: hangingKV{f.service}, Prefix: "p/", WatchTimeout: time.Hour, MaxAge: maxAge, Log: zerolog.Nop(), Apply: func([]quetzalpier.Entry, bool, time.Time) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running conc.WaitGroup
+		running.Go(func() { m.Run(ctx) })
+		defer func() { cancel(); running.Wait() }()
+		require.Eventually(t, func() bool { return !m.State().LastContact.IsZero() }, eventuallyTimeout, time.Millisecond)
+		began := time.Now()
+		_, err := m.Watch(t.Context(), m.State().Rev)
+		require.ErrorContains(t, err, "has not answered this node for")
+		require.Less(t, time.Since(began), 5*maxAge)
+	})
 	t.Run("the age adds up, so that nodes which follow each other run out of it", func(t *testing.T) {
 		f := newFollowers(t, maxAge)
 		follower, read := startMirror(t, f.feed, func(m *mirror.Mirror) { m.MaxAge = maxAge })
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -393,10 +393,16 @@
 		if len(changes.Entries) > 0 || ctx.Err() != nil {
 			return changes, nil
 		}
+		fresh, cancel := ctx, context.CancelFunc(func() {})
+		if m.MaxAge > 0 {
+			// The content may become too old meanwhile.
+			fresh, cancel = context.WithTimeout(ctx, m.MaxAge-changes.Age+time.Millisecond)
+		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-fresh.Done():
 		}
+		cancel()
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,8 @@
 	// directTimeout is the timeout of a direct call while the service is
 	// reachable; a slow service answers in 0.3 s.
 	directTimeout = 700 * time.Millisecond
+	// timeoutSlack is how much earlier than its context a call may time out.
+	timeoutSlack = 20 * time.Millisecond
 	// renewTimeout is the timeout of a direct lease renewal and of a write under
 	// a lease: enough of the lease must remain to relay the call or to read the
 	// key back.
@@ -129,10 +131,13 @@
 }
 
 // watchDirect makes a direct watch. A healthy service may close a waiting watch; the
-// caller then has to read the changes that the watch may have missed.
+// caller then has to read the changes that the watch may have missed. One that was not
+// answered in time shows that the service is silent.
 func (k *KV) watchDirect(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
+	start := time.Now()
 	found, err := k.Direct.WatchPrefix(ctx, prefix, rev, wait)
-	if isOutcomeUnknown(err) && ctx.Err() == nil {
+	unanswered := time.Since(start) >= wait+directTimeout-timeoutSlack
+	if isOutcomeUnknown(err) && ctx.Err() == nil && !unanswered {
 		err = &quetzalpier.CompactedError{Prefix: prefix, Rev: rev, Cut: true}
 	}
 	return found, err
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -110,6 +110,16 @@
 	errNoAnswer = &quetzalpier.OutcomeUnknownError{Call: "call", Reason: "no answer"}
 )
 
+// silentKV is a service that does not answer watches; its client gives up shortly before
+// the context ends.
+type silentKV struct{ *stand.MemoryKV }
+
+func (kv silentKV) WatchPrefix(ctx context.Context, _ string, _ uint64, _ time.Duration) (quetzalpier.Changes, error) {
+	deadline, _ := ctx.Deadline()
+	time.Sleep(time.Until(deadline) - 5*time.Millisecond)
+	return quetzalpier.Changes{}, errNoAnswer
+}
+
 // relayPair returns two nodes and their direct access to the service; a relays
 // through b.
 func relayPair(service *stand.MemoryKV) (a, b *relay.KV, directA, directB *faultyKV) {
@@ -251,6 +261,19 @@
 		require.Len(t, found.Entries, 1)
 		require.True(t, a.DirectFailed(), "a failed read counts as an outage")
 	})
+	t.Run("a watch that gets no answer in time counts as an outage, and is made through another node", func(t *testing.T) {
+		service := stand.NewMemoryKV()
+		a, _, _, _ := relayPair(service)
+		rev, err := a.CompareAndSwap(t.Context(), "k/1", nil, 0, "")
+		require.NoError(t, err)
+		a.Direct = silentKV{service}
+		_, err = service.CompareAndSwap(t.Context(), "k/2", nil, 0, "")
+		require.NoError(t, err)
+		found, err := a.WatchPrefix(t.Context(), "k/", rev, 100*time.Millisecond)
+		require.NoError(t, err)
+		require.Len(t, found.Entries, 1)
+		require.True(t, a.DirectFailed())
+	})
 	t.Run("a watch that is closed at the relaying node may have missed changes", func(t *testing.T) {
 		service := stand.NewMemoryKV()
 		a, _, directA, directB := relayPair(service)
