fleet: Relay calls through nodes in contact with the key-value service

Since entries have no leases, those learn it only with the relayed call: 86 calls failed at their timeouts, and results were listed seconds late.

Calls go through the leaders of the failure domains and the store VMs.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -173,6 +173,37 @@
 	return reachable
 }
 
+// relayAddrs returns the addresses of the reachable nodes that are in steady contact with the
+// key-value service, or of all other nodes if there is none: store VMs, and the nodes that
+// read it for others. The rest would find out only with the relayed call that the service
+// does not answer them.
+//
+// Load pattern: the service is silent for the owner of a pool and for a third of the nodes.
+func (n *Node) relayAddrs() (addrs []string) {
+	n.Board.Do(func(s *board.State) {
+		domains := map[string]int{}
+		for _, m := range s.Members {
+			domains[m.Domain]++
+		}
+		leads := map[string]bool{}
+		for domain := range domains {
+			for _, id := range domainLeaders(s, domain) {
+				leads[id] = true
+			}
+		}
+		for id, m := range s.Members {
+			inContact := leads[id] || m.HasRole(runner.ClassStore) || domains[m.Domain] < minConfigNodes
+			if inContact && id != s.Self.ID && s.Reachable(id) {
+				addrs = append(addrs, m.Peer)
+			}
+		}
+	})
+	if len(addrs) == 0 {
+		return n.peerAddrs()
+	}
+	return addrs
+}
+
 // memberAddrs returns the addresses of the other nodes, reachable or not.
 func (n *Node) memberAddrs() []string {
 	var addrs []string
@@ -195,7 +226,7 @@
 func (n *Node) feedLeaders() []string {
 	var addrs []string
 	n.Board.Do(func(s *board.State) {
-		for _, id := range domainLeaders(s) {
+		for _, id := range domainLeaders(s, s.Self.Domain) {
 			if id == s.Self.ID {
 				break
 			}
@@ -205,16 +236,16 @@
 	return addrs
 }
 
-// domainLeaders returns the IDs of the leaders of this node's failure domain, on which all
-// of its nodes agree once they have the same list.
-func domainLeaders(s *board.State) []string {
+// domainLeaders returns the IDs of the leaders of a failure domain, on which all nodes agree
+// once they have the same list.
+func domainLeaders(s *board.State, domain string) []string {
 	var ids []string
 	for id, m := range s.Members {
-		if m.Domain == s.Self.Domain && m.HTTP != "" && s.Answers(m) {
+		if m.Domain == domain && m.HTTP != "" && s.Answers(m) {
 			ids = append(ids, id)
 		}
 	}
-	return hash.Owners("watch/"+s.Self.Domain, ids, maxLeaders)
+	return hash.Owners("watch/"+domain, ids, maxLeaders)
 }
 
 // upstreamLeaders returns the addresses of the nodes to read the upstreams from. There is
--- a/fleet/calls_test.go
+++ b/fleet/calls_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,3 +59,31 @@
 	}
 	return kept
 }
+
+// Load pattern: the key-value service is silent for the owner of a pool and for a third of
+// the nodes of a large fleet, most of which don't know it.
+func TestRelayAddrs(t *testing.T) {
+	n := &Node{Board: board.New(board.Member{ID: "store-0", Peer: "store-0:1", Domain: "d0", Roles: []string{runner.ClassStore}})}
+	n.Board.Do(func(s *board.State) {
+		for i := range 3 * minConfigNodes {
+			id := fmt.Sprint("front-", i)
+			s.Members[id] = board.Member{ID: id, Peer: id + ":1", HTTP: id + ":2", Domain: fmt.Sprint("d", i%3)}
+		}
+		for i := range 3 {
+			id := fmt.Sprint("store-", i)
+			s.Members[id] = board.Member{ID: id, Peer: id + ":1", Domain: "d0", Roles: []string{runner.ClassStore}}
+		}
+	})
+	addrs := n.relayAddrs()
+	require.Len(t, addrs, 3*maxLeaders+2, "the leaders of three failure domains and the other store VMs")
+	require.Subset(t, addrs, []string{"store-1:1", "store-2:1"})
+	t.Run("in small failure domains all nodes are in contact", func(t *testing.T) {
+		n := &Node{Board: board.New(board.Member{ID: "a", Peer: "a:1", Domain: "d"})}
+		n.Board.Do(func(s *board.State) {
+			for _, id := range []string{"a", "b", "c"} {
+				s.Members[id] = board.Member{ID: id, Peer: id + ":1", HTTP: id + ":2", Domain: "d"}
+			}
+		})
+		require.ElementsMatch(t, []string{"b:1", "c:1"}, n.relayAddrs())
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -180,7 +180,7 @@
 	seed := hash.Text(n.Settings.Name + time.Now().String())
 	n.direct = platform.NewKV(n.Settings.KV)
 	counted := &tally.KV{KV: n.direct, Purpose: callPurpose, Calls: n.Meter.PlatformCalls}
-	n.kv = &relay.KV{Direct: counted, Peers: n.peerAddrs, Call: n.callPeer, Reset: n.direct.Reset, Log: n.Log}
+	n.kv = &relay.KV{Direct: counted, Peers: n.relayAddrs, Call: n.callPeer, Reset: n.direct.Reset, Log: n.Log}
 	n.lease = &lease.Holder{
 		KV: n.kv, Node: n.Settings.Name, Prefix: vault.Owners, TTL: ownerLeaseTTL, RenewInterval: ownerRenewInterval, Margin: leaseMargin,
 		IdleTTL: idleLeaseTTL, IdleRenewInterval: idleRenewInterval,
