--- a/probe/probe.go
+++ b/probe/probe.go
@@ -131,12 +131,20 @@
 //
 // Load pattern: two fifths of all nodes stop within the same second, so that some have
 // only probers that stopped as well.
+//
+// One that is known to be unreachable starts no round: it may refuse connections at once,
+// and rounds would follow each other without a pause.
 func (p *Prober) suspect(id string) {
+	known := false
+	p.Board.Do(func(s *board.State) { known = !s.Reachable(id) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.suspected == nil {
 		p.suspected = map[string]bool{}
 	}
+	if known || p.suspected[id] {
+		return
+	}
 	p.suspected[id] = true
 	select {
 	case p.wake <- struct{}{}:
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -281,6 +281,16 @@
 		again, _ := p.startRound(start)
 		require.Equal(t, targets, again)
 	})
+	t.Run("a member that refuses connections starts one round, not one after the other", func(t *testing.T) {
+		p := newTestProber()
+		p.network.failures["b:1"] = syscall.ECONNREFUSED
+		p.wake = make(chan struct{}, 1)
+		require.Equal(t, []string{"b"}, p.round(start))
+		require.Len(t, p.wake, 1)
+		<-p.wake
+		p.round(start.Add(time.Millisecond))
+		require.Empty(t, p.wake)
+	})
 	t.Run("a refused connection needs no confirmation", func(t *testing.T) {
 		p := newTestProber()
 		p.network.failures["b:1"] = errors.Wrap(syscall.ECONNREFUSED, "dial peer")
