--- a/board/board.go
+++ b/board/board.go
@@ -46,8 +46,24 @@
 	TokenAt      time.Time
 	// Limit is maintained by the limit package.
 	Limit Limit
+	// Path is maintained by the reach package.
+	Path Path
 }
 
+// Path is what a node knows of its own path to an upstream.
+type Path struct {
+	// ReachedAt is when a connection was last established, and LostAt when the first one
+	// since then was not; zero if none failed. Failures counts those.
+	ReachedAt time.Time
+	LostAt    time.Time
+	Failures  int
+	// RetryAt is when a connection is due to be tried again.
+	RetryAt time.Time
+}
+
+// Lost reports whether the last connection that was tried could not be established.
+func (p Path) Lost() bool { return !p.LostAt.IsZero() }
+
 // Limit is what a node knows of an upstream's limit, and its share of it.
 type Limit struct {
 	quetzalpier.Limit
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,7 @@
 	"quetzalpier/peer"
 	"quetzalpier/platform"
 	"quetzalpier/probe"
+	"quetzalpier/reach"
 	"quetzalpier/relay"
 	"quetzalpier/runner"
 	"quetzalpier/send"
@@ -112,6 +113,7 @@
 	mesh   *peer.Mesh
 	prober *probe.Prober
 	links  *link.Links
+	paths  *reach.Recorder
 	sender *send.Sender
 	runner *runner.Runner
 	entry  *entry.Entry
@@ -187,7 +189,8 @@
 	}
 	n.kv.WritesAwaited = func() bool { return n.ownsPool() || n.runner.Active() }
 	n.links = link.New()
-	n.links.OnDial = n.countDial
+	n.links.OnDial, n.links.OnConnect = n.countDial, n.recordConnect
+	n.paths = &reach.Recorder{Board: n.Board, Log: n.Log, Lost: n.Meter.LostPaths}
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.OnStrikes = n.sendStrikes
 	n.limits = limit.New(n.Board, n.Log)
--- a/link/link.go
+++ b/link/link.go
@@ -30,8 +30,10 @@
 
 // Call is one attempt of a request.
 type Call struct {
-	Addr    string
-	Request *fasthttp.Request
+	Addr string
+	// Upstream is the ID of the upstream; empty if it has none.
+	Upstream string
+	Request  *fasthttp.Request
 	// Foreign reports, by the header of a response, that it belongs to an earlier request.
 	// Such a response is skipped; nil means that none does.
 	Foreign func(*fasthttp.ResponseHeader) bool
@@ -47,8 +49,10 @@
 
 // Links sends requests to upstreams and keeps idle connections for reuse.
 type Links struct {
-	// OnDial is called before a connection is opened; nil does nothing.
-	OnDial func(Purpose, Cause)
+	// OnDial is called before a connection is opened, and OnConnect after a connection for
+	// a call was established or not; nil does nothing.
+	OnDial    func(Purpose, Cause)
+	OnConnect func(call Call, err error, now time.Time)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -272,7 +276,11 @@
 	if l.OnDial != nil {
 		l.OnDial(call.Purpose, cause)
 	}
-	return dial(call.Addr)
+	c, err := dial(call.Addr)
+	if l.OnConnect != nil && call.Upstream != "" {
+		l.OnConnect(call, err, time.Now())
+	}
+	return c, err
 }
 
 // takeIdle returns an idle connection to the upstream, or the cause for which a new
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -74,23 +74,39 @@
 type Decision struct {
 	Retry   bool
 	Backoff time.Duration
+	// Reason is why there is no retry.
+	Reason Reason
 }
 
+// Reason is why a failed attempt is not retried.
+type Reason string
+
+// The reasons.
+const (
+	ReasonFinal    Reason = "final"
+	ReasonAttempts Reason = "attempts"
+	ReasonMayRun   Reason = "ran"
+	ReasonDeadline Reason = "deadline"
+	ReasonBudget   Reason = "budget"
+)
+
 // Decide decides whether to retry. A request that may have run is retried only if
 // it is idempotent, and never after a part of its answer was delivered.
 func Decide(f Failure, budget *Budget, now time.Time) Decision {
-	if f.Final || f.Delivered || f.Attempts >= maxAttempts || (f.MaxAttempts > 0 && f.Attempts >= f.MaxAttempts) {
-		return Decision{}
-	}
-	if f.Ran != quetzalpier.RanNo && !f.Idempotent {
-		return Decision{}
+	switch {
+	case f.Final || f.Delivered:
+		return Decision{Reason: ReasonFinal}
+	case f.Attempts >= maxAttempts || (f.MaxAttempts > 0 && f.Attempts >= f.MaxAttempts):
+		return Decision{Reason: ReasonAttempts}
+	case f.Ran != quetzalpier.RanNo && !f.Idempotent:
+		return Decision{Reason: ReasonMayRun}
 	}
 	wait := backoffBase << (f.Attempts - 1)
 	if !f.Deadline.IsZero() && now.Add(wait).After(f.Deadline) {
-		return Decision{}
+		return Decision{Reason: ReasonDeadline}
 	}
 	if !budget.Spend() {
-		return Decision{}
+		return Decision{Reason: ReasonBudget}
 	}
 	return Decision{Retry: true, Backoff: wait}
 }
--- a/send/send.go
+++ b/send/send.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -165,7 +166,7 @@
 		ran = combineRan(ran, f.Ran)
 		decision := s.decideRetry(job.Pool, f, time.Now())
 		if !decision.Retry {
-			return s.finalError(err, f, ran)
+			return s.finalError(err, f, ran, decision.Reason)
 		}
 		tried[held.vm.ID] = true
 		if !sleep.For(ctx, decision.Backoff) {
@@ -295,11 +296,12 @@
 }
 
 // finalError returns the error of a job that is not retried.
-func (s *Sender) finalError(err error, f retry.Failure, ran quetzalpier.Ran) error {
+func (s *Sender) finalError(err error, f retry.Failure, ran quetzalpier.Ran, reason retry.Reason) error {
 	if f.Final {
 		return err
 	}
-	return quetzalpier.Unavailable("upstream", "no upstream gave a whole answer: "+err.Error(), ran, s.Jitter(time.Second))
+	detail := fmt.Sprintf("no upstream gave a whole answer after %d attempts, not retried for %q: %v", f.Attempts, reason, err)
+	return quetzalpier.Unavailable("upstream", detail, ran, s.Jitter(time.Second))
 }
 
 func (s *Sender) decideRetry(pool string, f retry.Failure, now time.Time) (decision retry.Decision) {
