soak: Reproduce the unserved clients of partitioned fronts

Callers of a front that is partitioned from all upstreams are not served, while other fronts reach the same upstreams. Each node of a test deployment may now have paths of its own to the upstreams, whose connections hang, are reset or refused.

--- a/soak/lookup_test.go
+++ b/soak/lookup_test.go
@@ -129,7 +129,7 @@
 	})
 	t.Run("a front that can't reach the key-value service", func(t *testing.T) {
 		r, cut, _ := openFronts(t)
-		cut.KVProxy.SetMode(soak.Reset)
+		require.NoError(t, cut.KVProxy.SetMode(soak.Reset))
 		requireNamedThroughout(t, r.Fronts, cut, 10*time.Second)
 	})
 	t.Run("every front while the key-value service is unavailable, and after", func(t *testing.T) {
--- /dev/null
+++ b/soak/paths.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalpier"
+	"quetzalpier/platform"
+)
+
+// openPaths starts a proxy to each upstream, whose address the node reads in place of the
+// upstream's.
+func (n *Node) openPaths() error {
+	n.paths = map[string]*Proxy{}
+	for _, w := range n.rig.workers() {
+		path, err := NewProxy(w.Addr)
+		if err != nil {
+			return err
+		}
+		n.paths[w.ID] = path
+	}
+	n.KV.Rewrite = n.rewriteVM
+	return nil
+}
+
+// rewriteVM replaces the address of an upstream's entry by that of this node's path.
+func (n *Node) rewriteVM(entry quetzalpier.Entry) quetzalpier.Entry {
+	if entry.Deleted || !strings.HasPrefix(entry.Key, platform.PrefixWorkers) {
+		return entry
+	}
+	vm, err := platform.DecodeVM(entry)
+	if err != nil || n.paths[vm.ID] == nil {
+		return entry
+	}
+	vm.Addr = n.paths[vm.ID].Addr
+	write, err := platform.EncodeVM(vm)
+	if err != nil {
+		return entry
+	}
+	entry.Value = write.Value
+	return entry
+}
+
+// Partition sets the mode of the node's paths to all upstreams.
+func (n *Node) Partition(mode Mode) error {
+	for id, path := range n.paths {
+		if err := path.SetMode(mode); err != nil {
+			return errors.Wrapf(err, "path from %s to %s", n.Settings.Name, id)
+		}
+	}
+	return nil
+}
+
+// View sends a plain request through the front, once, on a new connection, and returns an
+// error unless it is served within the timeout.
+func (n *Node) View(ctx context.Context, id string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Settings.Front+viewPath+id, strings.NewReader("view"))
+	if err != nil {
+		return err
+	}
+	req.Host, req.Close = Host, true
+	req.Header.Set(platform.HeaderAttempt, id)
+	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(timeout.Milliseconds()))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s answered with status %d", n.Settings.Name, resp.StatusCode)
+	}
+	return nil
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,11 +2,15 @@
 
 import (
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"quetzalpier/stand"
 )
 
 // Mode selects the network fault that a proxy injects.
@@ -26,10 +30,24 @@
 	// Cut drops the data of both directions, and OneWay the data from the target.
 	Cut    Mode = "cut"
 	OneWay Mode = "oneway"
+	// Partition holds back the data of both directions and lets new connections hang, and
+	// Lost the same but only the data from the target. Refuse refuses new connections, and
+	// ResetRefuse resets the open ones as well.
+	Partition   Mode = "partition"
+	Lost        Mode = "lost"
+	Refuse      Mode = "refuse"
+	ResetRefuse Mode = "reset-refuse"
 )
 
-// chunkDelay is the delay of each chunk in mode Delay.
-const chunkDelay = 150 * time.Millisecond
+// partitions are the modes of a node that is partitioned from an upstream.
+var partitions = []Mode{Partition, Lost, Refuse, ResetRefuse}
+
+const (
+	// chunkDelay is the delay of each chunk in mode Delay.
+	chunkDelay = 150 * time.Millisecond
+	// holdInterval is the time between two checks whether a partition is over.
+	holdInterval = 10 * time.Millisecond
+)
 
 // Proxy is a TCP proxy on a loopback address that forwards connections to a
 // target and injects the network fault of its mode.
@@ -37,7 +55,7 @@
 	Addr string
 
 	target     string
-	listener   net.Listener
+	port       *stand.Port
 	goroutines conc.WaitGroup
 	mu         sync.Mutex
 	mode       Mode
@@ -53,17 +71,17 @@
 
 // NewProxy starts a proxy to target.
 func NewProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := stand.OpenPort()
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Addr: listener.Addr().String(), target: target, listener: listener, mode: Pass, open: map[*connPair]struct{}{}}
+	p := &Proxy{Addr: port.Addr, target: target, port: port, mode: Pass, open: map[*connPair]struct{}{}}
 	p.goroutines.Go(p.acceptLoop)
 	return p, nil
 }
 
 // SetMode changes the mode; it also applies to open connections.
-func (p *Proxy) SetMode(mode Mode) {
+func (p *Proxy) SetMode(mode Mode) error {
 	p.mu.Lock()
 	p.mode = mode
 	p.changes++
@@ -75,14 +93,28 @@
 		switch mode {
 		case Silence:
 			c.silenced = true
-		case Reset:
+		case Reset, ResetRefuse:
 			toClose = append(toClose, c)
 		}
 	}
 	p.mu.Unlock()
 	for _, c := range toClose {
+		closeWithReset(c.client)
 		p.closePair(c)
 	}
+	return p.setPort(mode)
+}
+
+// setPort opens or closes the port for new connections.
+func (p *Proxy) setPort(mode Mode) error {
+	switch mode {
+	case Partition, Lost:
+		return p.port.Hang()
+	case Refuse, ResetRefuse:
+		return p.port.Refuse()
+	default:
+		return p.port.Open()
+	}
 }
 
 // Mode returns the mode and how often it was set.
@@ -94,14 +126,20 @@
 
 // Close stops the proxy and closes all its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.SetMode(Reset)
+	p.port.Close()
+	p.mu.Lock()
+	p.mode = Reset
+	open := slices.Collect(maps.Keys(p.open))
+	p.mu.Unlock()
+	for _, c := range open {
+		p.closePair(c)
+	}
 	p.goroutines.Wait()
 }
 
 func (p *Proxy) acceptLoop() {
 	for {
-		client, err := p.listener.Accept()
+		client, err := p.port.Accept()
 		if err != nil {
 			return
 		}
@@ -141,6 +179,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		p.holdBack(c, fromClient)
 		if n > 0 && !p.delayOrDrop(c, fromClient) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -155,6 +194,20 @@
 	}
 }
 
+// holdBack waits while the direction is partitioned and the connection open.
+func (p *Proxy) holdBack(c *connPair, fromClient bool) {
+	for {
+		p.mu.Lock()
+		_, open := p.open[c]
+		held := open && (p.mode == Partition || p.mode == Lost && !fromClient)
+		p.mu.Unlock()
+		if !held {
+			return
+		}
+		time.Sleep(holdInterval)
+	}
+}
+
 // delayOrDrop delays a chunk in mode Delay and reports whether to drop it.
 func (p *Proxy) delayOrDrop(c *connPair, fromClient bool) bool {
 	p.mu.Lock()
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -57,6 +57,10 @@
 	SoftwareVersions int
 	// EventInterval is the time that an engine takes for each stream event.
 	EventInterval time.Duration
+	// Partitions gives each node a path of its own to each upstream, which can be
+	// partitioned. Each node has a failure domain of its own then, since the nodes of one
+	// read the upstreams' addresses from each other.
+	Partitions bool
 }
 
 // Node is a node of the service in a process of its own.
@@ -66,6 +70,8 @@
 	// node to it.
 	KV      *stand.KV
 	KVProxy *Proxy
+	// paths connect the node to the upstreams, by ID; empty without Options.Partitions.
+	paths map[string]*Proxy
 
 	rig     *Rig
 	command *exec.Cmd
@@ -247,6 +253,12 @@
 	}
 	n := &Node{Settings: settings, KV: kv, KVProxy: proxy, rig: r}
 	*started = append(*started, n)
+	if r.Partitions {
+		n.Settings.Domain = name
+		if err := n.openPaths(); err != nil {
+			return err
+		}
+	}
 	return n.Start()
 }
 
@@ -411,6 +423,9 @@
 			n.Kill()
 		}
 		n.KVProxy.Close()
+		for _, path := range n.paths {
+			path.Close()
+		}
 		n.KV.SetFaults(stand.KVFaults{})
 		n.KV.Close()
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -339,8 +339,14 @@
 	n := nodes[f.rnd.IntN(len(nodes))]
 	mode := []Mode{Delay, Reset, Silence, Cut, OneWay}[f.rnd.IntN(5)]
 	f.logFault("link "+string(mode), n.Settings.Name, duration)
-	n.KVProxy.SetMode(mode)
-	f.revertAfter(ctx, duration, func() { n.KVProxy.SetMode(Pass) })
+	f.setMode(n.KVProxy, mode)
+	f.revertAfter(ctx, duration, func() { f.setMode(n.KVProxy, Pass) })
+}
+
+func (f *faultInjector) setMode(p *Proxy, mode Mode) {
+	if err := p.SetMode(mode); err != nil {
+		f.ledger.recordViolation("proxy at %s not set to %s: %v", p.Addr, mode, err)
+	}
 }
 
 // disturbKV injects a fault into the key-value service.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -215,7 +215,7 @@
 	t.Run("all open connections to the key-value service drop their data", func(t *testing.T) {
 		runSteps(t, func(r *soak.Rig) {
 			for _, n := range append(append([]*soak.Node(nil), r.Stores...), r.Fronts...) {
-				n.KVProxy.SetMode(soak.Silence)
+				require.NoError(t, n.KVProxy.SetMode(soak.Silence))
 			}
 		})
 	})
--- a/stand/kv.go
+++ b/stand/kv.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"quetzalpier"
 	"quetzalpier/platform"
 )
 
@@ -38,6 +40,10 @@
 	*Server
 	*MemoryKV
 
+	// Rewrite changes the entries that this address returns; nil for none. It must be set
+	// before the first call.
+	Rewrite func(quetzalpier.Entry) quetzalpier.Entry
+
 	// shared is the service whose faults apply here, too; nil for the first address.
 	shared *KV
 	mu     sync.Mutex
@@ -105,7 +111,7 @@
 	if k.failCall(c) || (k.shared != nil && k.shared.failCall(c)) {
 		return
 	}
-	platform.HandleKV(k.MemoryKV, c)
+	platform.HandleKV(rewritingKV{k.MemoryKV, k.Rewrite}, c)
 	if c.IsGet() || c.Response.StatusCode() != http.StatusOK {
 		return
 	}
@@ -155,3 +161,33 @@
 	k.faults.LoseAnswers--
 	return true
 }
+
+// rewritingKV changes the entries that are read from a key-value service.
+type rewritingKV struct {
+	quetzalpier.KV
+	rewrite func(quetzalpier.Entry) quetzalpier.Entry
+}
+
+// Range implements quetzalpier.KV.
+func (k rewritingKV) Range(ctx context.Context, prefix string, allowStale bool) (quetzalpier.Changes, error) {
+	changes, err := k.KV.Range(ctx, prefix, allowStale)
+	return k.changed(changes), err
+}
+
+// WatchPrefix implements quetzalpier.KV.
+func (k rewritingKV) WatchPrefix(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
+	changes, err := k.KV.WatchPrefix(ctx, prefix, rev, wait)
+	return k.changed(changes), err
+}
+
+func (k rewritingKV) changed(changes quetzalpier.Changes) quetzalpier.Changes {
+	if k.rewrite == nil {
+		return changes
+	}
+	entries := make([]quetzalpier.Entry, 0, len(changes.Entries))
+	for _, entry := range changes.Entries {
+		entries = append(entries, k.rewrite(entry))
+	}
+	changes.Entries = entries
+	return changes
+}
