link: End the wait for a connection at the request's deadline

Opening a connection had a timeout of its own, 1 s, and did not end with the request. Now the request's context bounds it as well.

--- a/client/client.go
+++ b/client/client.go
@@ -4,6 +4,7 @@
 package client
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -33,8 +34,14 @@
 
 // Dial opens a TCP connection that fails when its peer becomes unresponsive.
 func Dial(addr string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return DialContext(ctx, addr)
+}
+
+// DialContext is Dial that ctx bounds.
+func DialContext(ctx context.Context, addr string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
@@ -52,5 +59,5 @@
 			return optErr
 		},
 	}
-	return dialer.Dial("tcp", addr)
+	return dialer.DialContext(ctx, "tcp", addr)
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"time"
 
@@ -42,8 +43,10 @@
 	silent bool
 }
 
-func dial(addr string) (*conn, error) {
-	inner, err := client.Dial(addr, dialTimeout)
+func dial(ctx context.Context, addr string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	inner, err := client.DialContext(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -84,9 +84,9 @@
 	if ctx.Err() != nil {
 		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: true, Err: ctx.Err()}
 	}
-	c, err := l.acquire(call)
+	c, err := l.acquire(ctx, call)
 	if err != nil {
-		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Err: err}
+		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: ctx.Err() != nil, Err: err}
 	}
 	if ctx.Err() != nil {
 		c.abort()
@@ -257,7 +257,7 @@
 	if l.OnDial != nil {
 		l.OnDial(PurposeProbe, CauseFresh)
 	}
-	c, err := dial(addr)
+	c, err := dial(context.Background(), addr)
 	if err != nil {
 		return true
 	}
@@ -265,7 +265,7 @@
 	return false
 }
 
-func (l *Links) acquire(call Call) (*conn, error) {
+func (l *Links) acquire(ctx context.Context, call Call) (*conn, error) {
 	cause := CauseFresh
 	if !call.Fresh {
 		var c *conn
@@ -276,7 +276,7 @@
 	if l.OnDial != nil {
 		l.OnDial(call.Purpose, cause)
 	}
-	c, err := dial(call.Addr)
+	c, err := dial(ctx, call.Addr)
 	if l.OnConnect != nil && call.Upstream != "" {
 		l.OnConnect(call, err, time.Now())
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -18,6 +18,7 @@
 
 	"quetzalpier"
 	"quetzalpier/link"
+	"quetzalpier/stand"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -339,3 +340,22 @@
 		})
 	}
 }
+
+// A connection to the other side of a partition hangs. The caller's deadline ends the wait.
+func TestDialOutlivesDeadline(t *testing.T) {
+	port, err := stand.OpenPort()
+	require.NoError(t, err)
+	defer port.Close()
+	require.NoError(t, port.Hang())
+	links := link.New()
+	defer links.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, err = attempt(ctx, links, newCall(port.Addr))
+	var linkErr *link.Error
+	require.ErrorAs(t, err, &linkErr)
+	require.Equal(t, link.StageConnect, linkErr.Stage)
+	require.Equal(t, quetzalpier.RanNo, linkErr.Ran())
+	require.Less(t, time.Since(start), 400*time.Millisecond)
+}
