tunnel: Reach upstreams through other nodes

Callers of a front that is partitioned from all upstreams were not served, while clients, the key-value service and other nodes reached it, and other fronts reached the same upstreams.

Cause: a node sent requests over connections of its own only, and nothing that one request learned of them spared the next one the wait.

A connection that the node can't open itself is now opened by another node, which passes its bytes on (docs/design/paths.md). reach keeps which paths are lost, so that requests don't wait for them, and a silent connection has its path checked. Orders and runs stay on connections of the node's own.

--- a/board/board.go
+++ b/board/board.go
@@ -57,8 +57,17 @@
 	ReachedAt time.Time
 	LostAt    time.Time
 	Failures  int
-	// RetryAt is when a connection is due to be tried again.
-	RetryAt time.Time
+	// RetryAt is when a connection is due to be tried again, and NoDetourUntil until when
+	// other nodes are known not to reach the upstream either.
+	RetryAt       time.Time
+	NoDetourUntil time.Time
+}
+
+// Helper is what a node knows of another one through which it opens connections to
+// upstreams: when it last did, and until when the other one is not asked.
+type Helper struct {
+	UsedAt     time.Time
+	AvoidUntil time.Time
 }
 
 // Lost reports whether the last connection that was tried could not be established.
@@ -193,6 +202,8 @@
 	// since when.
 	ListedAt     time.Time
 	PastSoftware map[string]map[string]time.Time
+	// Helpers are maintained by the reach package, by the ID of the node.
+	Helpers map[string]Helper
 	// UsedUpstreams holds the IDs of the upstreams that this node uses; nil means
 	// all.
 	UsedUpstreams map[string]bool
@@ -257,6 +268,7 @@
 			Silent:         map[string]time.Time{},
 			MissingDisks:   map[string]time.Time{},
 			Upstreams:      map[string]*Upstream{},
+			Helpers:        map[string]Helper{},
 			PastSoftware:   map[string]map[string]time.Time{},
 			TargetVersions: map[string]quetzalpier.Version{},
 			Owners:         map[string]Owner{},
--- a/client/idle.go
+++ b/client/idle.go
@@ -10,6 +10,9 @@
 // Quiet reports whether an idle connection is still open and has no unread bytes, which
 // would be taken for the response to the next request.
 func Quiet(conn net.Conn) bool {
+	if q, ok := conn.(interface{ Quiet() bool }); ok {
+		return q.Quiet()
+	}
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -39,7 +39,9 @@
 	req := e.outgoing(c, r)
 	var answer *platform.Answer
 	err := e.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
-		got, err := e.Upstreams.Forward(ctx, a.VM, a.Fresh, link.PurposeRequest, req, r.deadline)
+		got, err := e.Upstreams.Forward(ctx, platform.Attempt{
+			VM: a.VM, Purpose: link.PurposeRequest, Fresh: a.Fresh, Repeatable: route.Idempotent, Deadline: r.deadline,
+		}, req)
 		if err != nil {
 			e.Log.Info().Str("request", r.id).Str("upstream", a.VM.ID).Bool("fresh", a.Fresh).
 				Dur("left_ms", time.Until(r.deadline)).Err(err).Msg("request attempt failed")
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/link"
 	"quetzalpier/origin"
 	"quetzalpier/platform"
 	"quetzalpier/send"
@@ -49,7 +50,8 @@
 		err := e.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
 			e.Log.Debug().Str("request", r.id).Str("upstream", a.VM.ID).Str("software", a.VM.Software).
 				Bytes("after", req.Header.Peek(platform.HeaderLastEventID)).Msg("stream attempt")
-			return e.Upstreams.Stream(ctx, a.VM, req, r.deadline, func(head *platform.Answer) {
+			attempt := platform.Attempt{VM: a.VM, Purpose: link.PurposeStream, Fresh: true, Repeatable: job.Idempotent, Deadline: r.deadline}
+			return e.Upstreams.Stream(ctx, attempt, req, func(head *platform.Answer) {
 				if head.Body == nil {
 					e.Origins.Record(began.attempt(r), origin.Origin{Pool: a.VM.Pool, Software: a.VM.Software}, time.Now())
 				}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,12 +30,12 @@
 	"quetzalpier/peer"
 	"quetzalpier/platform"
 	"quetzalpier/probe"
-	"quetzalpier/reach"
 	"quetzalpier/relay"
 	"quetzalpier/runner"
 	"quetzalpier/send"
 	"quetzalpier/setup"
 	"quetzalpier/tally"
+	"quetzalpier/tunnel"
 	"quetzalpier/vault"
 )
 
@@ -113,12 +113,14 @@
 	mesh   *peer.Mesh
 	prober *probe.Prober
 	links  *link.Links
-	paths  *reach.Recorder
-	sender *send.Sender
-	runner *runner.Runner
-	entry  *entry.Entry
-	keeper *keep.Keeper
-	vault  *vault.Vault
+	// dialer opens connections to upstreams through other nodes, and tunnels for them.
+	dialer  *tunnel.Dialer
+	tunnels *tunnel.Server
+	sender  *send.Sender
+	runner  *runner.Runner
+	entry   *entry.Entry
+	keeper  *keep.Keeper
+	vault   *vault.Vault
 	// The mirrors hold the nodes, the owners of pools (on nodes that may own one),
 	// the upstreams, the configuration, the weight versions that trainers publish,
 	// and the nodes to retire.
@@ -189,8 +191,8 @@
 	}
 	n.kv.WritesAwaited = func() bool { return n.ownsPool() || n.runner.Active() }
 	n.links = link.New()
-	n.links.OnDial, n.links.OnConnect = n.countDial, n.recordConnect
-	n.paths = &reach.Recorder{Board: n.Board, Log: n.Log, Lost: n.Meter.LostPaths}
+	n.links.OnDial = n.countDial
+	n.openTunnels(seed)
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.OnStrikes = n.sendStrikes
 	n.limits = limit.New(n.Board, n.Log)
@@ -221,7 +223,7 @@
 	}
 	// The mesh is opened last, because calls of other nodes use the components
 	// above.
-	mesh, err := peer.Open(n.Settings.Peer, n.handleCall)
+	mesh, err := peer.Open(n.Settings.Peer, n.handleCall, n.tunnels.Serve)
 	if err != nil {
 		return err
 	}
@@ -306,7 +308,7 @@
 	ownCtx, releasePools := context.WithCancel(work)
 	defer releasePools()
 	for _, run := range []func(context.Context){
-		n.watchNodes, n.watchOwners, n.watchConfig, n.watchUpstreams, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.upstreams.dropExpired, n.limits.Run, n.origins.Run, n.reportUsage, n.views.run,
+		n.watchNodes, n.watchOwners, n.watchConfig, n.watchUpstreams, n.watchVersions, n.watchRetired, n.submitKeptJobs, n.kv.Run, n.sender.Run, n.register, n.prober.Run, n.dialer.Run, n.upstreams.dropExpired, n.limits.Run, n.origins.Run, n.reportUsage, n.views.run,
 	} {
 		n.background.Go(func() { run(work) })
 	}
--- a/fleet/stop.go
+++ b/fleet/stop.go
@@ -61,6 +61,11 @@
 	end := start.Add(n.Settings.StopTimeout.D() - closeReserve)
 	n.Log.Info().Int("requests", n.entry.InFlight()).Msg("draining the node")
 	n.entry.Drain()
+	tunnelCtx, stopTunnels := context.WithDeadline(context.Background(), end)
+	defer stopTunnels()
+	var tunnels conc.WaitGroup
+	tunnels.Go(func() { n.tunnels.Drain(tunnelCtx) })
+	defer tunnels.Wait()
 	n.Board.Update(func(s *board.State) { s.Self.State = board.Draining })
 	releasePools()
 	runs.Wait()
--- a/fleet/strikes_test.go
+++ b/fleet/strikes_test.go
@@ -17,7 +17,7 @@
 func openNode(t *testing.T, id, addr string, others map[string]string) *Node {
 	t.Helper()
 	n := &Node{Board: board.New(board.Member{ID: id, Peer: addr}), Meter: meter.New(), Log: zerolog.Nop()}
-	mesh, err := peer.Open(addr, n.handleCall)
+	mesh, err := peer.Open(addr, n.handleCall, nil)
 	require.NoError(t, err)
 	n.mesh = mesh
 	t.Cleanup(func() { n.background.Wait(); mesh.Close() })
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -78,15 +78,6 @@
 	}
 }
 
-// recordConnect records whether a connection to an upstream was established.
-func (n *Node) recordConnect(call link.Call, err error, now time.Time) {
-	if err != nil {
-		n.paths.Failed(call.Upstream, err, now)
-		return
-	}
-	n.paths.Reached(call.Upstream, now)
-}
-
 func (n *Node) countDial(purpose link.Purpose, cause link.Cause) {
 	n.Meter.Connections.WithLabelValues(string(purpose), string(cause)).Inc()
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -5,13 +5,13 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"quetzalpier/client"
+	"quetzalpier"
 )
 
 const (
@@ -38,29 +38,30 @@
 	releasedAt  time.Time
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
-	// silent is set once a read or write timed out. It is recorded here because
-	// the HTTP library does not return the original error.
-	silent bool
+	// silent is set once a read or write timed out, and tunnelBroke once the node through
+	// which the connection leads broke it off.
+	silent      bool
+	tunnelBroke bool
+	// watch ends the call if the path of the connection is lost.
+	watch *watch
+	// heard is when the upstream was last heard on any connection of the node's own; nil if
+	// this is none.
+	heard *atomic.Int64
 }
 
-func dial(ctx context.Context, addr string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	inner, err := client.DialContext(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
+func newConn(inner net.Conn) *conn {
 	c := &conn{Conn: inner}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	c.writer = bufio.NewWriter(c)
-	return c, nil
+	c.watch = newWatch()
+	return c
 }
 
 // abort resets the connection, so that bytes of the request that have not reached the
 // upstream's VM, for example in a partition, are not delivered later.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if resetter, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = resetter.SetLinger(0)
 	}
 	_ = c.Close()
 }
@@ -70,8 +71,13 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return 0, err
 	}
+	c.watch.begin()
 	n, err := c.Conn.Read(b)
-	c.recordTimeout(err)
+	c.watch.end()
+	if n > 0 && c.heard != nil {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	c.recordFailure(err)
 	return n, err
 }
 
@@ -82,13 +88,19 @@
 	}
 	n, err := c.Conn.Write(b)
 	c.sent += n
-	c.recordTimeout(err)
+	c.recordFailure(err)
 	return n, err
 }
 
-func (c *conn) recordTimeout(err error) {
+// recordFailure records why a read or write failed. That is recorded here because the
+// HTTP library does not return the original error.
+func (c *conn) recordFailure(err error) {
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	var tunnel *quetzalpier.TunnelError
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
 		c.silent = true
+	case errors.As(err, &tunnel):
+		c.tunnelBroke = true
 	}
 }
--- a/link/error.go
+++ b/link/error.go
@@ -27,6 +27,9 @@
 	Silent bool
 	// Canceled reports whether the caller canceled the attempt.
 	Canceled bool
+	// PathLost reports whether the attempt failed since the path of its connection was lost,
+	// or the node through which it led broke it off, which says nothing of the upstream.
+	PathLost bool
 	Err      error
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"io"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"quetzalpier"
+	"quetzalpier/client"
 )
 
 // headerSlack is added to the timeout of a header as a whole, so that a silent connection
@@ -39,6 +44,14 @@
 	Foreign func(*fasthttp.ResponseHeader) bool
 	// Fresh requires a new connection instead of an idle one.
 	Fresh bool
+	// Direct requires a connection of the node's own, not one through another node.
+	Direct bool
+	// Repeatable is set if the call may be made once more after it failed. It is then broken
+	// off if the path of its connection is lost.
+	Repeatable bool
+	// OnConnected is called before the request is sent, which opening a connection may have
+	// delayed; nil does nothing.
+	OnConnected func()
 	// Purpose names the kind of call in the counts of opened connections.
 	Purpose Purpose
 	// HeaderTimeout bounds the wait for the response header.
@@ -49,19 +62,24 @@
 
 // Links sends requests to upstreams and keeps idle connections for reuse.
 type Links struct {
-	// OnDial is called before a connection is opened, and OnConnect after a connection for
-	// a call was established or not; nil does nothing.
-	OnDial    func(Purpose, Cause)
-	OnConnect func(call Call, err error, now time.Time)
+	// OnDial is called before a connection is opened; nil does nothing.
+	OnDial func(Purpose, Cause)
+	// Dialer opens the connections to upstreams that have an ID; nil opens the node's own.
+	Dialer quetzalpier.Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 	// known are the upstreams to which a connection was opened before.
 	known map[string]bool
+	// heard is when bytes of each upstream last came over a connection of the node's own, in
+	// Unix nanoseconds.
+	heard map[string]*atomic.Int64
 }
 
 // New returns Links without idle connections.
-func New() *Links { return &Links{idle: map[string][]*conn{}, known: map[string]bool{}} }
+func New() *Links {
+	return &Links{idle: map[string][]*conn{}, known: map[string]bool{}, heard: map[string]*atomic.Int64{}}
+}
 
 // Response is an upstream's response, whose body is read as a stream.
 type Response struct {
@@ -93,8 +111,12 @@
 		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: true, Err: ctx.Err()}
 	}
 	stopCancel := context.AfterFunc(ctx, c.abort)
+	if call.OnConnected != nil {
+		call.OnConnected()
+	}
 	c.sent = 0
 	c.readTimeout = call.HeaderTimeout
+	l.watchPath(ctx, call, c)
 	err = call.Request.Write(c.writer)
 	if err == nil {
 		err = c.writer.Flush()
@@ -176,6 +198,7 @@
 	}
 	c := r.conn
 	r.conn = nil
+	c.watch.stop()
 	notCanceled := r.stopCancel()
 	if r.complete && notCanceled && !r.resp.ConnectionClose() {
 		_ = r.resp.CloseBodyStream()
@@ -219,7 +242,7 @@
 // it also closes the idle connections to the same upstream, so that the next
 // requests open new ones.
 func (l *Links) newError(ctx context.Context, addr string, stage Stage, c *conn, err error) *Error {
-	linkErr := &Error{Addr: addr, Stage: stage, Sent: c.sent, Silent: c.silent, Canceled: ctx.Err() != nil, Err: err}
+	linkErr := &Error{Addr: addr, Stage: stage, Sent: c.sent, Silent: c.silent, Canceled: ctx.Err() != nil, PathLost: c.watch.stop() || c.tunnelBroke, Err: err}
 	if linkErr.Silent && !linkErr.Canceled {
 		l.CloseIdle(addr)
 	}
@@ -257,7 +280,7 @@
 	if l.OnDial != nil {
 		l.OnDial(PurposeProbe, CauseFresh)
 	}
-	c, err := dial(context.Background(), addr)
+	c, err := client.Dial(addr, dialTimeout)
 	if err != nil {
 		return true
 	}
@@ -269,23 +292,63 @@
 	cause := CauseFresh
 	if !call.Fresh {
 		var c *conn
-		if c, cause = l.takeIdle(call.Addr, time.Now()); c != nil {
+		if c, cause = l.takeIdle(call.Addr, call.Direct, time.Now()); c != nil {
 			return c, nil
 		}
 	}
 	if l.OnDial != nil {
 		l.OnDial(call.Purpose, cause)
 	}
-	c, err := dial(ctx, call.Addr)
-	if l.OnConnect != nil && call.Upstream != "" {
-		l.OnConnect(call, err, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	inner, err := l.dial(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(inner)
+	if !c.tunneled() {
+		c.heard = l.heardAt(call.Addr)
+	}
+	return c, nil
+}
+
+func (l *Links) dial(ctx context.Context, call Call) (net.Conn, error) {
+	if l.Dialer == nil || call.Upstream == "" {
+		return client.DialContext(ctx, call.Addr)
+	}
+	return l.Dialer.Dial(ctx, call.Upstream, call.Addr, call.Direct)
+}
+
+func (l *Links) heardAt(addr string) *atomic.Int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heard[addr] == nil {
+		l.heard[addr] = &atomic.Int64{}
+	}
+	return l.heard[addr]
+}
+
+// watchPath breaks a repeatable call off if the path of its connection is lost.
+func (l *Links) watchPath(ctx context.Context, call Call, c *conn) {
+	if l.Dialer == nil || call.Upstream == "" || !call.Repeatable {
+		return
+	}
+	sound := func(silentSince time.Time) bool {
+		if l.Dialer.Sound(ctx, call.Upstream, call.Addr, c.Conn) {
+			return true
+		}
+		// An upstream with a full queue of new connections goes on answering.
+		return c.heard != nil && c.heard.Load() > silentSince.UnixNano()
 	}
-	return c, err
+	c.watch.start(sound, func() {
+		l.CloseIdle(call.Addr)
+		c.abort()
+	})
 }
 
 // takeIdle returns an idle connection to the upstream, or the cause for which a new
 // one is needed.
-func (l *Links) takeIdle(addr string, now time.Time) (*conn, Cause) {
+func (l *Links) takeIdle(addr string, direct bool, now time.Time) (*conn, Cause) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	cause := CauseMore
@@ -301,6 +364,8 @@
 			cause = CauseIdle
 		case !c.reusable():
 			cause = CauseClosed
+		case direct && c.tunneled():
+			cause = CauseFresh
 		default:
 			return c, ""
 		}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,6 +33,9 @@
 	PlatformCalls *prometheus.CounterVec
 	// Connections counts the connections opened to upstreams, by purpose and cause.
 	Connections *prometheus.CounterVec
+	// Tunnels counts the connections to upstreams that were requested of other nodes, or
+	// served to them, by side and outcome.
+	Tunnels *prometheus.CounterVec
 	// LostPaths is the number of upstreams that the node does not reach, by pool.
 	LostPaths *prometheus.GaugeVec
 	// ConfigNumber is the number of the configuration in use.
@@ -74,13 +77,14 @@
 		ControlBytes:       counter("control_bytes_total", "Control traffic between nodes.", "direction"),
 		PlatformCalls:      counter("platform_calls_total", "Calls to the platform.", "call", "purpose", "outcome"),
 		Connections:        counter("connections_total", "Connections opened to upstreams.", "purpose", "cause"),
+		Tunnels:            counter("tunnels_total", "Connections to upstreams through other nodes.", "side", "outcome"),
 		LostPaths:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "lost_paths", Help: "Upstreams that the node does not reach itself."}, []string{"pool"}),
 		ConfigNumber:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_number", Help: "Number of the configuration in force."}),
 		DroppedLogLines:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
 		SuppressedLogLines: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_suppressed_total", Help: "Warnings and errors beyond the limit of their message."}),
 		Members:            prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Known members."}, []string{"state"}),
 	}
-	registry.MustRegister(m.Requests, m.QueueTime, m.SampleAge, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.LostPaths, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.Members)
+	registry.MustRegister(m.Requests, m.QueueTime, m.SampleAge, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.LostPaths, m.Tunnels, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.Members)
 	return m
 }
 
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -27,13 +27,14 @@
 	maxAcceptedSessions = 1024
 )
 
-// lane is a traffic class with its own connection. Control and bulk traffic are
-// separate, so that a large message never delays a heartbeat.
+// lane is a traffic class with its own connection. Control and bulk traffic and tunnels
+// are separate, so that a large message delays neither a heartbeat nor a request.
 type lane byte
 
 const (
 	control lane = 'c'
 	bulk    lane = 'b'
+	tunnel  lane = 't'
 )
 
 // ByteCounter is called with the bytes of control traffic received and sent.
@@ -42,10 +43,16 @@
 // Handler serves calls of other nodes.
 type Handler func(ctx context.Context, call *wire.Call) *wire.Reply
 
+// StreamHandler serves a call whose stream goes on after the reply, which it sends itself.
+// It returns false if the call is no such one.
+type StreamHandler func(ctx context.Context, call *wire.Call, stream *Stream) bool
+
 // conns holds yamux sessions to other nodes, dialed on demand.
 type conns struct {
 	handle Handler
-	count  ByteCounter
+	// handleStream may be nil.
+	handleStream StreamHandler
+	count        ByteCounter
 
 	mu       sync.Mutex
 	sessions map[sessionKey]*session
@@ -70,14 +77,14 @@
 	activeCalls int
 }
 
-func listen(addr string, handle Handler, count ByteCounter) (*conns, error) {
+func listen(addr string, handle Handler, handleStream StreamHandler, count ByteCounter) (*conns, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conns{
-		handle: handle, count: count, listener: listener, ctx: ctx, cancel: cancel,
+		handle: handle, handleStream: handleStream, count: count, listener: listener, ctx: ctx, cancel: cancel,
 		sessions: map[sessionKey]*session{},
 		retired:  map[*session]struct{}{},
 		accepted: map[*muxSession]struct{}{},
@@ -338,9 +345,18 @@
 	defer mux.conn.remove(stream)
 	call := &wire.Call{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, streamBufferBytes), call); err != nil {
+	reader := bufio.NewReaderSize(stream, streamBufferBytes)
+	if err := options.UnmarshalFrom(reader, call); err != nil {
 		return
 	}
+	if c.handleStream != nil {
+		open := newStream(mux, stream, reader, func() {})
+		open.SetReadDeadline(time.Time{})
+		if c.handleStream(c.ctx, call, open) {
+			open.Close()
+			return
+		}
+	}
 	reply := c.handle(c.ctx, call)
 	_ = stream.SetWriteDeadline(time.Now().Add(streamTimeout))
 	// The new deadline may have replaced the one that ends a closed session's
--- a/peer/conns_test.go
+++ b/peer/conns_test.go
@@ -42,7 +42,7 @@
 			<-release
 		}
 	}
-	c, err := listen("127.0.0.1:0", nil, holdWrites)
+	c, err := listen("127.0.0.1:0", nil, nil, holdWrites)
 	require.NoError(t, err)
 	defer c.close()
 	defer close(release)
@@ -79,10 +79,10 @@
 			<-answer
 		}
 		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
-	}, nil)
+	}, nil, nil)
 	require.NoError(t, err)
 	defer server.close()
-	c, err := listen("127.0.0.1:0", nil, nil)
+	c, err := listen("127.0.0.1:0", nil, nil, nil)
 	require.NoError(t, err)
 	defer c.close()
 	addr := server.listener.Addr().String()
@@ -168,11 +168,11 @@
 func TestSilentSession(t *testing.T) {
 	server, err := listen("127.0.0.1:0", func(context.Context, *wire.Call) *wire.Reply {
 		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
-	}, nil)
+	}, nil, nil)
 	require.NoError(t, err)
 	defer server.close()
 	proxy, silence := proxyTo(t, server.listener.Addr().String())
-	c, err := listen("127.0.0.1:0", nil, nil)
+	c, err := listen("127.0.0.1:0", nil, nil, nil)
 	require.NoError(t, err)
 	defer c.close()
 	call := func(timeout time.Duration) error {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -11,9 +11,10 @@
 	conns *conns
 }
 
-// Open listens on addr and serves calls with handle.
-func Open(addr string, handle Handler) (*Mesh, error) {
-	opened, err := listen(addr, handle, nil)
+// Open listens on addr and serves calls with handle, and those whose stream goes on with
+// handleStream.
+func Open(addr string, handle Handler, handleStream StreamHandler) (*Mesh, error) {
+	opened, err := listen(addr, handle, handleStream, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -27,6 +28,12 @@
 	return m.conns.call(ctx, addr, bulk, call)
 }
 
+// OpenStream makes a call to the node at addr whose stream goes on after the reply. The
+// stream must be closed. ctx bounds the call only.
+func (m *Mesh) OpenStream(ctx context.Context, addr string, call *wire.Call) (*Stream, *wire.Reply, error) {
+	return m.conns.openStream(ctx, addr, call)
+}
+
 // Ping checks whether the node at addr answers, on a connection that is not used for
 // large messages.
 func (m *Mesh) Ping(ctx context.Context, addr string) error {
--- a/peer/node.go
+++ b/peer/node.go
@@ -77,7 +77,7 @@
 		opts: opts, rumors: newRumors(), wake: make(chan struct{}, 1),
 		rnd: rand.New(rand.NewPCG(opts.Seed, ^opts.Seed)), platformReports: map[string]platformReport{},
 	}
-	conns, err := listen(opts.Listen, n.handle, opts.CountBytes)
+	conns, err := listen(opts.Listen, n.handle, nil, opts.CountBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -64,5 +64,11 @@
 	return c.Conn.Close()
 }
 
+func (c *muxConn) isOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed
+}
+
 // expire ends the reads and writes of a stream.
 func expire(stream *yamux.Stream) { _ = stream.SetDeadline(time.Unix(1, 0)) }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -62,6 +62,9 @@
 	// Final reports whether the upstream's answer is passed on, also if it is an
 	// error.
 	Final bool
+	// PathLost reports whether the attempt failed on the way to the upstream. Its retry adds
+	// no load to the upstreams, and needs no budget.
+	PathLost bool
 	// Attempts is the number of attempts made so far.
 	Attempts int
 	// MaxAttempts is a limit of attempts below maxAttempts; zero for none.
@@ -105,7 +108,7 @@
 	if !f.Deadline.IsZero() && now.Add(wait).After(f.Deadline) {
 		return Decision{Reason: ReasonDeadline}
 	}
-	if !budget.Spend() {
+	if !f.PathLost && !budget.Spend() {
 		return Decision{Reason: ReasonBudget}
 	}
 	return Decision{Retry: true, Backoff: wait}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -131,6 +131,7 @@
 	defer cancel()
 	resp, err := r.parent.runner.Upstreams.Send(ctx, r.vm, link.Call{
 		Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: r.timeout, ReadTimeout: r.timeout,
+		Direct: true, Repeatable: true,
 	})
 	if err != nil {
 		return err
@@ -409,7 +410,9 @@
 		req.Header.SetHost(reward.Host)
 		req.Header.Set(platform.HeaderAttempt, reward.ID)
 		req.SetBodyRaw(reward.Body)
-		resp, err := p.runner.Upstreams.Forward(ctx, a.VM, a.Fresh, link.PurposeReward, req, deadline)
+		resp, err := p.runner.Upstreams.Forward(ctx, platform.Attempt{
+			VM: a.VM, Purpose: link.PurposeReward, Fresh: a.Fresh, Repeatable: true, Deadline: deadline,
+		}, req)
 		if err != nil {
 			return err
 		}
--- a/send/send.go
+++ b/send/send.go
@@ -29,7 +29,10 @@
 	poisonRetryAfter = 10 * time.Minute
 	// emptyPoolRetryAfter is the retry delay sent when a pool has no upstreams.
 	emptyPoolRetryAfter = time.Second
-	grantInterval       = 100 * time.Millisecond
+	// partitionedRetryAfter is the retry delay sent while no path to a pool's upstreams is
+	// known. Nodes are asked for one again after less than that.
+	partitionedRetryAfter = time.Second
+	grantInterval         = 100 * time.Millisecond
 	// unitTimeSmoothing is the weight of a new sample in the moving average of an
 	// upstream's time per token or call.
 	unitTimeSmoothing = 0.2
@@ -164,6 +167,9 @@
 		}
 		f := describeFailure(job, err, attempts)
 		ran = combineRan(ran, f.Ran)
+		if noPath := (*quetzalpier.NoPathError)(nil); errors.As(err, &noPath) && noPath.Partitioned {
+			return quetzalpier.Unavailable("path", "neither this node nor those that it asked reach an upstream of the pool", ran, s.Jitter(partitionedRetryAfter))
+		}
 		decision := s.decideRetry(job.Pool, f, time.Now())
 		if !decision.Retry {
 			return s.finalError(err, f, ran, decision.Reason)
@@ -252,7 +258,7 @@
 func (s *Sender) isCrash(vm quetzalpier.VM, err error) bool {
 	var linkErr *link.Error
 	var cutErr *engine.CutError
-	if errors.As(err, &linkErr) && (linkErr.Silent || linkErr.Sent == 0) {
+	if errors.As(err, &linkErr) && (linkErr.Silent || linkErr.PathLost || linkErr.Sent == 0) {
 		return false
 	}
 	if linkErr == nil && !errors.As(err, &cutErr) {
@@ -290,7 +296,7 @@
 			f.Ran = quetzalpier.RanNo
 		}
 	case errors.As(err, &linkErr):
-		f.Ran = linkErr.Ran()
+		f.Ran, f.PathLost = linkErr.Ran(), linkErr.PathLost
 	}
 	return f
 }
@@ -370,8 +376,15 @@
 // isUpstreamFault reports whether the error counts as a failure of the upstream.
 func isUpstreamFault(err error) bool {
 	var status *engine.StatusError
-	if errors.As(err, &status) {
+	var linkErr *link.Error
+	var noPath *quetzalpier.NoPathError
+	switch {
+	case errors.As(err, &status):
 		return status.Status >= 500
+	case errors.As(err, &noPath):
+		return !noPath.Partitioned
+	case errors.As(err, &linkErr):
+		return !linkErr.PathLost
 	}
 	return true
 }
