send: Have another node confirm a crash of an upstream

Callers of all nodes could be refused with 503 for ten minutes because one front was partitioned: its connections to two upstreams were reset and new ones refused, which it took for two crashes, so that the request in flight on both, a harmless one, was blocked everywhere. Cause: a refused connection was proof of a crash, though it says as much of the node's path. Now other nodes, of other failure domains first, are asked whether they reach the upstream, and one that does outweighs the rest.

--- a/dialer.go
+++ b/dialer.go
@@ -15,6 +15,9 @@
 	// Sound reports whether the path of a connection that brings no bytes works, as far as
 	// can be told.
 	Sound(ctx context.Context, id, addr string, conn net.Conn) bool
+	// Refuses reports whether no new connection to the upstream can be opened, by this node
+	// nor by another one.
+	Refuses(ctx context.Context, id, addr string) bool
 }
 
 // TunnelError reports that a connection through another node was broken off by that node or
--- a/link/link.go
+++ b/link/link.go
@@ -274,13 +274,18 @@
 }
 
 // RefusesConnection waits for a short delay and reports whether a new connection
-// to the upstream cannot be opened.
-func (l *Links) RefusesConnection(addr string) bool {
+// to the upstream cannot be opened. id is empty if the upstream has none.
+func (l *Links) RefusesConnection(ctx context.Context, id, addr string) bool {
 	time.Sleep(probeDelay)
 	if l.OnDial != nil {
 		l.OnDial(PurposeProbe, CauseFresh)
 	}
-	c, err := client.Dial(addr, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if l.Dialer != nil && id != "" {
+		return l.Dialer.Refuses(ctx, id, addr)
+	}
+	c, err := client.DialContext(ctx, addr)
 	if err != nil {
 		return true
 	}
--- a/link/watch_test.go
+++ b/link/watch_test.go
@@ -36,6 +36,9 @@
 	return !p.lost.Load()
 }
 
+// Refuses implements quetzalpier.Dialer.
+func (p *paths) Refuses(context.Context, string, string) bool { return p.lost.Load() }
+
 // TestLostPath breaks off calls whose connection brings nothing since its path is lost, and
 // no others.
 func TestLostPath(t *testing.T) {
--- a/reach/choose.go
+++ b/reach/choose.go
@@ -25,6 +25,8 @@
 	// none reached.
 	avoidTime    = 700 * time.Millisecond
 	noDetourTime = 500 * time.Millisecond
+	// maxWitnesses is how many nodes are asked whether they reach an upstream.
+	maxWitnesses = 3
 	// minLosses is how many paths of a pool are lost before all others are checked, and
 	// maxChecks how many at a time.
 	minLosses = 2
@@ -87,16 +89,7 @@
 	for _, owner := range s.Owners {
 		owners[owner.Node] = true
 	}
-	var list []board.Member
-	for id, m := range s.Members {
-		if id != s.Self.ID && s.Answers(m) && !now.Before(s.Helpers[id].AvoidUntil) {
-			list = append(list, m)
-		}
-	}
-	slices.SortFunc(list, func(a, b board.Member) int {
-		return strings.Compare(a.ID, b.ID)
-	})
-	rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list := usableHelpers(s, now, rnd)
 	slices.SortStableFunc(list, func(a, b board.Member) int {
 		if c := s.Helpers[b.ID].UsedAt.Compare(s.Helpers[a.ID].UsedAt); c != 0 {
 			return c
@@ -113,6 +106,38 @@
 	return list[:min(len(list), maxHelpers)]
 }
 
+// usableHelpers returns the other nodes that may be asked for connections, in random order.
+func usableHelpers(s *board.State, now time.Time, rnd *rand.Rand) []board.Member {
+	var list []board.Member
+	for id, m := range s.Members {
+		if id != s.Self.ID && s.Answers(m) && !now.Before(s.Helpers[id].AvoidUntil) {
+			list = append(list, m)
+		}
+	}
+	// The map has an order of its own in each process.
+	slices.SortFunc(list, func(a, b board.Member) int { return strings.Compare(a.ID, b.ID) })
+	rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// Witnesses returns the nodes to ask whether they reach an upstream that this node does not:
+// one of each failure domain, this node's own last.
+func Witnesses(s *board.State, now time.Time, rnd *rand.Rand) []board.Member {
+	var others, own []board.Member
+	seen := map[string]bool{}
+	for _, m := range usableHelpers(s, now, rnd) {
+		switch {
+		case m.Domain == s.Self.Domain:
+			own = append(own, m)
+		case !seen[m.Domain]:
+			seen[m.Domain] = true
+			others = append(others, m)
+		}
+	}
+	list := append(others, own[:min(1, len(own))]...)
+	return list[:min(len(list), maxWitnesses)]
+}
+
 // RecordHelper records that another node opened a connection.
 func RecordHelper(s *board.State, node string, now time.Time) {
 	s.Helpers[node] = board.Helper{UsedAt: now}
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -104,6 +104,22 @@
 	})
 }
 
+func TestWitnesses(t *testing.T) {
+	s := newState(7, 1)
+	s.Self.Domain = "d0"
+	for i := range 7 {
+		id := fmt.Sprintf("n%d", i)
+		m := s.Members[id]
+		m.Domain = fmt.Sprintf("d%d", i/2)
+		s.Members[id] = m
+	}
+	domains := map[string]int{}
+	for _, m := range reach.Witnesses(s, start, rand.New(rand.NewPCG(1, 1))) {
+		domains[m.Domain]++
+	}
+	require.Equal(t, map[string]int{"d1": 1, "d2": 1, "d3": 1}, domains)
+}
+
 func TestRecord(t *testing.T) {
 	t.Run("the pause between two tries grows, and ends for all paths when one is back", func(t *testing.T) {
 		s := newState(3, 2)
--- a/send/send.go
+++ b/send/send.go
@@ -264,7 +264,7 @@
 	if linkErr == nil && !errors.As(err, &cutErr) {
 		return false
 	}
-	return s.Links.RefusesConnection(vm.Addr)
+	return s.Links.RefusesConnection(context.Background(), vm.ID, vm.Addr)
 }
 
 func (s *Sender) updateUnitTime(st *board.State, id string, a *Attempt, took time.Duration) {
--- a/soak/recover_test.go
+++ b/soak/recover_test.go
@@ -88,3 +88,28 @@
 		})
 	}
 }
+
+// TestPartitionBlocksNoRequest guards against a partition that is taken for crashes of the
+// upstreams, whose requests in flight all nodes then refuse.
+func TestPartitionBlocksNoRequest(t *testing.T) {
+	t.Parallel()
+	r := openRigWith(t, soak.Options{Fronts: 2, Stores: 2, Engines: 1, Plains: 2, EventInterval: 20 * time.Millisecond, Partitions: true})
+	for _, w := range r.Plains {
+		w.EventInterval = viewTimeout / 2
+	}
+	require.True(t, r.WaitReady(t.Context(), 15*time.Second))
+	time.Sleep(time.Second)
+	partitioned, other := r.Fronts[0], r.Fronts[1]
+	var views conc.WaitGroup
+	for range 6 {
+		// Whether these are served is not the point.
+		views.Go(func() { _ = partitioned.View(t.Context(), "same", viewTimeout) })
+	}
+	time.Sleep(viewTimeout / 4)
+	require.NoError(t, partitioned.Partition(soak.ResetRefuse))
+	views.Wait()
+	time.Sleep(time.Second)
+	for _, n := range []*soak.Node{other, partitioned} {
+		require.NoError(t, n.View(t.Context(), "same", 2*viewTimeout))
+	}
+}
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -234,6 +234,39 @@
 	return false
 }
 
+// Refuses implements quetzalpier.Dialer. A node that is partitioned from the upstream can't
+// tell a process that has gone from a path that is lost, so others are asked, of several
+// failure domains: the first ones may be partitioned as well.
+func (d *Dialer) Refuses(ctx context.Context, id, addr string) bool {
+	ownCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	conn, err := d.dialOwn(ownCtx, id, addr)
+	cancel()
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	var witnesses []board.Member
+	alone := false
+	d.mu.Lock()
+	d.Board.Do(func(s *board.State) {
+		witnesses, alone = reach.Witnesses(s, time.Now(), d.rnd), len(s.Members) <= 1
+	})
+	d.mu.Unlock()
+	confirmed := alone
+	for _, witness := range witnesses {
+		tunnel, err := d.openTunnel(ctx, id, witness)
+		if err == nil {
+			_ = tunnel.Close()
+			return false
+		}
+		var unopened *unopenedError
+		if errors.As(err, &unopened) && (unopened.Outcome == wire.Opened_REFUSED || unopened.Outcome == wire.Opened_UNREACHED) {
+			confirmed = true
+		}
+	}
+	return confirmed
+}
+
 // Run tries connections over the lost paths until ctx ends, so that no request has to.
 func (d *Dialer) Run(ctx context.Context) {
 	defer d.attempts.Wait()
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -50,7 +50,8 @@
 	require.NoError(t, err)
 	n := &node{board: board.New(board.Member{ID: id, Peer: addr}), addr: addr}
 	n.board.Do(func(s *board.State) {
-		s.Members[id] = board.Member{ID: id, Peer: addr}
+		s.Self.Domain = id
+		s.Members[id] = s.Self
 		for upstreamID, addr := range map[string]string{upstreamID: upstream, otherID: other} {
 			s.Upstreams[upstreamID] = &board.Upstream{VM: quetzalpier.VM{ID: upstreamID, Pool: pool, Addr: addr}}
 		}
@@ -77,7 +78,7 @@
 }
 
 func (n *node) knowsAt(id, addr string) {
-	n.board.Do(func(s *board.State) { s.Members[id] = board.Member{ID: id, Peer: addr} })
+	n.board.Do(func(s *board.State) { s.Members[id] = board.Member{ID: id, Peer: addr, Domain: id} })
 }
 
 func (n *node) id() (id string) {
@@ -405,3 +406,38 @@
 		require.False(t, origin.dialer.Sound(t.Context(), upstreamID, path.Addr, conn))
 	})
 }
+
+func TestRefuses(t *testing.T) {
+	refuses := func(t *testing.T, own string, others ...string) bool {
+		t.Helper()
+		origin := startNode(t, "a", own, own)
+		for i, other := range others {
+			origin.knows(startNode(t, string(rune('b'+i)), other, other))
+		}
+		return origin.dialer.Refuses(t.Context(), upstreamID, own)
+	}
+	t.Run("a process that has gone, by the word of another node", func(t *testing.T) {
+		gone := partitioned(t, true).Addr
+		require.True(t, refuses(t, gone, gone))
+	})
+	t.Run("a process that has gone, without other nodes", func(t *testing.T) {
+		require.True(t, refuses(t, partitioned(t, true).Addr))
+	})
+	t.Run("a VM that hangs, by the word of another node", func(t *testing.T) {
+		hangs := partitioned(t, false).Addr
+		require.True(t, refuses(t, hangs, hangs))
+	})
+	t.Run("an upstream that another node reaches", func(t *testing.T) {
+		require.False(t, refuses(t, partitioned(t, true).Addr, startEcho(t).Addr))
+	})
+	t.Run("an upstream that one of several nodes reaches", func(t *testing.T) {
+		gone := partitioned(t, true).Addr
+		require.False(t, refuses(t, gone, gone, startEcho(t).Addr, gone))
+	})
+	t.Run("no other node answers", func(t *testing.T) {
+		gone := partitioned(t, true).Addr
+		origin := startNode(t, "a", gone, gone)
+		origin.knowsAt("b", gone)
+		require.False(t, origin.dialer.Refuses(t.Context(), upstreamID, gone))
+	})
+}
