tunnel: Leave connections through failed nodes; reach: clear all lost paths at once

A front kept idle connections through a node that had hung, and each held up a request for 0.4 s until its path was checked. They are no longer reused once the other node has failed or stops. Now the other paths count as unknown, and requests find out.

--- a/board/board.go
+++ b/board/board.go
@@ -64,9 +64,11 @@
 }
 
 // Helper is what a node knows of another one through which it opens connections to
-// upstreams: when it last did, and until when the other one is not asked.
+// upstreams: when it last did, when the other one last failed to, and until when it is not
+// asked.
 type Helper struct {
 	UsedAt     time.Time
+	FailedAt   time.Time
 	AvoidUntil time.Time
 }
 
--- a/reach/choose.go
+++ b/reach/choose.go
@@ -140,12 +140,19 @@
 
 // RecordHelper records that another node opened a connection.
 func RecordHelper(s *board.State, node string, now time.Time) {
-	s.Helpers[node] = board.Helper{UsedAt: now}
+	h := s.Helpers[node]
+	s.Helpers[node] = board.Helper{UsedAt: now, FailedAt: h.FailedAt}
 }
 
 // AvoidHelper records that another node can't be asked for connections now.
 func AvoidHelper(s *board.State, node string, now time.Time) {
-	s.Helpers[node] = board.Helper{AvoidUntil: now.Add(avoidTime)}
+	s.Helpers[node] = board.Helper{FailedAt: now, AvoidUntil: now.Add(avoidTime)}
+}
+
+// Trusted reports whether a connection through another node, opened at a time, may carry a
+// further request: the node has not failed since, and does not stop.
+func Trusted(s *board.State, node string, openedAt time.Time) bool {
+	return s.Answers(s.Members[node]) && !s.Helpers[node].FailedAt.After(openedAt)
 }
 
 // RecordNoDetour records that none of the nodes that were asked reached the upstream.
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -17,8 +17,8 @@
 )
 
 // RecordReached records that a connection to the upstream was established, and reports
-// whether the path was lost before. The other lost paths are then due to be tried: most
-// partitions end for all upstreams at once.
+// whether the path was lost before. The other paths count as lost no longer then: most
+// partitions end for all upstreams at once, and requests find out about the rest.
 func RecordReached(s *board.State, id string, now time.Time) (regained bool) {
 	u := s.Upstreams[id]
 	if u == nil {
@@ -31,7 +31,7 @@
 	}
 	for _, other := range s.Upstreams {
 		if other.Path.Lost() {
-			other.Path.RetryAt = now
+			other.Path = board.Path{ReachedAt: other.Path.ReachedAt}
 		}
 	}
 	return true
--- a/reach/record.go
+++ b/reach/record.go
@@ -36,6 +36,8 @@
 	if !regained {
 		return
 	}
+	// The paths of other pools count as lost no longer either.
+	r.Lost.Reset()
 	upstreams, lost := r.count(vm.Pool)
 	line := r.Log.Info()
 	if partitioned {
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -23,6 +23,8 @@
 	// helper is the ID of the other node.
 	helper string
 	remote net.Addr
+	// trusted reports whether the other node may still be used.
+	trusted func() bool
 	// unread holds the received bytes that have not been read, and end what Read returns
 	// after them; nil while the connection is open.
 	unread  []byte
@@ -97,8 +99,11 @@
 	return nil
 }
 
-// Quiet reports whether the connection is open and has no unread bytes.
-func (c *Conn) Quiet() bool { return len(c.unread) == 0 && c.end == nil && c.stream.Quiet() }
+// Quiet reports whether the connection may carry a further request: it is open, has no
+// unread bytes, and the other node has not failed since it was opened.
+func (c *Conn) Quiet() bool {
+	return len(c.unread) == 0 && c.end == nil && c.trusted() && c.stream.Quiet()
+}
 
 // Helper returns the ID of the node through which the connection leads.
 func (c *Conn) Helper() string { return c.helper }
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -161,8 +161,13 @@
 		}
 		return nil, &unopenedError{Helper: helper.ID, Outcome: outcome, Text: reply.GetOpened().GetText() + reply.GetFault()}
 	}
-	d.Board.Do(func(s *board.State) { reach.RecordHelper(s, helper.ID, time.Now()) })
-	return &Conn{stream: stream, helper: helper.ID, remote: &net.TCPAddr{}}, nil
+	openedAt := time.Now()
+	d.Board.Do(func(s *board.State) { reach.RecordHelper(s, helper.ID, openedAt) })
+	trusted := func() (trusted bool) {
+		d.Board.Do(func(s *board.State) { trusted = reach.Trusted(s, helper.ID, openedAt) })
+		return trusted
+	}
+	return &Conn{stream: stream, helper: helper.ID, remote: &net.TCPAddr{}, trusted: trusted}, nil
 }
 
 // Sound implements quetzalpier.Dialer. Several connections to an upstream share one check.
