soak: Partition nodes from all upstreams, and send requests that must not run twice

The soak draws silent, one-way, refusing and resetting partitions of some or all nodes beside its other faults. It checks that fronts in touch serve single tries at least two thirds as often while they are partitioned, that no non-idempotent request runs twice or after a refusal, and that no upstream is given more time than the client allows.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -24,6 +24,7 @@
 	Stores        int           `long:"stores" default:"3" description:"number of nodes with a disk"`
 	StoreOnly     bool          `long:"store-only" description:"inject only faults of the key-value service for some nodes or watches, and losses of the owner"`
 	Upstreams     bool          `long:"upstreams" description:"also make upstreams name limits, break off runs and say that they leave, run two software versions, and send streams"`
+	Partitions    bool          `long:"partitions" description:"also partition nodes from all upstreams, and check that their clients are served and no request runs twice"`
 	Logs          string        `long:"logs" description:"parent directory of the logs; by default a temporary directory, removed if the seed passes"`
 }
 
@@ -77,12 +78,12 @@
 	}
 	r, err := soak.Open(soak.Options{
 		Program: program, Dir: dir, Fronts: c.Fronts, Stores: c.Stores, Engines: 4, Plains: 2, SoftwareVersions: softwareVersions,
-		EventInterval: 30 * time.Millisecond,
+		EventInterval: 30 * time.Millisecond, Partitions: c.Partitions,
 	})
 	if err != nil {
 		return nil, dir, err
 	}
 	defer r.Close()
-	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Log: zerolog.New(log).With().Timestamp().Logger()}
+	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Partitions: c.Partitions, Log: zerolog.New(log).With().Timestamp().Logger()}
 	return soak.Run(ctx, r, plan), dir, nil
 }
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -86,6 +86,9 @@
 	// paused since, in Unix nanoseconds; zero if it was not.
 	running atomic.Int64
 	lost    atomic.Int64
+	// partitionedAt is when the node was partitioned from all upstreams, in Unix nanoseconds;
+	// zero if it is not.
+	partitionedAt atomic.Int64
 }
 
 // Rig is a deployment under test: nodes, upstreams and a key-value service.
@@ -203,6 +206,7 @@
 			{Name: "score", Host: Host, Prefix: scorePath, Idempotent: true, MaxAttempts: 4, Timeout: 3 * time.Second, Targets: []quetzalpier.Target{{Pool: poolApp, Weight: 1}}},
 			{Name: "view", Host: Host, Prefix: viewPath, Idempotent: true, MaxAttempts: 2, Timeout: 1500 * time.Millisecond, Targets: []quetzalpier.Target{{Pool: poolApp, Weight: 1}}},
 			streamRoute,
+			orderRoute,
 		},
 	}
 	write, err := platform.EncodeConfig(r.config)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -55,6 +55,9 @@
 	StoreFaults bool
 	// Upstreams also makes upstreams name limits, break off runs and leave.
 	Upstreams bool
+	// Partitions also partitions nodes from all upstreams, and checks that their clients are
+	// served. It needs Options.Partitions.
+	Partitions bool
 	// NoProcessFaults leaves out the faults of processes, links, engines and the whole
 	// key-value service.
 	NoProcessFaults bool
@@ -77,6 +80,12 @@
 			upstreams := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 7)), log: plan.Log}
 			injectors.Go(func() { upstreams.disturbUpstreams(ctx, plan.FaultDuration) })
 		}
+		if plan.Partitions {
+			ordersCtx, stopOrders := context.WithCancel(ctx)
+			injectors.Go(func() { r.sendOrders(ordersCtx, ledger, plan.Seed) })
+			partitions := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 9)), log: plan.Log}
+			injectors.Go(func() { partitions.partitionNodes(ctx, plan.FaultDuration); stopOrders() })
+		}
 		if plan.LoseFronts {
 			checkCtx, stopCheck := context.WithCancel(ctx)
 			defer stopCheck()
@@ -486,8 +495,8 @@
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d lookups; at most %d warnings a second; %d promises broken",
-		l.Steps, l.LateSteps, l.EndedJobs, l.ExcusedRuns, l.Requests, l.FailedRequests, l.Lookups, l.PeakWarnings, len(l.Violations))
+	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d of %d tries at partitioned fronts served; %d lookups; at most %d warnings a second; %d promises broken",
+		l.Steps, l.LateSteps, l.EndedJobs, l.ExcusedRuns, l.Requests, l.FailedRequests, l.PartitionedServed, l.PartitionedTries, l.Lookups, l.PeakWarnings, len(l.Violations))
 	if len(l.Violations) > 0 {
 		text += ":\n  " + strings.Join(l.Violations, "\n  ")
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// TestSoakPartitions is a short run in which nodes are partitioned from all upstreams beside
+// the other faults.
+func TestSoakPartitions(t *testing.T) {
+	for seed, alone := range map[uint64]bool{9301: false, 9302: true} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			r := openRigWith(t, soak.Options{Fronts: 3, Stores: 3, Engines: 3, Plains: 2, EventInterval: 30 * time.Millisecond, Partitions: true})
+			plan := soak.Plan{Seed: seed, FaultDuration: 12 * time.Second, Partitions: true, NoProcessFaults: alone, Log: zerolog.Nop()}
+			ledger := soak.Run(context.Background(), r, plan)
+			t.Log(ledger.Summary())
+			require.Empty(t, ledger.Violations)
+		})
+	}
+}
+
 // runSteps runs a deployment while inject injects the faults of one test. It
 // requires that no guarantee is broken and that a step completes.
 func runSteps(t *testing.T, inject func(r *soak.Rig)) *soak.Ledger {
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -58,6 +58,9 @@
 	// touch.
 	EndedJobs   int
 	ExcusedRuns int
+	// PartitionedTries counts the single tries at fronts that were in touch and partitioned
+	// from the upstreams, and PartitionedServed those of them that were served.
+	PartitionedTries, PartitionedServed int
 	// Streams counts the clients' streams.
 	Streams StreamCounts
 	// Lookups counts the answers to lookups that were checked.
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -113,6 +113,8 @@
 	// LastEvent is the event after which the run resumes; zero for a new run.
 	LastEvent int
 	StartedAt time.Time
+	// Left is the time until the deadline that the request was sent with; zero for none.
+	Left time.Duration
 }
 
 // WorkerFaults are the faults injected into a worker.
@@ -395,7 +397,11 @@
 		w.faults.StatusCount--
 	}
 	startedAt := time.Now()
-	w.runs = append(w.runs, WorkerRun{ID: id, LastEvent: lastEvent, StartedAt: startedAt})
+	run := WorkerRun{ID: id, LastEvent: lastEvent, StartedAt: startedAt}
+	if ms, err := strconv.ParseInt(string(c.Request.Header.Peek(platform.HeaderDeadline)), 10, 64); err == nil {
+		run.Left = time.Duration(ms) * time.Millisecond
+	}
+	w.runs = append(w.runs, run)
 	if !w.leavingAt.IsZero() && startedAt.Sub(w.leavingAt) > drainTime {
 		w.lateRuns = append(w.lateRuns, w.runs[len(w.runs)-1])
 	}
