tunnel: Don't panic when the node that asked for a tunnel has gone

A node that opened a connection for another one, which vanished meanwhile, dereferenced a nil connection, and ended with a panic at its next stop. TestCallerGoneWhileDialing panicked before.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -93,24 +93,25 @@
 		return false
 	}
 	conn, opened := s.dial(ctx, request.GetUpstream())
-	s.Meter.Tunnels.WithLabelValues("served", opened.GetOutcome().String()).Inc()
-	if conn != nil {
-		defer func() { _ = conn.Close() }()
-	}
 	t := &served{upstream: request.GetUpstream(), stream: stream, conn: conn}
 	if conn != nil && !s.add(t) {
-		opened = &wire.Opened{Outcome: wire.Opened_BUSY, Text: "too many tunnels"}
-		conn = nil
+		_ = conn.Close()
+		conn, opened = nil, &wire.Opened{Outcome: wire.Opened_BUSY, Text: "too many tunnels"}
 	}
+	s.Meter.Tunnels.WithLabelValues("served", opened.GetOutcome().String()).Inc()
 	stream.SetWriteDeadline(time.Now().Add(serveDialTimeout))
-	if err := stream.Send(&wire.Reply{Kind: &wire.Reply_Opened{Opened: opened}}); err != nil {
+	err := stream.Send(&wire.Reply{Kind: &wire.Reply_Opened{Opened: opened}})
+	stream.SetWriteDeadline(time.Time{})
+	if err != nil {
 		s.Log.Debug().Str("upstream", t.upstream).Err(err).Msg("node that asked for a tunnel has gone")
-		conn = nil
 	}
-	stream.SetWriteDeadline(time.Time{})
-	if conn != nil {
+	switch {
+	case conn == nil:
+		return true
+	case err == nil:
 		t.run()
 	}
+	_ = conn.Close()
 	s.remove(t)
 	return true
 }
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -449,6 +449,33 @@
 	})
 }
 
+// TestCallerGoneWhileDialing guards against a panic of the node that opens the connection.
+func TestCallerGoneWhileDialing(t *testing.T) {
+	u := startEcho(t)
+	path := partitioned(t, true)
+	origin, helper := startNode(t, "a", path.Addr, path.Addr), startNode(t, "b", u.Addr, u.Addr)
+	origin.knows(helper)
+	dialing := make(chan struct{})
+	helper.server.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		close(dialing)
+		time.Sleep(100 * time.Millisecond)
+		return client.DialContext(ctx, addr)
+	}
+	var call conc.WaitGroup
+	call.Go(func() {
+		_, err := origin.dialer.Dial(t.Context(), upstreamID, path.Addr, false)
+		require.Error(t, err)
+	})
+	<-dialing
+	origin.mesh.Close()
+	call.Wait()
+	select {
+	case <-u.closed:
+	case <-time.After(time.Second):
+		require.Fail(t, "the connection to the upstream is still open")
+	}
+}
+
 // A node that has lost its path says so at once, also when it is due to try it again.
 func TestServeOverLostPath(t *testing.T) {
 	path := partitioned(t, false)
