board: Keep that an upstream is leaving when its address changes

A node that had heard that an upstream is leaving sent it a stream again, 5 s later: the entry changed its address, and with that the upstream's state was begun anew, although only another incarnation may take the word back.

--- a/board/board.go
+++ b/board/board.go
@@ -401,7 +401,8 @@
 func (s *State) setVM(vm quetzalpier.VM, now time.Time) {
 	u := s.Upstreams[vm.ID]
 	if u == nil || u.VM.Addr != vm.Addr {
-		u = &Upstream{Fingerprints: map[uint64]int{}}
+		saidLeaving := u != nil && u.SaidLeaving && u.VM.Incarnation == vm.Incarnation
+		u = &Upstream{Fingerprints: map[uint64]int{}, SaidLeaving: saidLeaving}
 		s.Upstreams[vm.ID] = u
 	}
 	u.VM = vm
--- a/soak/contact.go
+++ b/soak/contact.go
@@ -28,6 +28,8 @@
 	// processTarget for a process of any node.
 	storeTarget   = "store"
 	processTarget = "process"
+	// partitionTarget stands for the paths of any node to the upstreams.
+	partitionTarget = "partition"
 )
 
 // faultHistory records when which node, or the key-value service, had a fault.
@@ -51,16 +53,18 @@
 		faults, changes := r.KV.Faults()
 		interventions, held := r.KV.Interventions()
 		r.faults.sample(storeTarget, now, held || faults != stand.KVFaults{}, changes+interventions)
-		processFault := false
+		processFault, partitioned := false, false
 		for _, n := range r.nodes() {
 			faults, changes := n.KV.Faults()
 			mode, modeChanges := n.KVProxy.Mode()
 			process := n.exitExpected.Load() || n.runningFor(now) < 2*faultSampleInterval
 			processFault = processFault || process
+			partitioned = partitioned || n.partitionedAt.Load() != 0
 			lasts := faults != stand.KVFaults{} || mode != Pass || process
 			r.faults.sample(n.Settings.Name, now, lasts, changes+modeChanges)
 		}
 		r.faults.sample(processTarget, now, processFault, 0)
+		r.faults.sample(partitionTarget, now, partitioned, 0)
 	}
 }
 
--- a/soak/partition.go
+++ b/soak/partition.go
@@ -41,12 +41,16 @@
 	id     string
 	front  *Node
 	sentAt time.Time
-	// status is zero if no answer came.
-	status int
+	// status is zero if no answer came. answered is set if it is the answer of an upstream,
+	// also of one that fails.
+	status   int
+	answered bool
 	// partitioned is set if the front had been partitioned for partitionSettle.
 	partitioned bool
-	// settling is set if it had been for less than that, or if all nodes were partitioned.
+	// settling is set if it had been for less than that.
 	settling bool
+	// helpers are the nodes that were not partitioned.
+	helpers []string
 }
 
 // partitionNodes partitions random nodes from all upstreams, several times.
@@ -121,8 +125,12 @@
 	defer cancel()
 	s.sentAt = time.Now()
 	since := s.front.partitionedFor(s.sentAt)
-	all := !slices.ContainsFunc(s.front.rig.nodes(), func(n *Node) bool { return n.partitionedFor(s.sentAt) == 0 })
-	s.partitioned, s.settling = since > partitionSettle, since > 0 && since <= partitionSettle || all
+	s.partitioned, s.settling = since > partitionSettle, since > 0 && since <= partitionSettle
+	for _, n := range s.front.rig.nodes() {
+		if n.partitionedFor(s.sentAt) == 0 {
+			s.helpers = append(s.helpers, n.Settings.Name)
+		}
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.front.Settings.Front+orderPath+s.id, strings.NewReader("order"))
 	if err != nil {
 		return
@@ -136,7 +144,7 @@
 		return
 	}
 	_ = resp.Body.Close()
-	s.status = resp.StatusCode
+	s.status, s.answered = resp.StatusCode, resp.Header.Get(platform.HeaderWorker) != ""
 }
 
 // checkOrders checks that no request ran twice, none that was refused ran, and no upstream
@@ -165,11 +173,13 @@
 }
 
 // checkPartitioned checks that single tries at partitioned fronts are served at least two
-// thirds as often as those at the others, unless few fail. Only fronts in touch count.
+// thirds as often as those at the others, unless few fail. Only fronts in touch count, while
+// another node in touch reaches the upstreams.
 func (r *Rig) checkPartitioned(ledger *Ledger, tries []singleTry) {
 	var sent, served [2]int
 	for _, try := range tries {
-		if !r.inTouch([]string{try.front.Settings.Name}, try.sentAt) || try.settling {
+		helped := slices.ContainsFunc(try.helpers, func(name string) bool { return r.inTouch([]string{name}, try.sentAt) })
+		if !r.inTouch([]string{try.front.Settings.Name}, try.sentAt) || try.settling || !helped {
 			continue
 		}
 		i := 0
@@ -177,7 +187,7 @@
 			i = 1
 		}
 		sent[i]++
-		if try.status == http.StatusOK {
+		if try.answered {
 			served[i]++
 		}
 	}
--- a/soak/paths.go
+++ b/soak/paths.go
@@ -11,6 +11,7 @@
 
 	"quetzalpier"
 	"quetzalpier/platform"
+	"quetzalpier/sleep"
 )
 
 // openPaths starts a proxy to each upstream, whose address the node reads in place of the
@@ -46,6 +47,23 @@
 	return entry
 }
 
+// heartbeatInterval is the time between two heartbeats of an upstream.
+const heartbeatInterval = time.Second
+
+// sendHeartbeats writes the entries of the upstreams again and again until ctx ends. A node
+// that read them through another one, whose paths it then used, gets its own back.
+func (r *Rig) sendHeartbeats(ctx context.Context, ledger *Ledger) {
+	for r.Partitions && sleep.For(ctx, heartbeatInterval) {
+		r.listedMu.Lock()
+		for _, vm := range r.listed {
+			if err := r.writeVM(vm); err != nil {
+				ledger.recordViolation("heartbeat of %s not written: %v", vm.ID, err)
+			}
+		}
+		r.listedMu.Unlock()
+	}
+}
+
 // Partition sets the mode of the node's paths to all upstreams.
 func (n *Node) Partition(mode Mode) error {
 	for id, path := range n.paths {
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -95,12 +96,15 @@
 type Rig struct {
 	Options
 
-	KV        *stand.KV
-	Engines   []*stand.Worker
-	Plains    []*stand.Worker
-	Fronts    []*Node
-	Stores    []*Node
-	config    quetzalpier.Config
+	KV      *stand.KV
+	Engines []*stand.Worker
+	Plains  []*stand.Worker
+	Fronts  []*Node
+	Stores  []*Node
+	config  quetzalpier.Config
+	// listed are the upstreams as they were last listed, by ID.
+	listedMu  sync.Mutex
+	listed    map[string]quetzalpier.VM
 	version   atomic.Uint64
 	faults    *faultHistory
 	processes conc.WaitGroup
@@ -181,6 +185,16 @@
 
 // WriteVM writes an upstream's entry to the key-value service.
 func (r *Rig) WriteVM(vm quetzalpier.VM) error {
+	r.listedMu.Lock()
+	defer r.listedMu.Unlock()
+	if r.listed == nil {
+		r.listed = map[string]quetzalpier.VM{}
+	}
+	r.listed[vm.ID] = vm
+	return r.writeVM(vm)
+}
+
+func (r *Rig) writeVM(vm quetzalpier.VM) error {
 	write, err := platform.EncodeVM(vm)
 	if err != nil {
 		return err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -119,6 +119,7 @@
 	sampleCtx, stopSampling := context.WithCancel(ctx)
 	var sampler conc.WaitGroup
 	sampler.Go(func() { r.sampleFaults(sampleCtx) })
+	sampler.Go(func() { r.sendHeartbeats(sampleCtx, ledger) })
 	defer sampler.Wait()
 	defer stopSampling()
 	var callers conc.WaitGroup
@@ -199,7 +200,9 @@
 	}
 	for _, w := range r.workers() {
 		for _, run := range w.LateRuns() {
-			if r.processesCalm(run.StartedAt.Add(-contactTime), run.StartedAt) {
+			// A partition may hold a request up on its way.
+			calm := r.processesCalm(run.StartedAt.Add(-contactTime), run.StartedAt) && r.faults.calmAt(partitionTarget, run.StartedAt)
+			if calm {
 				l.recordViolation("%s had said that it is leaving and got request %s too late", w.ID, run.ID)
 			}
 		}
