stand: Wait until the port of a closed server refuses connections

TestNotRun (the upstream refuses connections) got "unknown" now and then: the closed port still accepted a connection. Cause: a process that another goroutine starts holds a copy of the listening socket between fork and exec. TestPoison may have failed for the same reason: not shown.

--- a/stand/listen.go
+++ b/stand/listen.go
@@ -150,9 +150,25 @@
 	return s, nil
 }
 
-// Close stops the server and resets its connections.
+// maxRefusalWait is how long a closed port may still accept connections.
+const maxRefusalWait = time.Second
+
+// Close stops the server and resets its connections, once new ones are refused.
 func (s *Server) Close() {
 	_ = s.FaultListener.Listener.Close()
+	awaitRefusal(s.Addr)
 	s.FaultListener.CloseConns()
 	s.workers.Wait()
 }
+
+// awaitRefusal waits until the port of a closed listener refuses connections. A process that
+// another goroutine starts holds a copy of the listener until it executes its program.
+func awaitRefusal(addr string) {
+	for end := time.Now().Add(maxRefusalWait); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
+}
