--- a/fleet/tunnels.go
+++ b/fleet/tunnels.go
@@ -15,7 +15,7 @@
 func (n *Node) openTunnels(seed uint64) {
 	paths := &reach.Recorder{Board: n.Board, Log: n.Log, Lost: n.Meter.LostPaths}
 	n.dialer = tunnel.NewDialer(n.Board, seed)
-	n.dialer.Paths, n.dialer.Meter, n.dialer.Log, n.dialer.Own = paths, n.Meter, n.Log, client.DialContext
+	n.dialer.Paths, n.dialer.Meter, n.dialer.Own = paths, n.Meter, client.DialContext
 	n.dialer.OpenStream = func(ctx context.Context, addr string, call *wire.Call) (*peer.Stream, *wire.Reply, error) {
 		return n.mesh.OpenStream(ctx, addr, call)
 	}
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"quetzalpier"
@@ -26,14 +25,6 @@
 	// for the way there. helperLead is the lead of each node asked over the next one.
 	openTimeout = serveDialTimeout + 150*time.Millisecond
 	helperLead  = 100 * time.Millisecond
-	// checkTimeout limits the connection that shows whether a path works, and checkValid is
-	// how long its result holds.
-	checkTimeout = 200 * time.Millisecond
-	checkValid   = 500 * time.Millisecond
-	// refusalInterval is the time between two checks of the refusals of an upstream, and
-	// maxSample how many upstreams of a pool are tried to find out whether it is reached.
-	refusalInterval = time.Second
-	maxSample       = 3
 	// retryInterval is the time between two rounds in which connections over lost paths are
 	// tried, maxRetries at a time.
 	retryInterval = 100 * time.Millisecond
@@ -46,7 +37,6 @@
 	Board *board.Board
 	Paths *reach.Recorder
 	Meter *meter.Meter
-	Log   zerolog.Logger
 	// Own opens a connection of the node's own, and OpenStream makes a call to another node
 	// whose stream goes on after the reply.
 	Own        func(ctx context.Context, addr string) (net.Conn, error)
@@ -66,13 +56,6 @@
 	refusals map[string]time.Time
 }
 
-// check is a test of the path to an upstream. It is done once ended is closed.
-type check struct {
-	ended   chan struct{}
-	endedAt time.Time
-	sound   bool
-}
-
 var _ quetzalpier.Dialer = (*Dialer)(nil)
 
 // NewDialer returns a Dialer whose random choices are seeded with seed.
@@ -94,15 +77,19 @@
 
 // Dial implements quetzalpier.Dialer.
 func (d *Dialer) Dial(ctx context.Context, id, addr string, direct bool) (net.Conn, error) {
-	plan := d.choose(id, time.Now())
-	if direct || plan.Own && len(plan.Helpers) == 0 {
+	if direct {
 		conn, err := d.dialOwn(ctx, id, addr)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			d.checkRefusal(id, err, time.Now())
 		}
 		return conn, err
 	}
-	if !plan.Own && len(plan.Helpers) == 0 {
+	plan := d.choose(id, time.Now())
+	switch {
+	case len(plan.Helpers) > 0:
+	case plan.Own:
+		return d.dialOwn(ctx, id, addr)
+	default:
 		return nil, d.noPath(id)
 	}
 	r := &race{dialer: d, id: id, addr: addr, plan: plan, startedAt: time.Now(), results: make(chan result), done: make(chan struct{})}
@@ -126,7 +113,8 @@
 	return err
 }
 
-// dialOwn opens a connection of the node's own. A refused one shows that the VM is reached.
+// dialOwn opens a connection of the node's own, and records whether the path works. A
+// refusal may be that of the upstream or of something on the way, and is not recorded.
 func (d *Dialer) dialOwn(ctx context.Context, id, addr string) (net.Conn, error) {
 	conn, err := d.Own(ctx, addr)
 	switch {
@@ -170,189 +158,6 @@
 	return &Conn{stream: stream, helper: helper.ID, remote: &net.TCPAddr{}, trusted: trusted}, nil
 }
 
-// Sound implements quetzalpier.Dialer. Several connections to an upstream share one check.
-func (d *Dialer) Sound(ctx context.Context, id, addr string, conn net.Conn) bool {
-	key, through := id, ""
-	if t, ok := conn.(*Conn); ok {
-		through = t.helper
-		key += " " + through
-	}
-	d.mu.Lock()
-	c := d.checks[key]
-	if c == nil || !c.endedAt.IsZero() && time.Since(c.endedAt) > checkValid {
-		c = &check{ended: make(chan struct{})}
-		d.checks[key] = c
-		d.attempts.Go(func() {
-			sound := d.checkPath(id, addr, through)
-			d.mu.Lock()
-			c.sound, c.endedAt = sound, time.Now()
-			d.mu.Unlock()
-			close(c.ended)
-			if !sound && through == "" {
-				d.OnLost(addr)
-				d.checkNext(id)
-			}
-		})
-	}
-	d.mu.Unlock()
-	select {
-	case <-c.ended:
-		return c.sound
-	case <-ctx.Done():
-		return true
-	}
-}
-
-// checkNext checks other paths after one was found to be lost, since a partition loses many
-// at once.
-//
-// Load pattern: a node is partitioned from all upstreams, and each of its kept connections
-// would hold up a request until that is found out.
-func (d *Dialer) checkNext(id string) {
-	var next []quetzalpier.VM
-	d.Board.Do(func(s *board.State) { next = reach.Next(s, id) })
-	for _, vm := range next {
-		d.attempts.Go(func() { d.Sound(context.Background(), vm.ID, vm.Addr, nil) })
-	}
-}
-
-// checkPath reports whether a new connection over the path of an earlier one is established
-// or refused, which shows that the path works.
-func (d *Dialer) checkPath(id, addr, through string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-	defer cancel()
-	if through == "" {
-		conn, err := d.Own(ctx, addr)
-		if err == nil {
-			_ = conn.Close()
-			d.Paths.Reached(id, time.Now())
-			return true
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			d.checkRefusal(id, err, time.Now())
-			return true
-		}
-		d.Paths.Failed(id, errors.Wrap(err, "silent connection"), time.Now())
-		return false
-	}
-	var helper board.Member
-	d.Board.Do(func(s *board.State) { helper = s.Members[through] })
-	conn, err := d.openTunnel(ctx, id, helper)
-	if err == nil {
-		_ = conn.Close()
-		return true
-	}
-	var unopened *unopenedError
-	if errors.As(err, &unopened) {
-		return unopened.Outcome == wire.Opened_REFUSED || unopened.Outcome == wire.Opened_BUSY
-	}
-	d.Board.Do(func(s *board.State) { reach.AvoidHelper(s, through, time.Now()) })
-	return false
-}
-
-// Refuses implements quetzalpier.Dialer. A node that is partitioned from the upstream can't
-// tell a process that has gone from a path that is lost, so others are asked, of several
-// failure domains: the first ones may be partitioned as well.
-func (d *Dialer) Refuses(ctx context.Context, id, addr string) bool {
-	ownCtx, cancel := context.WithTimeout(ctx, checkTimeout)
-	conn, err := d.dialOwn(ownCtx, id, addr)
-	cancel()
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	confirmed := false
-	d.Board.Do(func(s *board.State) { confirmed = len(s.Members) <= 1 })
-	for _, witness := range d.witnesses(time.Now()) {
-		tunnel, err := d.openTunnel(ctx, id, witness)
-		if err == nil {
-			_ = tunnel.Close()
-			return false
-		}
-		var unopened *unopenedError
-		if errors.As(err, &unopened) && (unopened.Outcome == wire.Opened_REFUSED || unopened.Outcome == wire.Opened_UNREACHED) {
-			confirmed = true
-		}
-	}
-	return confirmed
-}
-
-// checkRefusal finds out whether an upstream that refused a connection of this node's own
-// accepts those of others, so that the path is lost. It returns at once.
-func (d *Dialer) checkRefusal(id string, refusal error, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if now.Sub(d.refusals[id]) < refusalInterval {
-		return
-	}
-	d.refusals[id] = now
-	d.attempts.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
-		defer cancel()
-		for _, helper := range d.witnesses(time.Now()) {
-			if conn, err := d.openTunnel(ctx, id, helper); err == nil {
-				_ = conn.Close()
-				d.Paths.Failed(id, refusal, time.Now())
-				d.checkNext(id)
-				return
-			}
-		}
-	})
-}
-
-func (d *Dialer) witnesses(now time.Time) (list []board.Member) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.Board.Do(func(s *board.State) { list = reach.Witnesses(s, now, d.rnd) })
-	return list
-}
-
-// Suspect has the path to an upstream checked that failed a call. It returns at once.
-func (d *Dialer) Suspect(vm quetzalpier.VM) {
-	d.attempts.Go(func() { d.Sound(context.Background(), vm.ID, vm.Addr, nil) })
-}
-
-// Reaches reports whether this node reaches upstreams of a pool, or can't tell: a new
-// connection to one of a few is established or refused, or there is none.
-func (d *Dialer) Reaches(ctx context.Context, pool string) bool {
-	vms := d.sample(pool)
-	sound := make(chan bool, len(vms))
-	for _, vm := range vms {
-		d.attempts.Go(func() { sound <- d.Sound(ctx, vm.ID, vm.Addr, nil) })
-	}
-	for range vms {
-		if <-sound {
-			return true
-		}
-	}
-	return len(vms) == 0
-}
-
-// ReachedElsewhere reports whether another node reaches upstreams of a pool.
-func (d *Dialer) ReachedElsewhere(ctx context.Context, pool string) bool {
-	for _, helper := range d.witnesses(time.Now()) {
-		for _, vm := range d.sample(pool) {
-			if conn, err := d.openTunnel(ctx, vm.ID, helper); err == nil {
-				_ = conn.Close()
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// sample returns a few upstreams of a pool that stay.
-func (d *Dialer) sample(pool string) (vms []quetzalpier.VM) {
-	d.Board.Do(func(s *board.State) {
-		for _, u := range s.Upstreams {
-			if u.VM.Pool == pool && !u.Leaving() && len(vms) < maxSample {
-				vms = append(vms, u.VM)
-			}
-		}
-	})
-	return vms
-}
-
 // Run tries connections over the lost paths until ctx ends, so that no request has to.
 func (d *Dialer) Run(ctx context.Context) {
 	defer d.attempts.Wait()
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -26,14 +26,16 @@
 	plan   reach.Plan
 
 	startedAt time.Time
-	results   chan result
-	done      chan struct{}
+	// results takes the outcomes of attempts until done is closed.
+	results chan result
+	done    chan struct{}
 	// pending are the attempts in progress, and ownPending whether the node's own is one.
 	pending    int
 	ownPending bool
 	ownErr     error
 	tunnelErr  error
-	// partitioned is set if a node that was asked reaches no upstream, or was not reached.
+	// partitioned is set if a node that was asked reaches no upstream, or was not reached, and
+	// refused if the upstream refused the connection of one.
 	partitioned bool
 	refused     bool
 }
