stand: A port that hangs leaves its whole backlog to the fillers

Accept of the stand-in could pass the deadline that makes it return, and then take one of the connections that fill the backlog, which left room for another one. A fill that timed out also counted as a full backlog, which it need not be if the process had to wait for its processor. Hang now waits until no call accepts, and reads from the kernel whether the backlog is full.

--- a/stand/port.go
+++ b/stand/port.go
@@ -13,7 +13,7 @@
 	// portBacklog is the usual number of connections that wait to be accepted.
 	portBacklog = 1024
 	// fillTimeout is how long a connection that fills the backlog may take, and maxFills how
-	// many are opened at most: the kernel drops further ones from then on.
+	// many are tried at most.
 	fillTimeout = 50 * time.Millisecond
 	maxFills    = 16
 )
@@ -25,6 +25,9 @@
 
 	mu       sync.Mutex
 	listener *net.TCPListener
+	// accepting counts the calls that wait for a connection; left is signaled when it falls.
+	accepting int
+	left      *sync.Cond
 	// fillers occupy the backlog while new connections hang.
 	fillers []net.Conn
 	// opened is closed when the port is open, and replaced when it no longer is.
@@ -35,6 +38,7 @@
 // OpenPort listens on a free loopback address.
 func OpenPort() (*Port, error) {
 	p := &Port{opened: make(chan struct{}), closed: make(chan struct{})}
+	p.left = sync.NewCond(&p.mu)
 	if err := p.listen(Host(int(addrCount.Add(1))) + ":0"); err != nil {
 		return nil, err
 	}
@@ -57,14 +61,14 @@
 func (p *Port) Accept() (net.Conn, error) {
 	for {
 		p.mu.Lock()
-		listener, opened := p.listener, p.opened
+		opened := p.opened
 		p.mu.Unlock()
 		select {
 		case <-opened:
 		case <-p.closed:
 			return nil, net.ErrClosed
 		}
-		if conn, err := listener.Accept(); err == nil {
+		if conn := p.acceptOpen(); conn != nil {
 			return conn, nil
 		}
 		select {
@@ -75,6 +79,30 @@
 	}
 }
 
+// acceptOpen waits for a connection while the port is open. It returns nil if it no longer
+// is.
+func (p *Port) acceptOpen() net.Conn {
+	p.mu.Lock()
+	listener, opened := p.listener, p.opened
+	select {
+	case <-opened:
+	default:
+		p.mu.Unlock()
+		return nil
+	}
+	p.accepting++
+	p.mu.Unlock()
+	conn, err := listener.Accept()
+	p.mu.Lock()
+	p.accepting--
+	p.left.Broadcast()
+	p.mu.Unlock()
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
 // Refuse makes new connections be refused until Open.
 func (p *Port) Refuse() error {
 	p.mu.Lock()
@@ -88,23 +116,51 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.shut()
-	// Accept returns, and leaves the backlog to the fillers.
 	if err := p.listener.SetDeadline(time.Unix(1, 0)); err != nil {
 		return errors.Wrap(err, "stop accepting")
 	}
+	// A call of Accept that has passed the deadline would still take a filler.
+	for p.accepting > 0 {
+		p.left.Wait()
+	}
 	if err := p.setBacklog(0); err != nil {
 		return err
 	}
 	for range maxFills {
-		conn, err := net.DialTimeout("tcp", p.Addr, fillTimeout)
-		if err != nil {
-			return nil
+		full, err := p.full()
+		if err != nil || full {
+			return err
+		}
+		// A timeout alone doesn't show that the backlog is full: this process may have had to
+		// wait for its processor.
+		if conn, err := net.DialTimeout("tcp", p.Addr, fillTimeout); err == nil {
+			p.fillers = append(p.fillers, conn)
 		}
-		p.fillers = append(p.fillers, conn)
 	}
 	return errors.Errorf("the backlog of %s is not full after %d connections", p.Addr, maxFills)
 }
 
+// full reports whether the kernel drops new connections, by the number of those that wait to
+// be accepted and the length of the backlog.
+func (p *Port) full() (bool, error) {
+	raw, err := p.listener.SyscallConn()
+	if err != nil {
+		return false, errors.Wrap(err, "read the backlog")
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) {
+		// Of a listening socket, these are the fields of TCP_INFO that hold both.
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil {
+		return false, errors.Wrap(err, "read the backlog")
+	}
+	if infoErr != nil {
+		return false, errors.Wrap(infoErr, "read the backlog")
+	}
+	return info.Unacked > info.Sacked, nil
+}
+
 // Open accepts connections again.
 func (p *Port) Open() error {
 	p.mu.Lock()
