vault, wire, runner: Log how late the end of a job is known

Cause: the key of an end held only the word "ended", and the front's notice only the job. No line told how late an owner learned of an end, or by which path, without the logs of the front at hand.

Change: both carry the time at which the front stored the end. Owners and stand-ins log with "job ended" the source (notice, watch or read), the lag, and how many runs and reward calls were canceled; the histogram quetzalpier_end_lag_seconds has the lag by source. Only the key ends the job, as before.

Evidence: with the value, the notice and the line as before, the tests failed with TestVault: expected: time.Date(2023, ...), actual: time.Date(1, time.January, 1, ...) TestEndLag/watch: expected: Source:"watch", Lag:..., Runs:3; actual: Source:"", Lag:nil, Runs:0 TestJobs: expected: "o:1 j1", actual: "o:1 without a time j1"

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -462,6 +462,9 @@
 				if calls.Add(1) == 1 {
 					return nil, errors.New("no answer")
 				}
+				if time.Since(ended.StoredAt()) > testTimeout {
+					peer += " without a time"
+				}
 				notified <- peer + " " + ended.GetJob()
 			}
 			return &wire.Reply{}, nil
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -326,14 +326,15 @@
 		if isNotFound(err) {
 			return err
 		}
+		now := time.Now()
 		if err == nil {
-			callCtx, cancel := context.WithDeadline(ctx, sleep.Earlier(deadline, time.Now().Add(storeCallTimeout)))
-			err = e.Vault.End(callCtx, job)
+			callCtx, cancel := context.WithDeadline(ctx, sleep.Earlier(deadline, now.Add(storeCallTimeout)))
+			err = e.Vault.End(callCtx, job, now)
 			cancel()
 		}
 		if err == nil {
 			e.record(job, jobRecord{ended: true, updatedAt: time.Now()})
-			e.notifyOwners(&wire.Call{Kind: &wire.Call_Ended{Ended: &wire.Ended{Job: job}}})
+			e.notifyOwners(&wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackEnd(job, now)}})
 			return nil
 		}
 		wait := pause(failures)
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -37,7 +37,7 @@
 		return n.lookUpKept(kept.GetJob())
 	}
 	if ended := call.GetEnded(); ended != nil {
-		n.runner.EndJob(ended.GetJob(), time.Now())
+		n.runner.EndJob(ended.GetJob(), ended.StoredAt(), time.Now())
 		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
 	}
 	if store := call.GetStore(); store != nil {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -47,6 +47,9 @@
 	Tunnels *prometheus.CounterVec
 	// LostPaths is the number of upstreams that the node does not reach, by pool.
 	LostPaths *prometheus.GaugeVec
+	// EndLag is the time from the storing of a job's end to when a node that runs the job
+	// learned of it, by how it did.
+	EndLag *prometheus.HistogramVec
 	// ConfigNumber is the number of the configuration in use.
 	ConfigNumber prometheus.Gauge
 	// DroppedLogLines counts log lines that were dropped because the log buffer was
@@ -95,6 +98,10 @@
 	bucketFactor = 2
 )
 
+// endBuckets divide the three seconds after the end of a job in which its tasks may reach
+// an upstream, and the time beyond.
+var endBuckets = []float64{0.01, 0.03, 0.1, 0.3, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10, 30}
+
 // New returns a set of metrics that is registered in a new registry.
 func New() *Meter {
 	registry := prometheus.NewRegistry()
@@ -116,6 +123,7 @@
 		Connections:        counter("connections_total", "Connections opened to upstreams.", "purpose", "cause"),
 		Tunnels:            counter("tunnels_total", "Connections to upstreams through other nodes.", "side", "outcome"),
 		LostPaths:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "lost_paths", Help: "Upstreams that the node does not reach itself."}, []string{"pool"}),
+		EndLag:             histogram("end_lag_seconds", "Time until a node that runs a job learns of its end.", endBuckets, "source"),
 		ConfigNumber:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_number", Help: "Number of the configuration in force."}),
 		DroppedLogLines:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
 		SuppressedLogLines: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_suppressed_total", Help: "Warnings and errors beyond the limit of their message."}),
@@ -130,7 +138,7 @@
 		Replicas:           prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "replicas", Help: "Upstreams of pools whose upstreams the node orders."}, []string{"pool", "domain", "kind", "state"}),
 		ReplicaOrders:      counter("replica_orders_total", "Orders of upstreams by outcome.", "pool", "domain", "kind", "outcome"),
 	}
-	registry.MustRegister(m.Requests, m.Customers, m.CustomerGrants, m.CustomerWaits, m.CustomerRefusals, m.QueueTime, m.SampleAge, m.PromptTokens, m.FirstToken, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.LostPaths, m.Tunnels, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.StalledReaders, m.Members, m.DutyToken, m.UsageWindows, m.UsageRuns, m.Replicas, m.ReplicaOrders)
+	registry.MustRegister(m.Requests, m.Customers, m.CustomerGrants, m.CustomerWaits, m.CustomerRefusals, m.QueueTime, m.SampleAge, m.PromptTokens, m.FirstToken, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.LostPaths, m.Tunnels, m.EndLag, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.StalledReaders, m.Members, m.DutyToken, m.UsageWindows, m.UsageRuns, m.Replicas, m.ReplicaOrders)
 	return m
 }
 
--- a/runner/ended_test.go
+++ b/runner/ended_test.go
@@ -33,7 +33,7 @@
 	t.Helper()
 	engine := r.engines[0]
 	require.Eventually(t, func() bool { return len(engine.Runs()) > 8 }, waitTimeout, time.Millisecond)
-	require.NoError(t, r.vault.End(t.Context(), job))
+	require.NoError(t, r.vault.End(t.Context(), job, time.Now()))
 	time.Sleep(cancelBound)
 	runs := len(engine.Runs())
 	require.Less(t, runs, len(manyTasks()), "the job finished too early for this test")
@@ -71,7 +71,7 @@
 		r := newFixture(t, 1)
 		r.putJob(t, newJob("j", 1, manyTasks()...))
 		require.Eventually(t, func() bool { return len(r.engines[0].Runs()) > 8 }, waitTimeout, time.Millisecond)
-		r.runner.EndJob("j", time.Now())
+		r.runner.EndJob("j", time.Now(), time.Now())
 		time.Sleep(100 * time.Millisecond)
 		runs := len(r.engines[0].Runs())
 		time.Sleep(time.Second)
@@ -94,7 +94,7 @@
 		r.putJob(t, job)
 		// From the fifth failure on, the pause before the next call is above 0.8 s.
 		require.Eventually(t, func() bool { return lines.count("reward call failed") >= 5 }, waitTimeout, time.Millisecond)
-		require.NoError(t, r.vault.End(t.Context(), "j"))
+		require.NoError(t, r.vault.End(t.Context(), "j", time.Now()))
 		require.Eventually(t, func() bool { return lines.count("job ended") > 0 }, waitTimeout, time.Millisecond)
 		calls := len(r.scorer.Runs())
 		time.Sleep(cancelBound)
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -93,7 +93,8 @@
 	readSlots chan struct{}
 	// endedJobs are the jobs that are known to have ended. The end of a job may
 	// arrive before the job itself.
-	endedJobs map[string]bool
+	// The value is when its front stored it; zero if that is not known.
+	endedJobs map[string]time.Time
 	// uncertain are the jobs of which the key-value service may hold more
 	// results than the scheduler, since a write of theirs had no known outcome.
 	uncertain map[string]bool
@@ -126,7 +127,7 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: scheduler, engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]bool{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 }
 
@@ -198,10 +199,14 @@
 }
 
 // applyEnds handles the ends of jobs.
-func (p *poolRunner) applyEnds(changed []quetzalpier.Entry, _ bool, now time.Time) {
+func (p *poolRunner) applyEnds(changed []quetzalpier.Entry, full bool, now time.Time) {
+	source := sourceWatch
+	if full {
+		source = sourceRead
+	}
 	for _, entry := range changed {
 		if !entry.Deleted {
-			p.endJob(vault.EndedJob(entry), now)
+			p.endJob(vault.EndedJob(entry), end{vault.EndedAt(entry), source}, now)
 		}
 	}
 }
@@ -312,7 +317,7 @@
 // knownJob reports whether a job is open here, or has ended or expired. The caller
 // holds the lock.
 func (p *poolRunner) knownJob(job *quetzalpier.Job) bool {
-	if p.endedJobs[job.ID] {
+	if _, ended := p.endedJobs[job.ID]; ended {
 		p.dropped[job.ID] = job.SubmittedAt
 		return true
 	}
@@ -337,20 +342,6 @@
 	return stored, parts, err
 }
 
-func (p *poolRunner) endJob(id string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.endedJobs[id] = true
-	job := p.scheduler.Jobs[id]
-	if job == nil || job.Ended {
-		return
-	}
-	p.cancelRuns(p.scheduler.End(id, now))
-	p.deleteParts(job)
-	p.runner.Log.Info().Str("job", id).Int("listed", len(job.Listed)).Int("unfinished", job.Unfinished()).Int("whole", job.CompleteGroups).
-		Dur("age_ms", now.Sub(job.Spec.SubmittedAt)).Msg("job ended")
-}
-
 // cancelRuns cancels the runs and reward calls of tasks. The caller holds the lock.
 func (p *poolRunner) cancelRuns(active []*tasks.Task) {
 	for _, task := range active {
--- a/runner/read.go
+++ b/runner/read.go
@@ -151,10 +151,10 @@
 	signal(p.wake)
 }
 
-// EndJob ends a job whose end a client has stored, on the pools that this node
-// processes.
-func (r *Runner) EndJob(job string, now time.Time) {
+// EndJob ends a job whose end a front stored at endedAt, on the pools that this node
+// processes. endedAt is zero if the front does not say so.
+func (r *Runner) EndJob(job string, endedAt, now time.Time) {
 	for _, p := range r.activeRunners() {
-		p.endJob(job, now)
+		p.endJob(job, end{endedAt, sourceNotice}, now)
 	}
 }
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -352,7 +352,7 @@
 		r := newFixture(t, 1)
 		r.putJob(t, newJob("j", 1, 400))
 		require.Eventually(t, func() bool { return len(r.engines[0].Runs()) == 1 }, waitTimeout, time.Millisecond)
-		require.NoError(t, r.vault.End(t.Context(), "j"))
+		require.NoError(t, r.vault.End(t.Context(), "j", time.Now()))
 		require.Eventually(t, func() bool {
 			reply := r.runner.Read(t.Context(), &wire.Read{Job: "j"})
 			return reply.GetKnown() && !reply.GetOpen()
@@ -453,7 +453,7 @@
 			listed, err := r.vault.Results(context.Background(), "a")
 			return err == nil && len(listed) > 0
 		}, waitTimeout, time.Millisecond)
-		require.NoError(t, r.vault.End(t.Context(), "a"))
+		require.NoError(t, r.vault.End(t.Context(), "a", time.Now()))
 		r.putJob(t, newJob("b", 1, 2, 2))
 		require.Eventually(t, func() bool {
 			reply := r.runner.Read(context.Background(), &wire.Read{Job: "a"})
--- a/runner/standin_test.go
+++ b/runner/standin_test.go
@@ -115,7 +115,7 @@
 		require.Eventually(t, func() bool {
 			return len(r.runner.Read(context.Background(), &wire.Read{Job: "j"}).GetResults()) == 1
 		}, waitTimeout, time.Millisecond)
-		require.NoError(t, r.vault.End(t.Context(), "j"))
+		require.NoError(t, r.vault.End(t.Context(), "j", time.Now()))
 		later := newJob("k", 1, 5)
 		later.Tasks[0] = job.Tasks[0]
 		r.putJob(t, later)
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -91,9 +92,13 @@
 	return wire.DecodeJob(entry.Value)
 }
 
-// End marks a job as ended. Repeated calls have no effect.
-func (v *Vault) End(ctx context.Context, id string) error {
-	_, err := v.KV.CompareAndSwap(ctx, Ends+id, []byte("ended"), 0, "")
+// End marks a job as ended at a time. Repeated calls have no effect.
+func (v *Vault) End(ctx context.Context, id string, at time.Time) error {
+	data, err := wire.EncodeEnd(at)
+	if err != nil {
+		return err
+	}
+	_, err = v.KV.CompareAndSwap(ctx, Ends+id, data, 0, "")
 	var conflict *quetzalpier.RevisionError
 	if errors.As(err, &conflict) {
 		return nil
@@ -110,6 +115,10 @@
 // EndedJob returns the ID of the job that an entry under Ends marks as ended.
 func EndedJob(entry quetzalpier.Entry) string { return strings.TrimPrefix(entry.Key, Ends) }
 
+// EndedAt returns when the end that an entry under Ends holds was stored, by the clock of
+// its front; zero if the entry does not say so.
+func EndedAt(entry quetzalpier.Entry) time.Time { return wire.DecodeEnd(entry.Value) }
+
 // Results reads the results of a job in the order of their positions.
 func (v *Vault) Results(ctx context.Context, id string) ([]quetzalpier.Result, error) {
 	list, err := v.KV.Range(ctx, prefixResults+id+"/", false)
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,13 +49,27 @@
 	})
 	t.Run("ending a job twice has no effect", func(t *testing.T) {
 		v, _ := newVault(t)
-		require.NoError(t, v.End(t.Context(), "j"))
-		require.NoError(t, v.End(t.Context(), "j"))
+		require.NoError(t, v.End(t.Context(), "j", time.Now()))
+		require.NoError(t, v.End(t.Context(), "j", time.Now()))
 		list, err := v.KV.Range(t.Context(), vault.Ends, false)
 		require.NoError(t, err)
 		require.Len(t, list.Entries, 1)
 		require.Equal(t, "j", vault.EndedJob(list.Entries[0]))
 	})
+	t.Run("the end of a job keeps the time of the first call", func(t *testing.T) {
+		v, _ := newVault(t)
+		at := time.UnixMilli(1_700_000_000_123)
+		require.NoError(t, v.End(t.Context(), "j", at))
+		require.NoError(t, v.End(t.Context(), "j", at.Add(time.Second)))
+		list, err := v.KV.Range(t.Context(), vault.Ends, false)
+		require.NoError(t, err)
+		require.Equal(t, at, vault.EndedAt(list.Entries[0]))
+	})
+	t.Run("ends of earlier versions and odd ones have no time", func(t *testing.T) {
+		for _, value := range []string{"ended", "", "\x10", "\x10\x00", "\x10\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01", "\xff\xff", strings.Repeat("\x0b", 1<<16)} {
+			require.Zero(t, vault.EndedAt(quetzalpier.Entry{Key: vault.Ends + "j", Value: []byte(value)}), "%.20q", value)
+		}
+	})
 	t.Run("results keep their positions", func(t *testing.T) {
 		v, fence := newVault(t)
 		all := results(12)
@@ -111,7 +126,7 @@
 		v, fence := newVault(t)
 		_, err := v.Put(t.Context(), job)
 		require.NoError(t, err)
-		require.NoError(t, v.End(t.Context(), "j"))
+		require.NoError(t, v.End(t.Context(), "j", time.Now()))
 		for i := range 40 {
 			require.NoError(t, v.AppendResults(t.Context(), "p", fence, []vault.Page{{Job: "j", From: i, Results: results(1)}}))
 		}
