runner: Log when runs and reward calls were sent, and what was sent after an end

Cause: "run ended" gives when a run was planned. A run that waits for its connection is sent later, and reward calls had no line with their time at all. So the logs could not tell an owner that learned of an end late from a call that was sent although the end was known.

Change: the runner notes when the request of a run or of a reward call was written completely. "run ended", "task scored" and "reward call failed" have it as sent, and after_end_ms if the job has ended; "reward call of a closed job ended" is new. "job ended" counts the calls that were sent after the end (sent_after, worst_ms), and "request was sent although its job is known to have ended" marks one that follows. The histogram quetzalpier_sent_after_end_seconds has both by kind, so that the distance to the users' bound of 3 s is seen before it is broken.

--- a/runner/ended_test.go
+++ b/runner/ended_test.go
@@ -96,6 +96,8 @@
 		require.Eventually(t, func() bool { return lines.count("reward call failed") >= 5 }, waitTimeout, time.Millisecond)
 		require.NoError(t, r.vault.End(t.Context(), "j", time.Now()))
 		require.Eventually(t, func() bool { return lines.count("job ended") > 0 }, waitTimeout, time.Millisecond)
+		require.Positive(t, lines.count(`"level":"info","sent":`), "the run's line lacks the time at which it was sent")
+		require.Positive(t, lines.count(`"reward":"rj-0","upstream":"s","sent":`))
 		calls := len(r.scorer.Runs())
 		time.Sleep(cancelBound)
 		require.Equal(t, calls, len(r.scorer.Runs()), "a reward call was made although the owner knew of the end")
--- a/runner/ending.go
+++ b/runner/ending.go
@@ -5,7 +5,6 @@
 
 	"github.com/rs/zerolog"
 
-	"quetzalpier/meter"
 	"quetzalpier/tasks"
 )
 
@@ -47,8 +46,10 @@
 		Dur("age_ms", now.Sub(job.Spec.SubmittedAt)).Str("source", string(end.Source)).Object("canceled", countActive(active))
 	if lag, known := end.lag(now); known {
 		line.Dur("lag_ms", lag)
-		p.runner.Meter.EndLag.WithLabelValues(string(end.Source)).Observe(meter.SecondsBetween(end.At, now))
+		p.runner.Meter.EndLag.WithLabelValues(string(end.Source)).Observe(max(0, lag.Seconds()))
+		line.Object("sent_after", p.countLate(id, end.At))
 	}
+	delete(p.sent, id)
 	line.Msg("job ended")
 }
 
--- a/runner/ending_test.go
+++ b/runner/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -21,6 +22,20 @@
 	Source   string
 	Lag      *float64 `json:"lag_ms"`
 	Canceled activity
+	// After is what was sent after the end, the last by Worst.
+	After struct {
+		activity
+		Worst float64 `json:"worst_ms"`
+	} `json:"sent_after"`
+}
+
+// sentLine is the line of a call for a task, as far as tests use it.
+type sentLine struct {
+	Kind     string
+	Task     string
+	Sent     string
+	AfterEnd float64 `json:"after_end_ms"`
+	Known    float64 `json:"known_ms"`
 }
 
 // logLines decodes the lines of a log with a message.
@@ -76,3 +91,42 @@
 func endEntries(value []byte) []quetzalpier.Entry {
 	return []quetzalpier.Entry{{Key: vault.Ends + "j", Value: value, Rev: 1}}
 }
+
+// Guards against calls that reach an upstream after the end of their job unseen.
+func TestSentAfterEnd(t *testing.T) {
+	b, log := newLoggedBurst(t, 4)
+	runs, _ := b.place(t)
+	require.Len(t, runs, 4)
+	endedAt := burstStart.Add(time.Second)
+	early, late, known := endedAt.Add(-time.Millisecond), endedAt.Add(700*time.Millisecond), endedAt.Add(2*time.Second)
+	runs[0].recordSent(early)
+	runs[1].recordSent(late)
+	b.pool.recordSent(kindReward, runs[0].task, "r", "s", endedAt.Add(1200*time.Millisecond))
+	b.pool.endJob("j", end{endedAt, sourceWatch}, known)
+	lines := logLines[endedLine](t, log, "job ended")
+	require.Len(t, lines, 1)
+	require.Equal(t, activity{Runs: 1, Rewards: 1}, lines[0].After.activity)
+	require.InDelta(t, 1200, lines[0].After.Worst, 0)
+	require.Empty(t, b.pool.sent)
+
+	t.Run("a call that is sent although the end is known", func(t *testing.T) {
+		runs[2].recordSent(known.Add(50 * time.Millisecond))
+		sentAt := known.Add(50 * time.Millisecond)
+		lines := logLines[sentLine](t, log, "request was sent although its job is known to have ended")
+		require.Equal(t, []sentLine{{Kind: "run", Task: "t2", Sent: sentAt.Format(zerolog.TimeFieldFormat), AfterEnd: 2050, Known: 50}}, lines)
+		require.Equal(t, 2, testutil.CollectAndCount(b.pool.runner.Meter.SentAfterEnd))
+	})
+	t.Run("canceled calls", func(t *testing.T) {
+		for _, r := range runs {
+			b.pool.finishRun(r, context.Canceled, true, known)
+		}
+		lines := logLines[sentLine](t, log, "run ended")
+		require.Len(t, lines, 4)
+		require.Equal(t, sentLine{Task: "t1", Sent: late.Format(zerolog.TimeFieldFormat), AfterEnd: 700}, lines[1])
+		require.Equal(t, sentLine{Task: "t3"}, lines[3], "it was not sent")
+		reward := rewardOutcome{Upstream: "s", BeganAt: early, SentAt: late, Err: context.Canceled}
+		runs[0].task.Spec.Reward = &quetzalpier.Reward{ID: "r"}
+		require.True(t, b.pool.applyReward(runs[0].task, reward, known))
+		require.Equal(t, []sentLine{{Task: "t0", Sent: late.Format(zerolog.TimeFieldFormat), AfterEnd: 700}}, logLines[sentLine](t, log, "reward call of a closed job ended"))
+	})
+}
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -95,6 +95,8 @@
 	// arrive before the job itself.
 	// The value is when its front stored it; zero if that is not known.
 	endedJobs map[string]time.Time
+	// sent holds when the calls of open jobs were sent.
+	sent map[string]sentTimes
 	// uncertain are the jobs of which the key-value service may hold more
 	// results than the scheduler, since a write of theirs had no known outcome.
 	uncertain map[string]bool
@@ -127,7 +129,7 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: scheduler, engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, sent: map[string]sentTimes{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 }
 
@@ -371,6 +373,7 @@
 	}
 	for _, job := range p.scheduler.DropEnded(endedRetention, now) {
 		p.dropped[job.Spec.ID] = job.Spec.SubmittedAt
+		delete(p.sent, job.Spec.ID)
 	}
 	for id, submittedAt := range p.dropped {
 		if now.Sub(submittedAt) > p.runner.Retention+historyMargin {
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
@@ -86,6 +87,8 @@
 	// one.
 	lastEvent int
 	startedAt time.Time
+	// sentAt is when the request was sent completely; zero if it was not.
+	sentAt time.Time
 	// timeout is how long the run may send no event.
 	timeout time.Duration
 	// firstEvent is the last event before the run.
@@ -146,7 +149,7 @@
 	defer cancel()
 	resp, err := r.parent.runner.Upstreams.Send(ctx, r.vm, link.Call{
 		Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: r.timeout, ReadTimeout: r.timeout,
-		Direct: true, Repeatable: true,
+		Direct: true, Repeatable: true, OnSent: func() { r.recordSent(time.Now()) },
 	})
 	if err != nil {
 		return err
@@ -177,6 +180,11 @@
 	return r.readEvents(platform.NewEventDecoder(resp), version, overdue)
 }
 
+func (r *run) recordSent(now time.Time) {
+	r.sentAt = now
+	r.parent.recordSent(kindRun, r.task, r.task.Spec.ID, r.vm.ID, now)
+}
+
 func (r *run) request(now time.Time) *fasthttp.Request {
 	spec, job := r.task.Spec, r.task.Job.Spec
 	keyed := job.Customer != ""
@@ -340,7 +348,7 @@
 		line = p.runner.Log.Warn().Err(err)
 	}
 	p.runner.Meter.Attempts.WithLabelValues(p.pool, outcome).Inc()
-	line.Str("task", r.task.Spec.ID).Str("job", r.task.Job.Spec.ID).Str("group", r.task.Spec.Group).Str("engine", r.vm.ID).Str("software", r.vm.Software).Str("began", r.task.Text.Software).Str("outcome", outcome).
+	withSent(line, r.sentAt, p.endedJobs[r.task.Job.Spec.ID]).Str("task", r.task.Spec.ID).Str("job", r.task.Job.Spec.ID).Str("group", r.task.Spec.Group).Str("engine", r.vm.ID).Str("software", r.vm.Software).Str("began", r.task.Text.Software).Str("outcome", outcome).
 		Dur("busy_ms", r.waited.Busy).Dur("unloaded_ms", r.waited.Unloaded).Int("from", r.firstEvent).Int("events", r.lastEvent).Int("hint", r.task.Spec.LengthHint).Int("running", r.engine.Running).
 		Int("prompt", r.promptTokens).Int("held", r.heldTokens).Dur("took_ms", now.Sub(r.startedAt)).Msg("run ended")
 }
@@ -366,7 +374,8 @@
 // fetchReward calls the reward of a task until there is an outcome or ctx ends.
 func (p *poolRunner) fetchReward(ctx context.Context, task *tasks.Task) {
 	for failures := 1; ctx.Err() == nil; failures++ {
-		if p.applyReward(task, p.callReward(ctx, task.Spec.Reward), time.Now()) {
+		began := time.Now()
+		if p.applyReward(task, p.callReward(ctx, task, began), time.Now()) {
 			return
 		}
 		sleep.For(ctx, sleep.Backoff(failures, rewardRetryBase, rewardRetryMax, rand.Float64()))
@@ -380,6 +389,11 @@
 	// MaxAttempts is how many failed calls end the task; zero means no limit.
 	MaxAttempts int
 	Err         error
+	// BeganAt is when the call was made, Upstream where it went last, and SentAt when it was
+	// sent completely last; zero if it was not.
+	BeganAt  time.Time
+	Upstream string
+	SentAt   time.Time
 }
 
 // applyReward applies the outcome of a reward call to the task. It returns
@@ -388,18 +402,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if task.Phase != tasks.Scoring || !task.Job.Open(now) {
+		p.logClosedReward(task, result, now)
 		return true
 	}
 	defer signal(p.resultReady)
 	if result.Err == nil && result.Status < http.StatusMultipleChoices && result.Stamp != "" {
 		p.scheduler.Finish(task, result.Stamp, now)
-		p.runner.Log.Info().Str("task", task.Spec.ID).Str("job", task.Job.Spec.ID).Int("failures", task.RewardFailures).Msg("task scored")
+		p.logReward(p.runner.Log.Info(), task, result, now).Int("failures", task.RewardFailures).Msg("task scored")
 		return true
 	}
 	if result.Status == http.StatusInternalServerError {
 		task.RewardFailures++
 	}
-	p.runner.Log.Warn().Str("task", task.Spec.ID).Str("reward", task.Spec.Reward.ID).Int("status", result.Status).AnErr("cause", result.Err).
+	p.logReward(p.runner.Log.Warn(), task, result, now).Int("status", result.Status).AnErr("cause", result.Err).
 		Int("refusals", task.RewardFailures).Msg("reward call failed")
 	if result.MaxAttempts > 0 && task.RewardFailures >= result.MaxAttempts {
 		p.scheduler.Fail(task, now)
@@ -408,14 +423,29 @@
 	return false
 }
 
-// callReward makes a reward call on the route of its host and path.
-func (p *poolRunner) callReward(ctx context.Context, reward *quetzalpier.Reward) rewardOutcome {
-	now := time.Now()
+// logReward adds to a line what is known of a reward call. The caller holds the lock.
+func (p *poolRunner) logReward(line *zerolog.Event, task *tasks.Task, result rewardOutcome, now time.Time) *zerolog.Event {
+	job := task.Job.Spec.ID
+	line.Str("task", task.Spec.ID).Str("job", job).Str("reward", task.Spec.Reward.ID).Str("upstream", result.Upstream)
+	return withSent(line, result.SentAt, p.endedJobs[job]).Dur("took_ms", now.Sub(result.BeganAt))
+}
+
+// logClosedReward logs a reward call that was sent and whose job closed meanwhile. The
+// caller holds the lock.
+func (p *poolRunner) logClosedReward(task *tasks.Task, result rewardOutcome, now time.Time) {
+	if !result.SentAt.IsZero() {
+		p.logReward(p.runner.Log.Info(), task, result, now).Int("status", result.Status).AnErr("cause", result.Err).Msg("reward call of a closed job ended")
+	}
+}
+
+// callReward makes the reward call of a task on the route of its host and path.
+func (p *poolRunner) callReward(ctx context.Context, task *tasks.Task, now time.Time) rewardOutcome {
+	reward := task.Spec.Reward
 	var route quetzalpier.Route
 	found := false
 	p.runner.Board.Do(func(s *board.State) { route, found = s.Config.MatchRoute(reward.Host, reward.Path) })
 	if !found {
-		return rewardOutcome{Err: errors.Errorf("no route for reward call to %s%s", reward.Host, reward.Path)}
+		return rewardOutcome{BeganAt: now, Err: errors.Errorf("no route for reward call to %s%s", reward.Host, reward.Path)}
 	}
 	deadline := now.Add(rewardDeadline)
 	if route.Timeout > 0 {
@@ -429,7 +459,7 @@
 		Pool: route.PickPool(rand.Float64()), Class: quetzalpier.ClassRollout, Tenant: p.pool, Priority: route.Priority, Idempotent: true, MaxAttempts: route.MaxAttempts,
 	}
 	job.Priority = route.Priority
-	result := rewardOutcome{MaxAttempts: route.MaxAttempts}
+	result := rewardOutcome{MaxAttempts: route.MaxAttempts, BeganAt: now}
 	result.Err = p.runner.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
 		req := &fasthttp.Request{}
 		req.Header.SetMethod(http.MethodPost)
@@ -437,8 +467,13 @@
 		req.Header.SetHost(reward.Host)
 		req.Header.Set(platform.HeaderAttempt, reward.ID)
 		req.SetBodyRaw(reward.Body)
+		result.Upstream = a.VM.ID
 		resp, err := p.runner.Upstreams.Forward(ctx, platform.Attempt{
 			VM: a.VM, Purpose: link.PurposeReward, Fresh: a.Fresh, Repeatable: true, Deadline: deadline,
+			OnSent: func() {
+				result.SentAt = time.Now()
+				p.recordSent(kindReward, task, reward.ID, a.VM.ID, result.SentAt)
+			},
 		}, req)
 		p.runner.Sender.RecordDecline(a.VM.ID, resp, err, time.Now())
 		if err != nil {
