entry, client: Log what became of each request to end a job

Cause: only an end that was stored had a line. An end that was known already, that was refused and is stored later, whose client had given up, or that a stopping node forgot could not be told apart; the users' rule counts each of them differently.

Change: each DELETE of a job has one line with its duration: "job end stored", "job end was stored before" or "job end not stored" with the cause and whether the node goes on trying (later). client_gone is set if the client had closed its connection, which is peeked at without reading. The gauge quetzalpier_unstored_ends counts the ends that are still to be stored, and a node that stops with such ends names each one.

Evidence: with entry/jobs.go as before, the test failed with TestJobs/the_log_tells...: {"job":"j1","took_ms":1.5,"message":"job end stored"} does not contain "job":"j1","client_gone":false Package entry with -race: one failure in its first run, of another test: TestRecordRuns/ a_slow_request_is_recorded_before_it_is_answered, runs_test.go:91, "Condition never satisfied". It is not traced.

--- a/client/idle.go
+++ b/client/idle.go
@@ -29,3 +29,23 @@
 	})
 	return err == nil && empty
 }
+
+// Closed reports whether the other end has closed or reset a connection, and all bytes from
+// it have been read.
+func Closed(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = n <= 0 && peekErr != unix.EAGAIN && peekErr != unix.EINTR
+	})
+	return err != nil || closed
+}
--- a/entry/conn.go
+++ b/entry/conn.go
@@ -215,6 +215,12 @@
 	return func() {}
 }
 
+// clientGone reports whether the client of a request has closed its connection.
+func clientGone(c *fasthttp.RequestCtx) bool {
+	w, ok := c.Conn().(*watchConn)
+	return ok && client.Closed(w.Conn)
+}
+
 // limitWrites sets the limit of the writes to the client of a request.
 func limitWrites(c *fasthttp.RequestCtx, timeout time.Duration) {
 	if w, ok := c.Conn().(*watchConn); ok {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -163,6 +163,7 @@
 // Close stops the servers after the requests in flight, or when ctx ends.
 func (e *Entry) Close(ctx context.Context) {
 	defer e.close()
+	defer e.logUnstoredEnds()
 	var shutdowns, sweeper conc.WaitGroup
 	sweepCtx, stopSweeper := context.WithCancel(ctx)
 	sweeper.Go(func() { e.closeUnusedConns(sweepCtx) })
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
@@ -490,6 +491,35 @@
 			return err == nil && len(stored.Entries) == 1
 		}, testTimeout, 10*time.Millisecond)
 	})
+	t.Run("the log tells what became of each request to end a job", func(t *testing.T) {
+		r := newTestEntry(t)
+		r.setConfig()
+		var log lockedBuffer
+		r.entry.Log = zerolog.New(&log)
+		end := func(job string) {
+			resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+job, "", nil)
+			require.NoError(t, err)
+			require.NotZero(t, resp.StatusCode)
+		}
+		end("j1")
+		require.Contains(t, log.String(), `"job":"j1","client_gone":false,`)
+		require.Contains(t, log.String(), `"message":"job end stored"`)
+		end("j1")
+		require.Contains(t, log.String(), `"message":"job end was stored before"`)
+		r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+		end("j2")
+		require.Contains(t, log.String(), `"later":true,"message":"job end not stored"`)
+		require.InDelta(t, 1, testutil.ToFloat64(r.entry.Meter.UnstoredEnds), 0)
+		conn, err := net.Dial("tcp", r.addr)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "DELETE %sj3 HTTP/1.1\r\nHost: %s\r\n\r\n", platform.PathJobs, host)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return r.entry.InFlight() == 1 }, testTimeout, time.Millisecond)
+		require.NoError(t, conn.Close())
+		require.Eventually(t, func() bool { return strings.Contains(log.String(), `"job":"j3","client_gone":true,`) }, testTimeout, time.Millisecond)
+		r.entry.Close(t.Context())
+		require.Contains(t, log.String(), `"job":"j2","customer":"","message":"node stops without having stored the end of a job"`)
+	})
 	t.Run("a submission with an unknown outcome is not refused as not run", func(t *testing.T) {
 		r := newTestEntry(t)
 		r.setConfig()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -295,13 +296,15 @@
 // repeat it.
 func (e *Entry) endJob(c *fasthttp.RequestCtx, r *request, call platform.Call) {
 	if e.recordFor(call.Job).ended && e.findJob(r, call.Job) == nil {
+		e.logEnd(e.Log.Info(), c, r, call.Job).Msg("job end was stored before")
 		return
 	}
 	err := e.storeEnd(e.ctx, r, call.Job, r.start.Add(endTimeout), storePause)
 	if err == nil {
-		e.Log.Info().Str("job", call.Job).Dur("took_ms", time.Since(r.start)).Msg("job end stored")
+		e.logEnd(e.Log.Info(), c, r, call.Job).Msg("job end stored")
 		return
 	}
+	e.logEnd(e.Log.Warn(), c, r, call.Job).Err(err).Bool("later", !isNotFound(err)).Msg("job end not stored")
 	if isNotFound(err) {
 		e.refuse(c, r, err)
 		return
@@ -314,9 +317,24 @@
 		return
 	}
 	e.unstoredEnds[key] = true
+	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
 	e.workers.Go(func() { e.storeEndLater(r, call.Job) })
 }
 
+// logEnd adds to a line what became of a request to end a job.
+func (e *Entry) logEnd(line *zerolog.Event, c *fasthttp.RequestCtx, r *request, job string) *zerolog.Event {
+	return line.Str("job", job).Bool("client_gone", clientGone(c)).Dur("took_ms", time.Since(r.start))
+}
+
+// logUnstoredEnds logs the ends that are forgotten with this node.
+func (e *Entry) logUnstoredEnds() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key := range e.unstoredEnds {
+		e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg("node stops without having stored the end of a job")
+	}
+}
+
 // storeEnd stores the end of a job until it succeeds, ctx ends or the deadline is too
 // close for another attempt, and notifies the owners of pools. A job that is not the
 // customer's is not found.
@@ -350,13 +368,14 @@
 	err := e.storeEnd(e.ctx, r, job, r.start.Add(e.Retention), laterEndPause)
 	e.mu.Lock()
 	delete(e.unstoredEnds, unstoredEnd{r.customerName(), job})
+	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
 	e.mu.Unlock()
 	if isNotFound(err) {
 		e.Log.Warn().Str("job", job).Str("customer", r.customerName()).Err(err).Msg("the end of a job, whose client was refused, was not stored")
 		return
 	}
 	if err != nil {
-		e.Log.Error().Str("job", job).Err(err).Msg("the end of a job, whose client was refused, could not be stored")
+		e.Log.Error().Str("job", job).Bool("stopping", e.ctx.Err() != nil).Dur("age_ms", time.Since(r.start)).Err(err).Msg("the end of a job, whose client was refused, could not be stored")
 		return
 	}
 	e.Log.Info().Str("job", job).Dur("age_ms", time.Since(r.start)).Msg("end stored after its client was refused")
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -53,6 +53,8 @@
 	// SentAfterEnd is the time from the storing of a job's end to when a run or a reward
 	// call of the job was sent, by kind. Calls that were sent earlier are not observed.
 	SentAfterEnd *prometheus.HistogramVec
+	// UnstoredEnds is the number of ends of jobs that are still to be stored.
+	UnstoredEnds prometheus.Gauge
 	// ConfigNumber is the number of the configuration in use.
 	ConfigNumber prometheus.Gauge
 	// DroppedLogLines counts log lines that were dropped because the log buffer was
@@ -128,6 +130,7 @@
 		LostPaths:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "lost_paths", Help: "Upstreams that the node does not reach itself."}, []string{"pool"}),
 		EndLag:             histogram("end_lag_seconds", "Time until a node that runs a job learns of its end.", endBuckets, "source"),
 		SentAfterEnd:       histogram("sent_after_end_seconds", "Time from the end of a job to a call of it that was sent later.", endBuckets, "kind"),
+		UnstoredEnds:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "unstored_ends", Help: "Ends of jobs that are still to be stored."}),
 		ConfigNumber:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_number", Help: "Number of the configuration in force."}),
 		DroppedLogLines:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that found no room."}),
 		SuppressedLogLines: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_suppressed_total", Help: "Warnings and errors beyond the limit of their message."}),
@@ -142,7 +145,7 @@
 		Replicas:           prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "replicas", Help: "Upstreams of pools whose upstreams the node orders."}, []string{"pool", "domain", "kind", "state"}),
 		ReplicaOrders:      counter("replica_orders_total", "Orders of upstreams by outcome.", "pool", "domain", "kind", "outcome"),
 	}
-	registry.MustRegister(m.Requests, m.Customers, m.CustomerGrants, m.CustomerWaits, m.CustomerRefusals, m.QueueTime, m.SampleAge, m.PromptTokens, m.FirstToken, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.LostPaths, m.Tunnels, m.EndLag, m.SentAfterEnd, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.StalledReaders, m.Members, m.DutyToken, m.UsageWindows, m.UsageRuns, m.Replicas, m.ReplicaOrders)
+	registry.MustRegister(m.Requests, m.Customers, m.CustomerGrants, m.CustomerWaits, m.CustomerRefusals, m.QueueTime, m.SampleAge, m.PromptTokens, m.FirstToken, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.LostPaths, m.Tunnels, m.EndLag, m.SentAfterEnd, m.UnstoredEnds, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.StalledReaders, m.Members, m.DutyToken, m.UsageWindows, m.UsageRuns, m.Replicas, m.ReplicaOrders)
 	return m
 }
 
