link, client, fleet: Count and log connections that may mix requests

Cause: a response to another request that was skipped, bytes on an idle connection, a response that began before its request was sent, bytes behind a complete response and a request that was cut off while it was written left no trace.

Change: link reports each as an anomaly with the request's ID, the upstream, the bytes sent and the bytes unread. A node counts them in quetzalpier_connection_anomalies_total by kind and purpose, and logs a warning with a message for each kind, which logcap limits. A response counts as early if bytes of it can be read while the kernel still has unacknowledged bytes of the request; what waits in the upstream's own buffers is not seen. What is sent, skipped and closed is as before.

Evidence: without the reports, TestAnomalies failed in the five cases with an anomaly, expected: []link.Anomaly{"foreign"}, actual: []link.Anomaly(nil) Packages link and platform pass with -race.

--- a/client/idle.go
+++ b/client/idle.go
@@ -49,3 +49,22 @@
 	})
 	return err != nil || closed
 }
+
+// Unacknowledged returns how many bytes that were written to a connection have not reached
+// the other end; zero if that is not known.
+func Unacknowledged(conn net.Conn) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	pending := 0
+	err = raw.Control(func(fd uintptr) { pending, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	if err != nil {
+		return 0
+	}
+	return pending
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -203,7 +203,7 @@
 	}
 	n.kv.WritesAwaited = func() bool { return n.ownsPool() || n.runner.Active() }
 	n.links = link.New()
-	n.links.OnDial = n.countDial
+	n.links.OnDial, n.links.OnAnomaly = n.countDial, n.logAnomaly
 	n.openTunnels(seed)
 	n.sender = send.New(n.Board, n.links, n.Meter, seed)
 	n.sender.OnStrikes = n.sendStrikes
--- a/link/conn.go
+++ b/link/conn.go
@@ -31,8 +31,10 @@
 // deadline before each read and write.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
-	writer      *bufio.Writer
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// last describes the latest call on the connection, of which sent bytes were written.
+	last        Sighting
 	sent        int
 	readTimeout time.Duration
 	releasedAt  time.Time
--- a/link/link.go
+++ b/link/link.go
@@ -38,7 +38,9 @@
 	Addr string
 	// Upstream is the ID of the upstream; empty if it has none.
 	Upstream string
-	Request  *fasthttp.Request
+	// ID names the request in reports of anomalies.
+	ID      string
+	Request *fasthttp.Request
 	// Foreign reports, by the header of a response, that it belongs to an earlier request.
 	// Such a response is skipped; nil means that none does.
 	Foreign func(*fasthttp.ResponseHeader) bool
@@ -66,6 +68,9 @@
 type Links struct {
 	// OnDial is called before a connection is opened; nil does nothing.
 	OnDial func(Purpose, Cause)
+	// OnAnomaly is called with each anomaly of a connection, and must not call Links; nil
+	// does nothing.
+	OnAnomaly func(Sighting)
 	// Dialer opens the connections to upstreams that have an ID; nil opens the node's own.
 	Dialer quetzalpier.Dialer
 
@@ -116,7 +121,7 @@
 	if call.OnConnected != nil {
 		call.OnConnected()
 	}
-	c.sent = 0
+	c.sent, c.last = 0, Sighting{Request: call.ID, Upstream: call.Upstream, Addr: call.Addr, Purpose: call.Purpose}
 	c.readTimeout = call.HeaderTimeout
 	l.watchPath(ctx, call, c)
 	err = call.Request.Write(c.writer)
@@ -124,15 +129,21 @@
 		err = c.writer.Flush()
 	}
 	if err != nil {
+		if c.sent > 0 {
+			l.report(AnomalyCut, c)
+		}
 		return nil, l.closeFailed(ctx, call.Addr, c, stopCancel, StageSend, err)
 	}
+	if c.answeredEarly() {
+		l.report(AnomalyEarly, c)
+	}
 	if call.OnSent != nil {
 		call.OnSent()
 	}
 	// Each read has its own deadline, so that a header that comes in small pieces could
 	// take any time.
 	overdue := time.AfterFunc(call.HeaderTimeout+headerSlack, c.abort)
-	resp, err := c.readHeader(call, overdue)
+	resp, err := c.readHeader(call, overdue, func() { l.report(AnomalyForeign, c) })
 	if !overdue.Stop() && err == nil {
 		err = errors.Errorf("response header took longer than %s", call.HeaderTimeout)
 	}
@@ -149,8 +160,9 @@
 }
 
 // readHeader reads the header of the response to a call, and skips responses that belong
-// to earlier requests on the connection. overdue breaks it off.
-func (c *conn) readHeader(call Call, overdue *time.Timer) (*fasthttp.Response, error) {
+// to earlier requests on the connection, for each of which it calls onForeign. overdue breaks
+// it off.
+func (c *conn) readHeader(call Call, overdue *time.Timer, onForeign func()) (*fasthttp.Response, error) {
 	for skipped := range maxForeign {
 		resp := &fasthttp.Response{StreamBody: true}
 		resp.SkipBody = call.Request.Header.IsHead()
@@ -164,6 +176,7 @@
 		if call.Foreign == nil || !call.Foreign(&resp.Header) {
 			return resp, nil
 		}
+		onForeign()
 		if skipped == 0 {
 			overdue.Reset(min(call.HeaderTimeout, foreignWait))
 		}
@@ -212,6 +225,9 @@
 		return nil
 	}
 	if r.complete {
+		if c.reader.Buffered() > 0 {
+			r.links.report(AnomalyUnread, c)
+		}
 		return c.Close()
 	}
 	c.abort()
@@ -379,6 +395,9 @@
 		default:
 			return c, ""
 		}
+		if c.hasUnread() {
+			l.report(AnomalyIdle, c)
+		}
 		_ = c.Close()
 	}
 	return nil, cause
@@ -388,6 +407,9 @@
 	c.releasedAt = time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.reader.Buffered() > 0 {
+		l.report(AnomalyUnread, c)
+	}
 	if len(l.idle[addr]) >= maxIdleConns || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -42,6 +42,9 @@
 	PlatformCalls *prometheus.CounterVec
 	// Connections counts the connections opened to upstreams, by purpose and cause.
 	Connections *prometheus.CounterVec
+	// Anomalies counts the exchanges after which a connection to an upstream may carry bytes
+	// of another request or response, by kind and purpose.
+	Anomalies *prometheus.CounterVec
 	// Tunnels counts the connections to upstreams that were requested of other nodes, or
 	// served to them, by side and outcome.
 	Tunnels *prometheus.CounterVec
@@ -126,6 +129,7 @@
 		ControlBytes:       counter("control_bytes_total", "Control traffic between nodes.", "direction"),
 		PlatformCalls:      counter("platform_calls_total", "Calls to the platform.", "call", "purpose", "outcome"),
 		Connections:        counter("connections_total", "Connections opened to upstreams.", "purpose", "cause"),
+		Anomalies:          counter("connection_anomalies_total", "Anomalies of connections to upstreams.", "kind", "purpose"),
 		Tunnels:            counter("tunnels_total", "Connections to upstreams through other nodes.", "side", "outcome"),
 		LostPaths:          prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "lost_paths", Help: "Upstreams that the node does not reach itself."}, []string{"pool"}),
 		EndLag:             histogram("end_lag_seconds", "Time until a node that runs a job learns of its end.", endBuckets, "source"),
@@ -145,7 +149,7 @@
 		Replicas:           prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "replicas", Help: "Upstreams of pools whose upstreams the node orders."}, []string{"pool", "domain", "kind", "state"}),
 		ReplicaOrders:      counter("replica_orders_total", "Orders of upstreams by outcome.", "pool", "domain", "kind", "outcome"),
 	}
-	registry.MustRegister(m.Requests, m.Customers, m.CustomerGrants, m.CustomerWaits, m.CustomerRefusals, m.QueueTime, m.SampleAge, m.PromptTokens, m.FirstToken, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.LostPaths, m.Tunnels, m.EndLag, m.SentAfterEnd, m.UnstoredEnds, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.StalledReaders, m.Members, m.DutyToken, m.UsageWindows, m.UsageRuns, m.Replicas, m.ReplicaOrders)
+	registry.MustRegister(m.Requests, m.Customers, m.CustomerGrants, m.CustomerWaits, m.CustomerRefusals, m.QueueTime, m.SampleAge, m.PromptTokens, m.FirstToken, m.Attempts, m.Refusals, m.Samples, m.Orders, m.Crashes, m.ControlBytes, m.PlatformCalls, m.Connections, m.Anomalies, m.LostPaths, m.Tunnels, m.EndLag, m.SentAfterEnd, m.UnstoredEnds, m.ConfigNumber, m.DroppedLogLines, m.SuppressedLogLines, m.StalledReaders, m.Members, m.DutyToken, m.UsageWindows, m.UsageRuns, m.Replicas, m.ReplicaOrders)
 	return m
 }
 
