report: Tell how long after the end of its job work was sent

Cause: the distance to the users' bound on ended jobs was seen only with a script on the logs of a play, which takes runs as begun when they were planned.

Change: `quetzalpier report` lists for each job whose end was stored when the last node knew of it, and when the last run and the last reward call were sent, by which node; the text form has the worst ten and how many jobs are beyond 1 and 3 s. Logs of earlier versions have no time of a send: their runs count from when they were planned, reward calls from their outcome.

Evidence: without the lines of runs and ends, TestEnds failed: expected Jobs j, l and k, actual Jobs:[]report.End(nil). Package report passes with -race.

--- a/report/lines.go
+++ b/report/lines.go
@@ -46,6 +46,8 @@
 	From      int     `json:"from"`
 	Events    int     `json:"events"`
 	Outcome   string  `json:"outcome"`
+	// Sent is when a request was sent completely.
+	Sent time.Time `json:"sent"`
 
 	Request string `json:"request"`
 	Route   string `json:"route"`
@@ -58,18 +60,22 @@
 
 // Messages of the lines that a report uses.
 const (
-	messageAccepted   = "job accepted"
-	messageOpened     = "job opened"
-	messageRun        = "run ended"
-	messageScored     = "task scored"
-	messageStored     = "stored results"
-	messageFound      = "found stored results"
-	messageEnded      = "job ended"
-	messageEndStored  = "job end stored"
-	messageStarted    = "node started"
-	messageUsage      = "usage"
-	messageRefused    = "request refused"
-	messageServedLate = "request served late"
+	messageAccepted  = "job accepted"
+	messageOpened    = "job opened"
+	messageRun       = "run ended"
+	messageScored    = "task scored"
+	messageStored    = "stored results"
+	messageFound     = "found stored results"
+	messageEnded     = "job ended"
+	messageEndStored = "job end stored"
+	// The end of a job whose client was refused may be stored later.
+	messageEndStoredLater = "end stored after its client was refused"
+	messageRewardFailed   = "reward call failed"
+	messageRewardClosed   = "reward call of a closed job ended"
+	messageStarted        = "node started"
+	messageUsage          = "usage"
+	messageRefused        = "request refused"
+	messageServedLate     = "request served late"
 )
 
 const (
@@ -83,7 +89,7 @@
 
 var usedMessages = map[string]bool{
 	messageAccepted: true, messageOpened: true, messageRun: true, messageScored: true, messageStored: true, messageFound: true, messageEnded: true,
-	messageEndStored: true, messageStarted: true, messageUsage: true, messageRefused: true, messageServedLate: true,
+	messageEndStored: true, messageEndStoredLater: true, messageRewardFailed: true, messageRewardClosed: true, messageStarted: true, messageUsage: true, messageRefused: true, messageServedLate: true,
 }
 
 // reader reads the lines of one source.
--- a/report/print.go
+++ b/report/print.go
@@ -8,9 +8,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxPrintedRows limits the causes, seconds and usage rows of the text form. The
-// JSON form has all.
-const maxPrintedRows = 12
+// maxPrintedRows limits the causes, seconds and usage rows of the text form, and
+// maxPrintedEnds the ends of jobs. The JSON form has all.
+const (
+	maxPrintedRows = 12
+	maxPrintedEnds = 10
+)
 
 // Print writes the report as text.
 func Print(out io.Writer, r *Report) error {
@@ -21,6 +24,7 @@
 	}
 	fmt.Fprintf(w, "median pace: %.1f ms an event\n\n", 1000*r.Pace)
 	printSteps(w, r.Steps)
+	printEnds(w, r.Ends)
 	printUsage(w, "calls to the key-value service", r.Calls)
 	printUsage(w, "connections opened to upstreams", r.Connections)
 	for _, route := range r.Routes {
@@ -49,6 +53,16 @@
 	fmt.Fprintln(w)
 }
 
+// printEnds prints the ends of jobs after which runs or reward calls were sent latest.
+func printEnds(w io.Writer, ends Ends) {
+	fmt.Fprintf(w, "%d jobs ended; of %d something was sent more than 1 s after the end, of %d more than 3 s\n", len(ends.Jobs), ends.OverOne, ends.OverThree)
+	fmt.Fprint(w, "ENDED\tJOB\tKNOWN s\tLAST RUN s\tBY\tLAST REWARD s\tBY\n")
+	for _, end := range ends.Jobs[:min(maxPrintedEnds, len(ends.Jobs))] {
+		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%s\t%.3f\t%s\n", end.StoredAt.Format("15:04:05.000"), end.Job, end.Known, end.Run, end.RunNode, end.Reward, end.RewardNode)
+	}
+	fmt.Fprintln(w)
+}
+
 func printUsage(w io.Writer, title string, rows []Usage) {
 	total := 0.0
 	for _, row := range rows {
--- a/report/report.go
+++ b/report/report.go
@@ -20,6 +20,7 @@
 	Calls       []Usage `json:"calls"`
 	Connections []Usage `json:"connections"`
 	Routes      []Route `json:"routes"`
+	Ends        Ends    `json:"ends"`
 }
 
 // Usage is a total of one class of nodes.
@@ -37,7 +38,7 @@
 // Read reads the sources together, in order of the lines' times.
 func Read(sources []Source) (*Report, error) {
 	r := &Report{}
-	steps, usage, requests := newStepReader(), newUsageReader(), newRequestReader()
+	steps, usage, requests, ends := newStepReader(), newUsageReader(), newRequestReader(), newEndReader()
 	var first, last time.Time
 	err := merge(sources, r, func(l *line) {
 		if first.IsZero() {
@@ -49,8 +50,11 @@
 			usage.add(l)
 		case messageRefused, messageServedLate:
 			requests.add(l)
+		case messageEndStoredLater, messageRewardFailed, messageRewardClosed:
+			ends.add(l)
 		default:
 			steps.add(l)
+			ends.add(l)
 		}
 	})
 	if err != nil {
@@ -60,6 +64,7 @@
 	r.Steps, r.Pace = steps.done, steps.paces.median().Seconds()
 	r.Calls, r.Connections = usage.totals(last.Sub(first).Seconds())
 	r.Routes = requests.routes()
+	r.Ends = ends.ends()
 	return r, nil
 }
 
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -92,6 +92,33 @@
 	})
 }
 
+// Guards against logs from which it can't be seen how close an end comes to its bound.
+func TestEnds(t *testing.T) {
+	sent := func(seconds float64) string {
+		return `"sent":"` + start.Add(time.Duration(seconds*float64(time.Second))).Format(time.RFC3339Nano) + `"`
+	}
+	front := logLine(10, "f", "job end stored", `"job":"j"`) + logLine(11, "g", "job end stored", `"job":"j"`) +
+		logLine(10, "f", "job end stored", `"job":"k"`) + logLine(12, "f", "end stored after its client was refused", `"job":"l"`)
+	owner := logLine(9, "o", "task scored", `"job":"j","task":"a",`+sent(8)) +
+		logLine(10.5, "o", "job ended", `"job":"k"`) +
+		logLine(13, "o", "run ended", `"job":"j","task":"b","outcome":"cut","took_ms":9000,`+sent(11.2)) +
+		logLine(13.1, "o", "run ended", `"job":"j","task":"c","outcome":"cut","took_ms":100`) +
+		logLine(14, "o", "reward call of a closed job ended", `"job":"j","task":"d",`+sent(13.5)) +
+		logLine(14.5, "o", "job ended", `"job":"j"`)
+	earlier := logLine(14, "p", "run ended", `"job":"l","task":"x","outcome":"cut","took_ms":500`) +
+		logLine(14.1, "p", "task scored", `"job":"open","task":"y"`)
+	r := read(t, front, owner, earlier)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	require.Equal(t, report.Ends{OverOne: 2, OverThree: 1, Jobs: []report.End{
+		{Job: "j", StoredAt: at(10), Known: 4.5, Run: 1.2, RunNode: "o", Reward: 3.5, RewardNode: "o"},
+		{Job: "l", StoredAt: at(12), Run: 1.5, RunNode: "p"},
+		{Job: "k", StoredAt: at(10), Known: 0.5},
+	}}, r.Ends)
+	var text bytes.Buffer
+	require.NoError(t, report.Print(&text, r))
+	require.Contains(t, text.String(), "3 jobs ended; of 2 something was sent more than 1 s after the end, of 1 more than 3 s")
+}
+
 func sum(parts report.Parts) float64 {
 	total := 0.0
 	for _, value := range parts.Values() {
