--- a/runner/ending.go
+++ b/runner/ending.go
@@ -18,8 +18,8 @@
 	sourceRead   endSource = "read"
 )
 
-// end is what a node learns of the end of a job. At is when its front stored it, by the
-// clock of the front; zero if that is not known.
+// end is what a node learns of the end of a job. At is when its front began to store it, by
+// the clock of the front; zero if that is not known.
 type end struct {
 	At     time.Time
 	Source endSource
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -115,8 +115,8 @@
 // EndedJob returns the ID of the job that an entry under Ends marks as ended.
 func EndedJob(entry quetzalpier.Entry) string { return strings.TrimPrefix(entry.Key, Ends) }
 
-// EndedAt returns when the end that an entry under Ends holds was stored, by the clock of
-// its front; zero if the entry does not say so.
+// EndedAt returns when a front began to store the end that an entry under Ends holds, by the
+// clock of the front; zero if the entry does not say so.
 func EndedAt(entry quetzalpier.Entry) time.Time { return wire.DecodeEnd(entry.Value) }
 
 // Results reads the results of a job in the order of their positions.
