runner: No warning for a call that was sent just before its end was known

Cause: a call that was sent while the end of its job was being applied waits for the lock and finds the job ended, so that it was logged as sent although the end was known.

Change: the warning needs a send after the time at which the end was known. The histogram counts the call as before.

Evidence: without the condition, TestSentAfterEnd failed with a second line, t3 with known_ms 0. Packages runner and entry pass with -race.

--- a/runner/ending_test.go
+++ b/runner/ending_test.go
@@ -94,9 +94,9 @@
 
 // Guards against calls that reach an upstream after the end of their job unseen.
 func TestSentAfterEnd(t *testing.T) {
-	b, log := newLoggedBurst(t, 4)
+	b, log := newLoggedBurst(t, 5)
 	runs, _ := b.place(t)
-	require.Len(t, runs, 4)
+	require.Len(t, runs, 5)
 	endedAt := burstStart.Add(time.Second)
 	early, late, known := endedAt.Add(-time.Millisecond), endedAt.Add(700*time.Millisecond), endedAt.Add(2*time.Second)
 	runs[0].recordSent(early)
@@ -111,6 +111,7 @@
 
 	t.Run("a call that is sent although the end is known", func(t *testing.T) {
 		runs[2].recordSent(known.Add(50 * time.Millisecond))
+		runs[3].recordSent(known)
 		sentAt := known.Add(50 * time.Millisecond)
 		lines := logLines[sentLine](t, log, "request was sent although its job is known to have ended")
 		require.Equal(t, []sentLine{{Kind: "run", Task: "t2", Sent: sentAt.Format(zerolog.TimeFieldFormat), AfterEnd: 2050, Known: 50}}, lines)
@@ -121,9 +122,9 @@
 			b.pool.finishRun(r, context.Canceled, true, known)
 		}
 		lines := logLines[sentLine](t, log, "run ended")
-		require.Len(t, lines, 4)
+		require.Len(t, lines, 5)
 		require.Equal(t, sentLine{Task: "t1", Sent: late.Format(zerolog.TimeFieldFormat), AfterEnd: 700}, lines[1])
-		require.Equal(t, sentLine{Task: "t3"}, lines[3], "it was not sent")
+		require.Equal(t, sentLine{Task: "t4"}, lines[4], "it was not sent")
 		reward := rewardOutcome{Upstream: "s", BeganAt: early, SentAt: late, Err: context.Canceled}
 		runs[0].task.Spec.Reward = &quetzalpier.Reward{ID: "r"}
 		require.True(t, b.pool.applyReward(runs[0].task, reward, known))
--- a/runner/sent.go
+++ b/runner/sent.go
@@ -60,6 +60,10 @@
 	if !endedAt.IsZero() {
 		p.observeLate(kind, sentAt.Sub(endedAt))
 	}
+	// The end may have become known while the caller waited for the lock.
+	if !sentAt.After(task.Job.EndedAt) {
+		return
+	}
 	line := p.runner.Log.Warn().Str("kind", string(kind)).Str("job", job).Str("task", task.Spec.ID).Str("request", request).Str(kind.upstreamField(), upstream)
 	withSent(line, sentAt, endedAt).Dur("known_ms", sentAt.Sub(task.Job.EndedAt)).Msg("request was sent although its job is known to have ended")
 }
