entry: Test of an end that comes before the configuration (red)

A front that knows no configuration yet, just after its start, answers the end of a job 503 and forgets it, while one that the key-value service refuses stores it later. The client may not repeat it; an end without an acknowledgement counts as acknowledged after 8 s.

Red on: "Condition never satisfied ... the end was forgotten". No logic is changed.

--- a/entry/forgotten_end_test.go
+++ b/entry/forgotten_end_test.go
@@ -41,3 +41,17 @@
 	require.NoError(t, err)
 	require.True(t, len(stored.Entries) > 0 || len(ended) > 0, "the end is neither stored nor known to the pool's owner")
 }
+
+// A front that had no configuration yet refused an end and forgot it, although its client
+// may not repeat it (incident UNASKED).
+func TestEndBeforeConfiguration(t *testing.T) {
+	r := newTestEntry(t)
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	r.setConfig()
+	require.Eventually(t, func() bool {
+		stored, err := platform.NewKV(r.kv.Addr).Range(t.Context(), "in/end/", false)
+		return err == nil && len(stored.Entries) == 1
+	}, 5*time.Second, 50*time.Millisecond, "the end was forgotten")
+}
