entry: Test of an end stored between two owners (red)

A front notifies the owners that it knows when an end is stored. If a pool has none at that moment, it counts as notified, and the next owner gets no notice, although notifyOwners is to repeat it for a new one. That owner learns of the end from its own reads only.

Red on: "the new owner was not notified". No logic is changed.

--- a/entry/forgotten_end_test.go
+++ b/entry/forgotten_end_test.go
@@ -55,3 +55,31 @@
 		return err == nil && len(stored.Entries) == 1
 	}, 5*time.Second, 50*time.Millisecond, "the end was forgotten")
 }
+
+// An end that was stored while no owner of the pool was known was sent to none that came
+// after, who may have it from nowhere else for as long as it can't read the ends.
+func TestEndStoredBetweenTwoOwners(t *testing.T) {
+	r := newTestEntry(t)
+	r.setConfig()
+	notified := make(chan string, 1)
+	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+		if end := call.GetEnded(); end != nil {
+			notified <- peer + " " + end.GetJob()
+		}
+		return &wire.Reply{}, nil
+	}
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	time.Sleep(50 * time.Millisecond)
+	r.board.Update(func(s *board.State) {
+		s.Owners["p"] = board.Owner{Node: "o"}
+		s.Members["o"] = board.Member{ID: "o", Peer: "o:1"}
+	})
+	select {
+	case got := <-notified:
+		require.Equal(t, "o:1 j1", got)
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "the new owner was not notified")
+	}
+}
