--- a/runner/unread_ends_test.go
+++ b/runner/unread_ends_test.go
@@ -17,7 +17,7 @@
 	job.SubmittedAt = time.Now().Add(-2 * cancelBound)
 	r := newFixture(t, 1, func(r *fixture) {
 		r.putJob(t, job)
-		require.NoError(t, r.vault.End(context.Background(), job.ID))
+		require.NoError(t, r.vault.End(context.Background(), job.ID, time.Now()))
 		r.kv.unreadable = vault.Ends
 	})
 	select {
