entry, gate: Bodies of forms are forwarded as they came

A body of the kind multipart/form-data reached the upstream rewritten: without its preamble and epilogue, with the headers of its parts in another order. One that is no form was answered 400 by the HTTP library. By the users' rules the first is UNASKED (body changed), the second DENIED. Their known routes carry no forms, so this is not the cause of the incident.

The HTTP library parses such bodies ahead of the handler and writes them anew, unless it is told not to. The servers of both interfaces now do.

entry TestMultipartBody failed before in both cases, and is green.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -134,7 +134,9 @@
 	server := &fasthttp.Server{
 		Handler: handler, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxRequestBodySize: maxBody,
 		ReadBufferSize: maxHeader, Concurrency: concurrency,
-		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		// A form that is parsed is written anew, and not as it came.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true, NoDefaultDate: true, NoDefaultContentType: true,
 		CloseOnShutdown: true, Logger: discardLogger{},
 	}
 	e.servers = append(e.servers, server)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -87,6 +87,8 @@
 		IdleTimeout:  idleTimeout,
 		// Strings from a request are used after its handler has returned.
 		Immutable: true,
+		// A form that is parsed is written anew, and not as it came.
+		DisablePreParseMultipartForm: true,
 	})
 	g.routes()
 	g.serving.Go(func() {
