--- a/peer/conns.go
+++ b/peer/conns.go
@@ -172,7 +172,7 @@
 	defer mux.conn.remove(stream)
 	stop := context.AfterFunc(ctx, func() { expire(stream) })
 	defer stop()
-	if _, err := protodelim.MarshalTo(stream, call); err != nil {
+	if err := sendMessage(stream, call); err != nil {
 		return nil, err
 	}
 	reply := &wire.Reply{}
@@ -364,7 +364,7 @@
 	if mux.IsClosed() {
 		return
 	}
-	_, _ = protodelim.MarshalTo(stream, reply)
+	_ = sendMessage(stream, reply)
 }
 
 func (c *conns) close() {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -31,8 +31,7 @@
 
 // Send sends a message.
 func (s *Stream) Send(message proto.Message) error {
-	_, err := protodelim.MarshalTo(s.stream, message)
-	return err
+	return sendMessage(s.stream, message)
 }
 
 // Receive receives a message. It returns io.EOF if the other side closed the stream.
