mirror, runner: The owner keeps no second copy of the jobs

A mirror keeps the value of each key for the nodes that read from it.

These mirrors keep the keys with their revisions only.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -55,6 +55,9 @@
 	// no values do. A change to an equivalent value is not passed on, because
 	// heartbeats rewrite keys constantly.
 	Equivalent func(old, latest quetzalpier.Entry) bool
+	// DropValues keeps the keys without their values, for a mirror from which no other node
+	// reads.
+	DropValues bool
 	// Apply is called with every change. If full is set, changed holds all
 	// existing keys, not only the changed ones.
 	Apply func(changed []quetzalpier.Entry, full bool, now time.Time)
@@ -298,6 +301,9 @@
 			updates = append(updates, entry)
 			missed = missed || entry.Rev <= m.rev && entry.Rev != old.Rev
 		}
+		if m.DropValues {
+			entry.Value = nil
+		}
 		m.entries[entry.Key] = entry
 	}
 	if missed {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -197,7 +197,7 @@
 }
 
 func (p *poolRunner) newMirror(prefix string, watchTimeout time.Duration, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
-	return &mirror.Mirror{KV: p.runner.KV, Prefix: prefix, WatchTimeout: watchTimeout, Log: p.runner.Log, Apply: apply}
+	return &mirror.Mirror{KV: p.runner.KV, Prefix: prefix, WatchTimeout: watchTimeout, DropValues: true, Log: p.runner.Log, Apply: apply}
 }
 
 // applyEnds handles the ends of jobs.
