entry, platform: A later attempt's error never ends a stream as complete

Cause: handleStream passed the head of every attempt to a channel that kept the first one. If an attempt after the first was answered with an error, Upstreams.Stream read that answer, its head was dropped, and Stream returned nil: a success.

The failed attempt was recorded as a success of its upstream. A stream that broke off before its first event had the head of one upstream and the events of another.

Evidence: TestStreamNoSecondAnswer on the code before, e.g. "status_404,_declined_false,_after_1_events: An error is expected but got nil. the stream ended as if complete". 25 of its subtests failed; those of upstreams that decline (Not-Run, 421) and of routes that can't be resumed after an event were green.

Change: Stream returns the error of its onHeader. The new progress decides per attempt: an answer becomes the client's with its first event or its end; after that, an answer other than 200 fails its attempt. 408, 429 and 5xx permit another attempt; other statuses are about the request and break the stream off. Before the first event nothing has been sent, so an error is the client's answer and the next upstream's head is its stream's.

Why it works: only progress hands a head or an end to the client, once, and every attempt that does not continue the stream returns an error, so that package retry counts and decides on it.

--- /dev/null
+++ b/entry/progress.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	"quetzalpier"
+	"quetzalpier/engine"
+	"quetzalpier/platform"
+)
+
+// progress is how much of the answer to a stream's request the client has got over its
+// attempts. An upstream's answer becomes the client's with its first event or its end. From
+// then on other attempts can only continue it: their heads and errors never reach the client.
+type progress struct {
+	// first receives the answer that becomes the client's, or failed why there is none.
+	first  chan *platform.Answer
+	failed chan error
+	// begun is set once an answer has become the client's, and head that of the current
+	// attempt until then.
+	head  *platform.Answer
+	begun bool
+}
+
+// resumeError reports an upstream that failed to continue a stream. Another one may.
+type resumeError struct {
+	Upstream string
+	Status   int
+}
+
+// Error implements error.
+func (e *resumeError) Error() string {
+	return "upstream " + e.Upstream + " responded with status " + strconv.Itoa(e.Status) + " to a stream that has begun"
+}
+
+// receiveHead handles the head of an attempt's answer, or its complete answer if that is not
+// a success. It returns an error if a stream that has begun doesn't continue with it. After
+// a status that says something of the upstream (408, 429 and from 500 on), another attempt
+// may. Any other says something of the request, which upstreams of one software version
+// treat alike: the stream is broken off.
+func (p *progress) receiveHead(vm quetzalpier.VM, head *platform.Answer) error {
+	status := head.Status
+	switch {
+	case !p.begun:
+		p.head = head
+		if head.Body != nil {
+			p.begin()
+		}
+		return nil
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusRequestTimeout, status == http.StatusTooManyRequests, status >= http.StatusInternalServerError:
+		return &resumeError{Upstream: vm.ID, Status: status}
+	}
+	return &engine.StatusError{Addr: vm.Addr, Status: status, Body: head.Body}
+}
+
+// begin makes the answer of the current attempt the client's, unless one is.
+func (p *progress) begin() {
+	if !p.begun {
+		p.begun = true
+		p.first <- p.head
+	}
+}
+
+// end records the end of all attempts.
+func (p *progress) end(err error) {
+	switch {
+	case err == nil:
+		p.begin()
+	case !p.begun:
+		p.failed <- err
+	}
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -30,8 +30,9 @@
 
 // handleStream forwards the events of a stream as they arrive. If the stream is
 // interrupted, a resumable one continues on another upstream of the same software
-// version after the last complete event. For any other the connection is closed, so
-// that the client does not take it for complete.
+// version after the last complete event, as long as the answers to the further attempts
+// permit that; see progress. For any other the connection is closed, so that the client
+// does not take it for complete.
 func (e *Entry) handleStream(c *fasthttp.RequestCtx, r *request, route *quetzalpier.Route) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	stop := watchClient(c, cancel)
@@ -43,13 +44,12 @@
 		return
 	}
 	reader, writer := io.Pipe()
-	firstHead := make(chan *platform.Answer, 1)
-	failed := make(chan error, 1)
 	var firstToken sync.Once
 	job := r.sendJob(route)
 	job.Pool, job.Idempotent, job.Software = began.Pool, route.CanResume, began.Software
 	job.Timeout = route.Timeout
 	sent, conn := 0, c.Conn()
+	answer := &progress{first: make(chan *platform.Answer, 1), failed: make(chan error, 1)}
 	limitWrites(c, e.ReaderTimeout)
 	req := e.outgoing(c, r)
 	req.SetBody(c.Request.Body())
@@ -69,12 +69,9 @@
 				return errors.New("an upstream that made events of the stream has other software by now")
 			}
 			attempt := platform.Attempt{VM: a.VM, Purpose: link.PurposeStream, Fresh: true, Repeatable: job.Idempotent, Deadline: r.deadline, OnSent: runs.onSent()}
-			err := e.Upstreams.Stream(ctx, attempt, req, func(head *platform.Answer) {
+			err := e.Upstreams.Stream(ctx, attempt, req, func(head *platform.Answer) error {
 				runs.ended(nil)
-				select {
-				case firstHead <- head:
-				default:
-				}
+				return answer.receiveHead(a.VM, head)
 			}, func(event platform.Event) error {
 				if a.Units++; a.Units == 1 {
 					e.continueAt(job, a.VM)
@@ -84,6 +81,7 @@
 						e.Meter.FirstToken.WithLabelValues(job.Pool, class).Observe(meter.SecondsBetween(r.start, time.Now()))
 					})
 				}
+				answer.begin()
 				req.Header.Set(platform.HeaderLastEventID, strconv.Itoa(event.ID))
 				n, err := io.WriteString(writer, event.Raw)
 				if err != nil {
@@ -98,7 +96,7 @@
 		})
 		// fasthttp may read the connection again only after the stream's end.
 		stop()
-		failed <- err
+		answer.end(err)
 		_ = writer.CloseWithError(err)
 		switch {
 		case hasStalled(conn):
@@ -109,7 +107,7 @@
 		}
 	})
 	select {
-	case head := <-firstHead:
+	case head := <-answer.first:
 		c.SetStatusCode(head.Status)
 		head.CopyHeader(&c.Response.Header)
 		if head.Body != nil {
@@ -117,7 +115,7 @@
 			return
 		}
 		c.SetBodyStream(reader, -1)
-	case err := <-failed:
+	case err := <-answer.failed:
 		e.refuse(c, r, err)
 	}
 }
--- /dev/null
+++ b/entry/stream_test.go
@@ -0,0 +1,188 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/platform"
+)
+
+// scriptedStream serves the attempts of one stream at several upstreams: each attempt runs the
+// next handler.
+type scriptedStream struct {
+	mu       sync.Mutex
+	handlers []fasthttp.RequestHandler
+	// after and upstreams are the Last-Event-Id and the upstream of each attempt.
+	after     []string
+	upstreams []string
+}
+
+func (s *scriptedStream) start(t *testing.T, r *testEntry, handlers ...fasthttp.RequestHandler) {
+	t.Helper()
+	s.handlers = handlers
+	var vms []quetzalpier.VM
+	for i := range handlers {
+		vm := r.startServer(t, strconv.Itoa(i), s.handle)
+		vm.Software = "v1"
+		vms = append(vms, vm)
+	}
+	r.setUpstreams(vms...)
+}
+
+func (s *scriptedStream) handle(c *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	handler := s.handlers[min(len(s.after), len(s.handlers)-1)]
+	s.after = append(s.after, string(c.Request.Header.Peek(platform.HeaderLastEventID)))
+	s.upstreams = append(s.upstreams, string(c.Request.Header.Peek(platform.HeaderExpectWorker)))
+	s.mu.Unlock()
+	signAnswer(c)
+	handler(c)
+}
+
+func (s *scriptedStream) attempts() (after, upstreams []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.after...), append([]string(nil), s.upstreams...)
+}
+
+func eventsBetween(from, to int) string {
+	var text strings.Builder
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(&text, "id: %d\ndata: a1-%d\n\n", i, i)
+	}
+	return text.String()
+}
+
+// replyEvents answers with events, and breaks off after them if whole is not set.
+func replyEvents(text string, whole bool) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		c.SetContentType("text/event-stream")
+		c.Response.ImmediateHeaderFlush = true
+		body := io.Reader(strings.NewReader(text))
+		if !whole {
+			body = io.MultiReader(body, iotest.ErrReader(io.ErrUnexpectedEOF))
+		}
+		c.SetBodyStream(body, -1)
+	}
+}
+
+// errorText is the body of an error, which could pass for an event.
+const errorText = "id: 9\ndata: error\n\n"
+
+func replyStatus(status int, declines bool) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		c.SetStatusCode(status)
+		c.Response.Header.Set(platform.HeaderStamp, "error")
+		if declines {
+			c.Response.Header.Set(platform.HeaderNotRun, "1")
+		}
+		c.SetBodyString(errorText)
+	}
+}
+
+// TestStreamNoSecondAnswer guards against streams that end as if complete, or go on with an
+// error's text, if a later attempt is answered with an error.
+func TestStreamNoSecondAnswer(t *testing.T) {
+	const length = 6
+	run := func(t *testing.T, path string, sent int, second fasthttp.RequestHandler) (*scriptedStream, *testEntry, *http.Response, string, error) {
+		t.Helper()
+		r, s := newTestEntry(t), &scriptedStream{}
+		r.setConfig()
+		s.start(t, r, replyEvents(eventsBetween(1, sent), false), second, replyEvents(eventsBetween(sent+1, length), true))
+		resp, text, err := r.send(t, http.MethodPost, path, "", nil)
+		require.NotNil(t, resp, "%v", err)
+		return s, r, resp, text, err
+	}
+	cases := []struct {
+		status   int
+		declines bool
+		goesOn   bool
+	}{
+		{status: http.StatusNoContent},
+		{status: http.StatusMovedPermanently},
+		{status: http.StatusBadRequest},
+		{status: http.StatusNotFound},
+		{status: http.StatusConflict},
+		{status: http.StatusUnprocessableEntity},
+		{status: http.StatusRequestTimeout, goesOn: true},
+		{status: http.StatusMisdirectedRequest, goesOn: true},
+		{status: http.StatusTooManyRequests, goesOn: true},
+		{status: http.StatusInternalServerError, goesOn: true},
+		{status: http.StatusBadGateway, goesOn: true},
+		{status: http.StatusServiceUnavailable, goesOn: true},
+		{status: http.StatusServiceUnavailable, declines: true, goesOn: true},
+		{status: http.StatusBadRequest, declines: true, goesOn: true},
+	}
+	for _, c := range cases {
+		for _, sent := range []int{1, 5} {
+			t.Run(fmt.Sprintf("status %d, declined %t, after %d events", c.status, c.declines, sent), func(t *testing.T) {
+				s, r, resp, text, err := run(t, "/stream/x", sent, replyStatus(c.status, c.declines))
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Equal(t, "stamp", resp.Header.Get(platform.HeaderStamp))
+				after, upstreams := s.attempts()
+				if c.goesOn {
+					require.NoError(t, err)
+					require.Equal(t, eventsBetween(1, length), text)
+					require.Equal(t, []string{"", strconv.Itoa(sent), strconv.Itoa(sent)}, after)
+				} else {
+					require.Error(t, err, "the stream ended as if complete: %q", text)
+					require.Equal(t, eventsBetween(1, sent), text)
+					require.Len(t, after, 2)
+				}
+				r.board.Do(func(s *board.State) {
+					require.Zero(t, s.Upstreams[upstreams[1]].UnitTime, "the failed attempt is recorded as a success")
+				})
+			})
+		}
+	}
+	for _, sent := range []int{1, 5} {
+		t.Run(fmt.Sprintf("not resumable, after %d events", sent), func(t *testing.T) {
+			s, _, _, text, err := run(t, "/unresumable/x", sent, replyStatus(http.StatusBadRequest, false))
+			require.Error(t, err, "the stream ended as if complete: %q", text)
+			require.Equal(t, eventsBetween(1, sent), text)
+			after, _ := s.attempts()
+			require.Len(t, after, 1)
+		})
+	}
+	t.Run("an error after no event is the client's answer", func(t *testing.T) {
+		_, _, resp, text, err := run(t, "/stream/x", 0, replyStatus(http.StatusNotFound, false))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNotFound, resp.StatusCode)
+		require.Equal(t, "error", resp.Header.Get(platform.HeaderStamp))
+		require.Equal(t, errorText, text)
+	})
+	t.Run("a stream begins with the head of its first event's upstream", func(t *testing.T) {
+		_, _, resp, text, err := run(t, "/stream/x", 0, func(c *fasthttp.RequestCtx) {
+			c.Response.Header.Set(platform.HeaderStamp, "second")
+			replyEvents(eventsBetween(1, length), true)(c)
+		})
+		require.NoError(t, err)
+		require.Equal(t, "second", resp.Header.Get(platform.HeaderStamp))
+		require.Equal(t, eventsBetween(1, length), text)
+	})
+	t.Run("one that breaks off before its first event and can't be resumed fails", func(t *testing.T) {
+		_, _, resp, _, err := run(t, "/unresumable/x", 0, replyStatus(http.StatusNotFound, false))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	})
+	t.Run("a complete stream without events is the client's answer", func(t *testing.T) {
+		r, s := newTestEntry(t), &scriptedStream{}
+		r.setConfig()
+		s.start(t, r, replyEvents("", true))
+		resp, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Empty(t, text)
+	})
+}
