entry: Events of a stream that may be resumed are numbered without gaps

Cause: entry forwarded whatever events an attempt brought and set Last-Event-Id to the last one. Only the runner checked that a run goes on at n+1.

Evidence: TestStreamNumbered on the code before, e.g. "leaves_out_an_event,_as_do_all: An error is expected but got nil. the stream ended as if complete: id: 1 ... id: 3 ... id: 5 ... id: 6"; 14 of its 15 subtests failed, all but the one of a route that can't be resumed.

Change: progress holds the ID of the client's last event, from the client's Last-Event-Id at first, and fails an attempt whose next event is not its successor, as runner.readEvents does. A Last-Event-Id that is no number is refused with 400. Routes that can't be resumed are forwarded as they are.

Why it works: a failed attempt's event is never written, and the next attempt is told the last event that was.

--- a/entry/progress.go
+++ b/entry/progress.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -20,6 +21,25 @@
 	// attempt until then.
 	head  *platform.Answer
 	begun bool
+	// numbered reports whether the events are numbered without gaps, which a stream that may
+	// be resumed needs, and last is the ID of the last one that the client has.
+	numbered bool
+	last     int
+}
+
+// newProgress returns the progress of a stream that goes on after the event with the ID last,
+// as the client sent it; empty for a new stream.
+func newProgress(resumable bool, last string) (*progress, error) {
+	p := &progress{first: make(chan *platform.Answer, 1), failed: make(chan error, 1), numbered: resumable}
+	if !resumable || last == "" {
+		return p, nil
+	}
+	id, err := strconv.Atoi(last)
+	if err != nil || id < 0 {
+		return nil, quetzalpier.Invalid(platform.HeaderLastEventID, "must be the number of an event")
+	}
+	p.last = id
+	return p, nil
 }
 
 // resumeError reports an upstream that failed to continue a stream. Another one may.
@@ -55,6 +75,17 @@
 	return &engine.StatusError{Addr: vm.Addr, Status: status, Body: head.Body}
 }
 
+// receiveEvent handles an event before it is passed on to the client. It returns an error if
+// the event doesn't follow the last one.
+func (p *progress) receiveEvent(vm quetzalpier.VM, event platform.Event) error {
+	if p.numbered && event.ID != p.last+1 {
+		return &platform.InvalidAnswerError{Upstream: vm.ID, Reason: fmt.Sprintf("it has event %d after event %d", event.ID, p.last)}
+	}
+	p.last = event.ID
+	p.begin()
+	return nil
+}
+
 // begin makes the answer of the current attempt the client's, unless one is.
 func (p *progress) begin() {
 	if !p.begun {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -34,6 +34,11 @@
 // permit that; see progress. For any other the connection is closed, so that the client
 // does not take it for complete.
 func (e *Entry) handleStream(c *fasthttp.RequestCtx, r *request, route *quetzalpier.Route) {
+	answer, err := newProgress(route.CanResume, string(c.Request.Header.Peek(platform.HeaderLastEventID)))
+	if err != nil {
+		e.refuse(c, r, err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	stop := watchClient(c, cancel)
 	began, err := e.findOrigin(ctx, c, r, route, time.Now())
@@ -49,7 +54,6 @@
 	job.Pool, job.Idempotent, job.Software = began.Pool, route.CanResume, began.Software
 	job.Timeout = route.Timeout
 	sent, conn := 0, c.Conn()
-	answer := &progress{first: make(chan *platform.Answer, 1), failed: make(chan error, 1)}
 	limitWrites(c, e.ReaderTimeout)
 	req := e.outgoing(c, r)
 	req.SetBody(c.Request.Body())
@@ -73,6 +77,9 @@
 				runs.ended(nil)
 				return answer.receiveHead(a.VM, head)
 			}, func(event platform.Event) error {
+				if err := answer.receiveEvent(a.VM, event); err != nil {
+					return err
+				}
 				if a.Units++; a.Units == 1 {
 					e.continueAt(job, a.VM)
 					made = append(made, origin.Origin{Pool: a.VM.Pool, Software: a.VM.Software, Upstream: a.VM.ID})
@@ -81,7 +88,6 @@
 						e.Meter.FirstToken.WithLabelValues(job.Pool, class).Observe(meter.SecondsBetween(r.start, time.Now()))
 					})
 				}
-				answer.begin()
 				req.Header.Set(platform.HeaderLastEventID, strconv.Itoa(event.ID))
 				n, err := io.WriteString(writer, event.Raw)
 				if err != nil {
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -186,3 +186,72 @@
 		require.Empty(t, text)
 	})
 }
+
+// TestStreamNumbered guards against streams in which events are missing or stand twice, if an
+// upstream does not go on after the event that it was told.
+func TestStreamNumbered(t *testing.T) {
+	const length, sent = 6, 3
+	cases := []struct {
+		name   string
+		second string
+	}{
+		{"begins again", eventsBetween(1, length)},
+		{"repeats the last event", eventsBetween(sent, length)},
+		{"leaves out an event", eventsBetween(sent+2, length)},
+		{"leaves out an event later", eventsBetween(sent+1, sent+1) + eventsBetween(sent+3, length)},
+		{"repeats an event later", eventsBetween(sent+1, sent+2) + eventsBetween(sent+2, length)},
+		{"sends an event without an ID", "data: joined\n\n" + eventsBetween(sent+1, length)},
+	}
+	for _, c := range cases {
+		t.Run(c.name+", and another goes on", func(t *testing.T) {
+			r, s := newTestEntry(t), &scriptedStream{}
+			r.setConfig()
+			goOn := func(c *fasthttp.RequestCtx) {
+				last, _ := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderLastEventID)))
+				replyEvents(eventsBetween(last+1, length), true)(c)
+			}
+			s.start(t, r, replyEvents(eventsBetween(1, sent), false), replyEvents(c.second, true), goOn)
+			_, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
+			require.NoError(t, err)
+			require.Equal(t, eventsBetween(1, length), text)
+		})
+		t.Run(c.name+", as do all", func(t *testing.T) {
+			r, s := newTestEntry(t), &scriptedStream{}
+			r.setConfig()
+			s.start(t, r, replyEvents(eventsBetween(1, sent), false), replyEvents(c.second, true))
+			_, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
+			require.Error(t, err, "the stream ended as if complete: %q", text)
+			require.True(t, strings.HasPrefix(eventsBetween(1, length), text), text)
+		})
+	}
+	t.Run("a stream that a client takes up goes on after its event", func(t *testing.T) {
+		r, s := newTestEntry(t), &scriptedStream{}
+		r.setConfig()
+		s.start(t, r, replyEvents(eventsBetween(1, length), true), replyEvents(eventsBetween(1, length), true), replyEvents(eventsBetween(sent+1, length), true))
+		_, _, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
+		require.NoError(t, err)
+		resp, text := r.takeUp(t, "/stream/x", "a1", strconv.Itoa(sent))
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, eventsBetween(sent+1, length), text)
+	})
+	t.Run("a client that takes up a stream after no number is refused", func(t *testing.T) {
+		r, s := newTestEntry(t), &scriptedStream{}
+		r.setConfig()
+		s.start(t, r, replyEvents(eventsBetween(1, length), true))
+		for _, last := range []string{"x", "-1", "1.5"} {
+			resp, text := r.takeUp(t, "/stream/x", "a1", last)
+			require.Equal(t, http.StatusBadRequest, resp.StatusCode, text)
+		}
+		after, _ := s.attempts()
+		require.Empty(t, after)
+	})
+	t.Run("a stream that can't be resumed is forwarded as it is", func(t *testing.T) {
+		r, s := newTestEntry(t), &scriptedStream{}
+		r.setConfig()
+		text := "data: no id\n\n" + eventsBetween(7, 7) + eventsBetween(9, 9)
+		s.start(t, r, replyEvents(text, true))
+		_, got, err := r.send(t, http.MethodPost, "/unresumable/x", "", nil)
+		require.NoError(t, err)
+		require.Equal(t, text, got)
+	})
+}
