--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -255,3 +255,25 @@
 		require.Equal(t, text, got)
 	})
 }
+
+// TestStreamOfNoEvents guards against complete streams without events that stand for another
+// kind of answer.
+func TestStreamOfNoEvents(t *testing.T) {
+	const page = "<html>\nBad gateway\n\n</html>\n"
+	t.Run("at first", func(t *testing.T) {
+		r, s := newTestEntry(t), &scriptedStream{}
+		r.setConfig()
+		s.start(t, r, replyEvents(page, true))
+		resp, text, err := r.send(t, http.MethodPost, "/unresumable/x", "", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode, text)
+	})
+	t.Run("after events", func(t *testing.T) {
+		r, s := newTestEntry(t), &scriptedStream{}
+		r.setConfig()
+		s.start(t, r, replyEvents(eventsBetween(1, 3), false), func(c *fasthttp.RequestCtx) { c.SetBodyString(page) }, replyEvents(eventsBetween(4, 6), true))
+		_, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
+		require.NoError(t, err)
+		require.Equal(t, eventsBetween(1, 6), text)
+	})
+}
