entry: The watch of a stream's client ends before the next request is read

Cause: the goroutine of a stream stops the watch of its client's connection. If the answer was an error, the handler returned at once, and fasthttp waited for the next request while the watch still read from the connection. The watch took that request's bytes and waited for the lock that fasthttp's read held, until the connection's idle timeout. Two watches of pipelined requests also stopped each other's reads.

Evidence: TestNextRequestAfterRefusedStream with -race on the code before: 55 of 60 clients that kept their connection or pipelined got no response, "request 1: fasthttp: timeout".

Change: each access of fasthttp to the connection, which it makes only between requests, ends the last watch and waits for it, as the next watch does. Read holds the lock no longer while it waits.

Why it works: at most one reader uses the connection at any time, and what the watch has read is in the buffer before fasthttp reads.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -83,7 +83,8 @@
 }
 
 // watchConn reads ahead while a request is served to detect that the client
-// closes the connection, which fasthttp does not report to its handlers.
+// closes the connection, which fasthttp does not report to its handlers. The watch
+// ends at the latest when fasthttp waits for the next request.
 type watchConn struct {
 	net.Conn
 	listener *watchListener
@@ -93,7 +94,8 @@
 	mu       sync.Mutex
 	buffered []byte
 	err      error
-	stopped  bool
+	// stopWatch ends the watch of the current request; nil if there was none.
+	stopWatch func()
 	// writeTimeout limits each write; zero for no limit. stalled is set once a write took
 	// longer.
 	writeTimeout time.Duration
@@ -145,23 +147,28 @@
 
 // Read implements net.Conn.
 func (w *watchConn) Read(b []byte) (int, error) {
+	w.endWatch()
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.buffered) > 0 {
-		n := copy(b, w.buffered)
-		w.buffered = w.buffered[n:]
-		return n, nil
-	}
-	if w.err != nil {
-		return 0, w.err
+	n, err := copy(b, w.buffered), w.err
+	w.buffered = w.buffered[n:]
+	w.mu.Unlock()
+	if n > 0 || err != nil {
+		return n, err
 	}
-	n, err := w.Conn.Read(b)
+	n, err = w.Conn.Read(b)
 	if n > 0 {
 		w.markUsed()
 	}
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (w *watchConn) SetReadDeadline(t time.Time) error {
+	// The end of the watch resets the deadline.
+	w.endWatch()
+	return w.Conn.SetReadDeadline(t)
+}
+
 // Close implements net.Conn.
 func (w *watchConn) Close() error {
 	w.markUsed()
@@ -176,7 +183,10 @@
 
 // watch calls onClose if the client closes the connection before stop is called.
 func (w *watchConn) watch(onClose func()) (stop func()) {
+	// A pipelined request comes without a read.
+	w.endWatch()
 	done := make(chan struct{})
+	stopped := false
 	timer := time.AfterFunc(watchDelay, func() {
 		defer close(done)
 		buffer := make([]byte, readAheadBytes)
@@ -184,25 +194,36 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.buffered = append(w.buffered, buffer[:n]...)
-		if err == nil || w.stopped {
+		if err == nil || stopped {
 			return
 		}
 		w.err = err
 		onClose()
 	})
-	return func() {
+	stop = sync.OnceFunc(func() {
 		if timer.Stop() {
 			return
 		}
 		w.mu.Lock()
-		w.stopped = true
+		stopped = true
+		_ = w.Conn.SetReadDeadline(time.Unix(1, 0))
 		w.mu.Unlock()
-		_ = w.SetReadDeadline(time.Unix(1, 0))
 		<-done
-		_ = w.SetReadDeadline(time.Time{})
-		w.mu.Lock()
-		w.stopped = false
-		w.mu.Unlock()
+		_ = w.Conn.SetReadDeadline(time.Time{})
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopWatch = stop
+	return stop
+}
+
+// endWatch ends the watch of the request before.
+func (w *watchConn) endWatch() {
+	w.mu.Lock()
+	stop := w.stopWatch
+	w.mu.Unlock()
+	if stop != nil {
+		stop()
 	}
 }
 
