entry: Answers may take longer than a client has for its request

Cause: fasthttp sets a read deadline of ReadTimeout, 30 s, when a request begins, and leaves it set while the request is served. The watch of the client's connection reads under that deadline and took the timeout for a client that closed the connection.

What callers saw: each stream, and each request, that lasted longer than 30 s was broken off then, whatever time the client gave.

Change: the watch clears the deadline before it reads.

Why it works: only the close of the connection, or the end of the watch, now ends its read.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -189,6 +189,14 @@
 	stopped := false
 	timer := time.AfterFunc(watchDelay, func() {
 		defer close(done)
+		w.mu.Lock()
+		if stopped {
+			w.mu.Unlock()
+			return
+		}
+		// The deadline was that of the request.
+		_ = w.Conn.SetReadDeadline(time.Time{})
+		w.mu.Unlock()
 		buffer := make([]byte, readAheadBytes)
 		n, err := w.Conn.Read(buffer)
 		w.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,8 @@
 	// ReaderTimeout is how long the reader of a stream may take nothing; zero for the
 	// default.
 	ReaderTimeout time.Duration
+	// ReadTimeout is how long a client may take for a request; zero for the default.
+	ReadTimeout time.Duration
 	// KVFailed reports whether the key-value service refused or did not answer this
 	// node's last direct call.
 	KVFailed func() bool
@@ -103,6 +105,9 @@
 	if options.ReaderTimeout == 0 {
 		options.ReaderTimeout = readerTimeout
 	}
+	if options.ReadTimeout == 0 {
+		options.ReadTimeout = readTimeout
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		Options: options, ctx: ctx, close: cancel,
@@ -132,7 +137,7 @@
 	listener := &watchListener{Listener: inner, unused: map[*watchConn]time.Time{}}
 	e.listeners = append(e.listeners, listener)
 	server := &fasthttp.Server{
-		Handler: handler, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxRequestBodySize: maxBody,
+		Handler: handler, IdleTimeout: idleTimeout, ReadTimeout: e.ReadTimeout, MaxRequestBodySize: maxBody,
 		ReadBufferSize: maxHeader, Concurrency: concurrency,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		CloseOnShutdown: true, Logger: discardLogger{},
