engine: An engine's error event breaks its stream off

Cause: decodeEvent took any JSON object for an event of the output, also {"error": ...}, which OpenAI-compatible engines send when they fail during a stream.

What callers saw: the error's text in the middle of their stream, and the output of the next engine after it.

Evidence: TestErrorEvent on the code before: "should have 1 item(s), but has 2 ... {"error":{"message":"out of memory","code":500}}".

Change: an event with an error is a CutError and isn't passed on.

Why it works: the attempt ends with an error before the event reaches the generation or the caller, so that another engine resumes the output.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -44,7 +44,7 @@
 func (e *StatusError) Error() string { return e.Addr + ": HTTP status " + strconv.Itoa(e.Status) }
 
 // CutError describes a stream that ended before its [DONE] event or that
-// contains an invalid event.
+// contains an invalid event or an error.
 type CutError struct {
 	Addr string
 	Err  error
@@ -79,6 +79,7 @@
 	Version quetzalpier.Version `json:"version"`
 	Tokens  int                 `json:"tokens"`
 	Usage   json.RawMessage     `json:"usage"`
+	Error   any                 `json:"error"`
 }
 
 // Client sends requests to engines.
@@ -125,7 +126,7 @@
 }
 
 // Next returns the next event, or io.EOF after the [DONE] event. It returns a
-// CutError if the stream ends before that event or contains an invalid event.
+// CutError if the stream ends before that event, or contains an invalid event or an error.
 func (s *Stream) Next() (Event, error) {
 	if s.done {
 		return Event{}, io.EOF
@@ -168,6 +169,9 @@
 	if err := json.Unmarshal(data, &body); err != nil {
 		return Event{}, &CutError{Addr: addr, Err: errors.Wrap(err, "decode event")}
 	}
+	if body.Error != nil {
+		return Event{}, &CutError{Addr: addr, Err: errors.Errorf("the engine reports an error: %v", body.Error)}
+	}
 	event := Event{Data: append([]byte(nil), data...), Version: body.Version, Tokens: body.Tokens, Usage: body.Usage}
 	if len(body.Choices) > 0 {
 		event.Text = body.Choices[0].Text + body.Choices[0].Delta.Content
