engine, entry: One engine's error doesn't end an output that another began

Cause: the product's own interface took each error status of an engine for the final answer, also to a request that resumes an output.

What callers saw: a stream, or a completion, that broke off with an error though other engines were left, because the engine that was to resume it answered 408 or from 500 on.

Evidence: TestResumedErrorStatus on the code before, e.g. "Internal_Server_Error_permits_another_attempt: got 127.0.0.1:34249: HTTP status 500", a StatusError, which package send doesn't retry.

Why it works: a ResumeError is an attempt that may have run, so that package retry repeats it for idempotent requests within its limits.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -43,6 +43,29 @@
 // Error implements error.
 func (e *StatusError) Error() string { return e.Addr + ": HTTP status " + strconv.Itoa(e.Status) }
 
+// ResumeError describes an error response to a request whose output another engine began,
+// after which a further engine may resume it.
+type ResumeError struct {
+	Addr   string
+	Status int
+}
+
+// Error implements error.
+func (e *ResumeError) Error() string {
+	return e.Addr + ": HTTP status " + strconv.Itoa(e.Status) + " to a request that resumes an output"
+}
+
+// ToResume returns the error of a request whose output another engine began, and which was
+// answered with a status. Statuses that say something of the engine give a ResumeError: 408
+// and from 500 on, without those that decline the request. Any other is about the request,
+// which engines of one software version treat alike: it is final.
+func ToResume(err *StatusError) error {
+	if err.Status == fasthttp.StatusRequestTimeout || err.Status >= fasthttp.StatusInternalServerError && err.Status != fasthttp.StatusServiceUnavailable {
+		return &ResumeError{Addr: err.Addr, Status: err.Status}
+	}
+	return err
+}
+
 // CutError describes a stream that ended before its [DONE] event or that
 // contains an invalid event or an error.
 type CutError struct {
--- a/engine/generation.go
+++ b/engine/generation.go
@@ -35,6 +35,10 @@
 		return err
 	}
 	stream, err := c.Open(ctx, addr, path, body)
+	var status *StatusError
+	if errors.As(err, &status) && g.Tokens > 0 {
+		return ToResume(status)
+	}
 	if err != nil {
 		return err
 	}
--- a/engine/generation_test.go
+++ b/engine/generation_test.go
@@ -59,3 +59,32 @@
 		require.NoError(t, err)
 	})
 }
+
+// TestResumedErrorStatus guards against outputs that end since one engine failed to resume them.
+func TestResumedErrorStatus(t *testing.T) {
+	begun := func(t *testing.T) *engine.Generation {
+		t.Helper()
+		g := &engine.Generation{}
+		_, err := run(t, g, http.StatusOK, oneToken)
+		require.Error(t, err)
+		require.Equal(t, 1, g.Tokens)
+		return g
+	}
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusInternalServerError, http.StatusBadGateway} {
+		t.Run(http.StatusText(status)+" permits another attempt", func(t *testing.T) {
+			_, err := run(t, begun(t), status, "error")
+			var failed *engine.ResumeError
+			var final *engine.StatusError
+			require.True(t, errors.As(err, &failed), "got %v", err)
+			_, err = run(t, &engine.Generation{}, status, "error")
+			require.True(t, errors.As(err, &final), "the answer to a request without output is the caller's")
+		})
+	}
+	for _, status := range []int{http.StatusBadRequest, http.StatusNotFound, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			_, err := run(t, begun(t), status, "error")
+			var final *engine.StatusError
+			require.True(t, errors.As(err, &final), "got %v", err)
+		})
+	}
+}
--- a/entry/progress.go
+++ b/entry/progress.go
@@ -42,24 +42,10 @@
 	return p, nil
 }
 
-// resumeError reports an upstream that failed to continue a stream. Another one may.
-type resumeError struct {
-	Upstream string
-	Status   int
-}
-
-// Error implements error.
-func (e *resumeError) Error() string {
-	return "upstream " + e.Upstream + " responded with status " + strconv.Itoa(e.Status) + " to a stream that has begun"
-}
-
 // receiveHead handles the head of an attempt's answer, or its complete answer if that is not
-// a success. It returns an error if a stream that has begun doesn't continue with it. After
-// a status that says something of the upstream (408, 429 and from 500 on), another attempt
-// may. Any other says something of the request, which upstreams of one software version
-// treat alike: the stream is broken off.
+// a success. It returns an error if a stream that has begun doesn't continue with it; see
+// engine.ToResume for the statuses that permit another attempt.
 func (p *progress) receiveHead(vm quetzalpier.VM, head *platform.Answer) error {
-	status := head.Status
 	switch {
 	case !p.begun:
 		p.head = head
@@ -67,12 +53,10 @@
 			p.begin()
 		}
 		return nil
-	case status == http.StatusOK:
+	case head.Status == http.StatusOK:
 		return nil
-	case status == http.StatusRequestTimeout, status == http.StatusTooManyRequests, status >= http.StatusInternalServerError:
-		return &resumeError{Upstream: vm.ID, Status: status}
 	}
-	return &engine.StatusError{Addr: vm.Addr, Status: status, Body: head.Body}
+	return engine.ToResume(&engine.StatusError{Addr: vm.Addr, Status: head.Status, Body: head.Body})
 }
 
 // receiveEvent handles an event before it is passed on to the client. It returns an error if
