runner: A run that brings no event fails

Cause: the end of a response with status 200 counted as the end of the task's text, also if there was no event in it and none before.

Evidence: TestRunWithoutEvents on the code before, "empty" and "comments": expected "j-0-1\nj-0-2\nj-0-3\nj-0-4\nj-0-5", actual "".

Change: readEvents returns an error if the stream ends and the task has no event. A run that is resumed after its last event still brings none.

Why it works: each task generates a token at least, so such a response is not its output; the run fails like one that was broken off before its first event, and the task runs again.

--- a/runner/endless_test.go
+++ b/runner/endless_test.go
@@ -51,3 +51,29 @@
 		})
 	}
 }
+
+// TestRunWithoutEvents guards against results without a text: an engine that answers a run with
+// status 200 and no events has not run the task.
+func TestRunWithoutEvents(t *testing.T) {
+	for name, body := range map[string]string{"empty": "", "a page": "<html>\nBad gateway\n\n</html>\n", "comments": ": ok\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t, 1)
+			var runs atomic.Int32
+			server, err := stand.Serve("127.0.0.1:0", 0, func(c *fasthttp.RequestCtx) {
+				runs.Add(1)
+				c.Response.Header.Set(platform.HeaderAttempt, string(c.Request.Header.Peek(platform.HeaderAttempt)))
+				c.Response.Header.Set(platform.HeaderWeightVersion, "1")
+				c.SetBodyString(body)
+			})
+			require.NoError(t, err)
+			defer server.Close()
+			broken := r.engines[0].VM()
+			broken.ID, broken.Addr = "broken", server.Addr
+			r.board.Update(func(s *board.State) { s.SetListed([]quetzalpier.VM{broken, r.scorer.VM()}, time.Now()) })
+			r.putJob(t, newJob("j", 1, 5))
+			require.Eventually(t, func() bool { return runs.Load() > 0 }, waitTimeout, 10*time.Millisecond)
+			r.board.Update(func(s *board.State) { s.SetListed([]quetzalpier.VM{r.engines[0].VM(), r.scorer.VM()}, time.Now()) })
+			require.Equal(t, eventText("j-0", 5), r.waitResults(t, "j", 1)["j-0"].Text)
+		})
+	}
+}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -204,11 +204,14 @@
 }
 
 // readEvents adds the events of the stream to the task's text. io.EOF is the
-// regular end of the stream. overdue breaks it off.
+// regular end of the stream, unless the task has no event. overdue breaks it off.
 func (r *run) readEvents(events *platform.EventDecoder, version quetzalpier.Version, overdue *time.Timer) error {
 	for {
 		overdue.Reset(r.timeout)
 		event, err := events.Next()
+		if err == io.EOF && r.lastEvent == 0 {
+			return errors.Errorf("engine %s sent no event", r.vm.ID)
+		}
 		if err == io.EOF {
 			return nil
 		}
