entry: Tests of streams that are cut between two events

An upstream that breaks off after a whole event must not look complete: before the last chunk, in a chunk's size, in the trailer, before its Content-Length, or by a reset without a length.

--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -1,15 +1,19 @@
 package entry_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"testing/iotest"
+	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
@@ -277,3 +281,52 @@
 		require.Equal(t, eventsBetween(1, 6), text)
 	})
 }
+
+// TestStreamCutBetweenEvents guards against streams that end as if complete, since the upstream
+// broke off after a whole event.
+func TestStreamCutBetweenEvents(t *testing.T) {
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	cases := []struct {
+		name  string
+		head  string
+		body  string
+		reset bool
+	}{
+		{name: "before the last chunk", head: "Transfer-Encoding: chunked", body: chunk(eventsBetween(1, 3))},
+		{name: "in the size of a chunk", head: "Transfer-Encoding: chunked", body: chunk(eventsBetween(1, 3)) + "1"},
+		{name: "in the size of the last chunk", head: "Transfer-Encoding: chunked", body: chunk(eventsBetween(1, 3)) + "0"},
+		{name: "before the end of the trailer", head: "Transfer-Encoding: chunked", body: chunk(eventsBetween(1, 3)) + "0\r\n"},
+		{name: "before its length", head: "Content-Length: 1000", body: eventsBetween(1, 3)},
+		{name: "by a reset, without a length", head: "Connection: close", body: eventsBetween(1, 3), reset: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newTestEntry(t)
+			r.setConfig()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			var serving conc.WaitGroup
+			serving.Go(func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				var req fasthttp.Request
+				if req.Read(bufio.NewReader(conn)) != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: a1\r\n%s: stamp\r\n%s\r\n\r\n%s", platform.HeaderAttempt, platform.HeaderStamp, c.head, c.body)
+				if c.reset {
+					time.Sleep(50 * time.Millisecond)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			t.Cleanup(func() { _ = listener.Close(); serving.Wait() })
+			r.setUpstreams(quetzalpier.VM{ID: "u", Addr: listener.Addr().String(), Pool: "p", Kind: quetzalpier.KindPlain, State: quetzalpier.VMLive, Slots: 6})
+			_, text, err := r.send(t, http.MethodPost, "/unresumable/x", "", nil)
+			require.Error(t, err, "the stream ended as if complete: %q", text)
+			require.Equal(t, eventsBetween(1, 3), text)
+		})
+	}
+}
