--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -32,9 +32,11 @@
 	upstreams []string
 }
 
-func (s *scriptedStream) start(t *testing.T, r *testEntry, handlers ...fasthttp.RequestHandler) {
+// startStream starts upstreams of which each attempt of a stream gets the next handler.
+func startStream(t *testing.T, handlers ...fasthttp.RequestHandler) (*testEntry, *scriptedStream) {
 	t.Helper()
-	s.handlers = handlers
+	r, s := newTestEntry(t), &scriptedStream{handlers: handlers}
+	r.setConfig()
 	var vms []quetzalpier.VM
 	for i := range handlers {
 		vm := r.startServer(t, strconv.Itoa(i), s.handle)
@@ -42,6 +44,7 @@
 		vms = append(vms, vm)
 	}
 	r.setUpstreams(vms...)
+	return r, s
 }
 
 func (s *scriptedStream) handle(c *fasthttp.RequestCtx) {
@@ -101,9 +104,7 @@
 	const length = 6
 	run := func(t *testing.T, path string, sent int, second fasthttp.RequestHandler) (*scriptedStream, *testEntry, *http.Response, string, error) {
 		t.Helper()
-		r, s := newTestEntry(t), &scriptedStream{}
-		r.setConfig()
-		s.start(t, r, replyEvents(eventsBetween(1, sent), false), second, replyEvents(eventsBetween(sent+1, length), true))
+		r, s := startStream(t, replyEvents(eventsBetween(1, sent), false), second, replyEvents(eventsBetween(sent+1, length), true))
 		resp, text, err := r.send(t, http.MethodPost, path, "", nil)
 		require.NotNil(t, resp, "%v", err)
 		return s, r, resp, text, err
@@ -181,9 +182,7 @@
 		require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 	})
 	t.Run("a complete stream without events is the client's answer", func(t *testing.T) {
-		r, s := newTestEntry(t), &scriptedStream{}
-		r.setConfig()
-		s.start(t, r, replyEvents("", true))
+		r, _ := startStream(t, replyEvents("", true))
 		resp, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, resp.StatusCode)
@@ -208,30 +207,24 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name+", and another goes on", func(t *testing.T) {
-			r, s := newTestEntry(t), &scriptedStream{}
-			r.setConfig()
 			goOn := func(c *fasthttp.RequestCtx) {
 				last, _ := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderLastEventID)))
 				replyEvents(eventsBetween(last+1, length), true)(c)
 			}
-			s.start(t, r, replyEvents(eventsBetween(1, sent), false), replyEvents(c.second, true), goOn)
+			r, _ := startStream(t, replyEvents(eventsBetween(1, sent), false), replyEvents(c.second, true), goOn)
 			_, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
 			require.NoError(t, err)
 			require.Equal(t, eventsBetween(1, length), text)
 		})
 		t.Run(c.name+", as do all", func(t *testing.T) {
-			r, s := newTestEntry(t), &scriptedStream{}
-			r.setConfig()
-			s.start(t, r, replyEvents(eventsBetween(1, sent), false), replyEvents(c.second, true))
+			r, _ := startStream(t, replyEvents(eventsBetween(1, sent), false), replyEvents(c.second, true))
 			_, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
 			require.Error(t, err, "the stream ended as if complete: %q", text)
 			require.True(t, strings.HasPrefix(eventsBetween(1, length), text), text)
 		})
 	}
 	t.Run("a stream that a client takes up goes on after its event", func(t *testing.T) {
-		r, s := newTestEntry(t), &scriptedStream{}
-		r.setConfig()
-		s.start(t, r, replyEvents(eventsBetween(1, length), true), replyEvents(eventsBetween(1, length), true), replyEvents(eventsBetween(sent+1, length), true))
+		r, _ := startStream(t, replyEvents(eventsBetween(1, length), true), replyEvents(eventsBetween(1, length), true), replyEvents(eventsBetween(sent+1, length), true))
 		_, _, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
 		require.NoError(t, err)
 		resp, text := r.takeUp(t, "/stream/x", "a1", strconv.Itoa(sent))
@@ -239,9 +232,7 @@
 		require.Equal(t, eventsBetween(sent+1, length), text)
 	})
 	t.Run("a client that takes up a stream after no number is refused", func(t *testing.T) {
-		r, s := newTestEntry(t), &scriptedStream{}
-		r.setConfig()
-		s.start(t, r, replyEvents(eventsBetween(1, length), true))
+		r, s := startStream(t, replyEvents(eventsBetween(1, length), true))
 		for _, last := range []string{"x", "-1", "1.5"} {
 			resp, text := r.takeUp(t, "/stream/x", "a1", last)
 			require.Equal(t, http.StatusBadRequest, resp.StatusCode, text)
@@ -250,10 +241,8 @@
 		require.Empty(t, after)
 	})
 	t.Run("a stream that can't be resumed is forwarded as it is", func(t *testing.T) {
-		r, s := newTestEntry(t), &scriptedStream{}
-		r.setConfig()
 		text := "data: no id\n\n" + eventsBetween(7, 7) + eventsBetween(9, 9)
-		s.start(t, r, replyEvents(text, true))
+		r, _ := startStream(t, replyEvents(text, true))
 		_, got, err := r.send(t, http.MethodPost, "/unresumable/x", "", nil)
 		require.NoError(t, err)
 		require.Equal(t, text, got)
@@ -265,17 +254,13 @@
 func TestStreamOfNoEvents(t *testing.T) {
 	const page = "<html>\nBad gateway\n\n</html>\n"
 	t.Run("at first", func(t *testing.T) {
-		r, s := newTestEntry(t), &scriptedStream{}
-		r.setConfig()
-		s.start(t, r, replyEvents(page, true))
+		r, _ := startStream(t, replyEvents(page, true))
 		resp, text, err := r.send(t, http.MethodPost, "/unresumable/x", "", nil)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusBadGateway, resp.StatusCode, text)
 	})
 	t.Run("after events", func(t *testing.T) {
-		r, s := newTestEntry(t), &scriptedStream{}
-		r.setConfig()
-		s.start(t, r, replyEvents(eventsBetween(1, 3), false), func(c *fasthttp.RequestCtx) { c.SetBodyString(page) }, replyEvents(eventsBetween(4, 6), true))
+		r, _ := startStream(t, replyEvents(eventsBetween(1, 3), false), func(c *fasthttp.RequestCtx) { c.SetBodyString(page) }, replyEvents(eventsBetween(4, 6), true))
 		_, text, err := r.send(t, http.MethodPost, "/stream/x", "", nil)
 		require.NoError(t, err)
 		require.Equal(t, eventsBetween(1, 6), text)
