tunnel: A planned stop waits for responses that pause for up to a second

Cause: a stopping node closes the tunnels that it serves once no byte has passed for 300 ms since the last piece of a response. A stream between two events looks the same.

What callers saw: a stream through another node that was stopped as planned was reset if its upstream paused for more than 300 ms; one that can't be resumed broke off (LOST).

Evidence: "a planned stop of the other node waits for a response that pauses", with a pause of 600 ms, on the code before: "connection reset by peer".

Change: a tunnel counts as in use for a second after its last byte. The stop of a node whose tunnels are idle takes up to that much longer, within its limit for requests.

What remains: longer pauses are cut. Only the node that opened the tunnel knows whether a response is complete; it would have to say so.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -28,8 +28,9 @@
 	// maxTunnels limits the tunnels that a node serves: each holds two buffers.
 	maxTunnels  = 512
 	bufferBytes = 8 << 10
-	// activeTime is how long after its last byte a tunnel counts as in use.
-	activeTime = 300 * time.Millisecond
+	// activeTime is how long after its last byte a tunnel counts as in use: longer than the
+	// usual pause between two events of a stream.
+	activeTime = time.Second
 	// drainInterval is the time between two rounds that close idle tunnels.
 	drainInterval = 50 * time.Millisecond
 )
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -94,8 +94,8 @@
 // waitTime is how long an echo takes to answer "w".
 const waitTime = 600 * time.Millisecond
 
-// echo is an upstream that answers each byte with itself, "w" after waitTime, "r" by a reset
-// and "c" by closing the connection. It tells when each connection was closed.
+// echo is an upstream that answers each byte with itself, "w" after waitTime, "p" with two that
+// are waitTime apart, "r" by a reset and "c" by closing the connection. It tells when each connection was closed.
 type echo struct {
 	*stand.Port
 	closed chan struct{}
@@ -134,6 +134,9 @@
 		switch buffer[0] {
 		case 'w':
 			time.Sleep(waitTime)
+		case 'p':
+			_, _ = conn.Write(buffer)
+			time.Sleep(waitTime)
 		case 'r':
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			return
@@ -367,6 +370,20 @@
 		origin.board.Do(func(s *board.State) { reach.AvoidHelper(s, helper.id(), time.Now()) })
 		require.False(t, conn.Quiet())
 	})
+	t.Run("a planned stop of the other node waits for a response that pauses", func(t *testing.T) {
+		conn, helper, _ := open(t)
+		_, err := conn.Write([]byte("p"))
+		require.NoError(t, err)
+		got := make([]byte, 1)
+		_, err = io.ReadFull(conn, got)
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*waitTime)
+		defer cancel()
+		helper.server.Drain(ctx)
+		require.NoError(t, ctx.Err())
+		_, err = io.ReadFull(conn, got)
+		require.NoError(t, err)
+	})
 	t.Run("a planned stop of the other node waits for the response and closes idle connections", func(t *testing.T) {
 		conn, helper, _ := open(t)
 		_, err := conn.Write([]byte("w"))
