platform: An upstream's entry out of bounds is refused

Cause: an entry was valid if its JSON had the right types. What callers saw: a product of a time and 1<<62 slots is negative, so that the scheduler places tasks on the odd engine first (trial with tasks.Plan and engines of 8, 8 and 1<<62 slots: the task went to the last one), and an engine with 4e9 slots accepts any number of runs. Port 0 is refused at each connection, 0.0.0.0 is this VM, and 1e300 ms is converted differently on arm64 and amd64. Why it works: an entry out of bounds is an error of DecodeVM, which removes its upstream only, also if a good entry stood before, in an outage too.

--- a/config.go
+++ b/config.go
@@ -315,13 +315,10 @@
 	return nil
 }
 
-// maxCustomerName is the maximum length of a customer's name in bytes.
-const maxCustomerName = 256
-
 // validateCustomerName returns why the name can't be sent in a header, or an empty string.
 func validateCustomerName(name string) string {
-	if len(name) > maxCustomerName {
-		return fmt.Sprintf("must have at most %d bytes", maxCustomerName)
+	if len(name) > MaxNameBytes {
+		return fmt.Sprintf("must have at most %d bytes", MaxNameBytes)
 	}
 	if strings.TrimSpace(name) != name || strings.ContainsFunc(name, unicode.IsControl) {
 		return "must not start or end with a space, or contain control characters"
--- a/fleet/learn_test.go
+++ b/fleet/learn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,7 +83,11 @@
 		require.Equal(t, []string{"b"}, usable(v, start.Add(time.Second)))
 	})
 	t.Run("an invalid entry removes its upstream and affects no other", func(t *testing.T) {
-		for _, value := range []string{"{", `{"slots":"six"}`, `{"service":"lm"}`, string(heartbeat("a", "unheard of", "2").Value)} {
+		valid := string(heartbeat("a", "ready", "2").Value)
+		for _, value := range []string{
+			"{", `{"slots":"six"}`, `{"service":"lm"}`, string(heartbeat("a", "unheard of", "2").Value),
+			strings.Replace(valid, `"slots":6`, `"slots":4000000000`, 1), strings.Replace(valid, "127.0.0.1:1", "127.0.0.1:0", 1), strings.Repeat("[", 100_000),
+		} {
 			v := newList()
 			bad := func(id string) quetzalpier.Entry {
 				return quetzalpier.Entry{Key: platform.PrefixWorkers + id, Value: []byte(value)}
@@ -93,6 +98,9 @@
 			require.Equal(t, []string{"a", "b"}, usable(v, start.Add(2*time.Second)), value)
 			v.apply([]quetzalpier.Entry{bad("a"), heartbeat("b", "ready", "3")}, true, mirror.State{RecoveredAt: start.Add(3 * time.Second)}, start.Add(3*time.Second))
 			require.Equal(t, []string{"b"}, usable(v, start.Add(3*time.Second)), value)
+			v.apply([]quetzalpier.Entry{heartbeat("a", "ready", "4")}, false, healthy, start.Add(4*time.Second))
+			v.apply([]quetzalpier.Entry{bad("a")}, false, mirror.State{Failing: true}, start.Add(5*time.Second))
+			require.Equal(t, []string{"b"}, usable(v, start.Add(5*time.Second)), value)
 		}
 	})
 	t.Run("a heartbeat is equivalent, a new state or a restart is not", func(t *testing.T) {
--- a/vms.go
+++ b/vms.go
@@ -2,10 +2,23 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"time"
 )
 
+// Bounds of what other programs write.
+const (
+	// MaxSlots is the maximum number of requests that an upstream runs concurrently: an
+	// address has no more ports. Products with times fit in a time.Duration.
+	MaxSlots = 1 << 16
+	// MaxDuration is the longest valid duration. Sums and small multiples fit in a
+	// time.Duration.
+	MaxDuration = 10 * 365 * 24 * time.Hour
+	// MaxNameBytes is the maximum length of a name, which headers and keys contain.
+	MaxNameBytes = 256
+)
+
 // VM states in the platform's list.
 const (
 	VMLive    = "live"
@@ -73,8 +86,11 @@
 	if v.ID == "" {
 		return &FieldError{"id", "must not be empty"}
 	}
-	if _, err := netip.ParseAddrPort(v.Addr); err != nil {
-		return &FieldError{"addr", v.ID + ": must be an IP address and port"}
+	if err := v.validateNames(); err != nil {
+		return err
+	}
+	if err := ValidateAddr(v.Addr); err != nil {
+		return &FieldError{"addr", v.ID + ": " + err.Error()}
 	}
 	if v.Kind != KindEngine && v.Kind != KindPlain {
 		return &FieldError{"kind", v.ID + `: must be "engine" or "plain"`}
@@ -82,5 +98,42 @@
 	if v.State != VMLive && v.State != VMLeaving {
 		return &FieldError{"state", v.ID + `: must be "live" or "leaving"`}
 	}
+	if v.Slots < 0 || v.Slots > MaxSlots {
+		return &FieldError{"slots", fmt.Sprintf("%s: must be 0 to %d, not %d", v.ID, MaxSlots, v.Slots)}
+	}
+	if v.LeavesIn < 0 || v.LeavesIn > MaxDuration {
+		return &FieldError{"leaves", fmt.Sprintf("%s: must be 0 to %s, not %s", v.ID, MaxDuration, v.LeavesIn)}
+	}
+	return nil
+}
+
+// validateNames returns an error that names the field if a name is too long.
+func (v VM) validateNames() error {
+	for _, name := range []struct{ field, text string }{{"id", v.ID}, {"domain", v.Domain}, {"pool", v.Pool}, {"software", v.Software}} {
+		if len(name.text) > MaxNameBytes {
+			return &FieldError{name.field, fmt.Sprintf("must have at most %d bytes", MaxNameBytes)}
+		}
+	}
+	for model := range v.Models {
+		if len(model) > MaxNameBytes {
+			return &FieldError{"models", fmt.Sprintf("%s: names must have at most %d bytes", v.ID, MaxNameBytes)}
+		}
+	}
+	return nil
+}
+
+// InvalidAddrError reports text that is not the address of another process.
+type InvalidAddrError struct{}
+
+// Error implements error.
+func (InvalidAddrError) Error() string { return "must be an IP address and port" }
+
+// ValidateAddr returns an error unless the text is an IP address and port to connect to.
+// The unspecified address is not: a connection to it stays on this VM.
+func ValidateAddr(text string) error {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		return InvalidAddrError{}
+	}
 	return nil
 }
