--- a/conf/watch.go
+++ b/conf/watch.go
@@ -162,6 +162,9 @@
 	}
 	updated := false
 	w.Board.Update(func(s *board.State) { updated = s.SetVMs(list, time.Now()) })
+	if updated && len(list.Invalid) > 0 {
+		w.Log.Warn().Uint64("number", list.Number).Int("count", len(list.Invalid)).AnErr("first", list.Invalid[0]).Msg("entries of the list of VMs are invalid")
+	}
 	if updated {
 		w.OnUpdate()
 	}
--- a/vms.go
+++ b/vms.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Bounds of what other programs write.
@@ -65,18 +67,36 @@
 type VMList struct {
 	Number uint64 `json:"number"`
 	VMs    []VM   `json:"vms"`
+	// Invalid holds why entries of a decoded list were left out.
+	Invalid []error `json:"-"`
 }
 
-// UnmarshalJSON decodes a list and validates each entry.
+// UnmarshalJSON decodes a list. Entries that are invalid, or repeat an ID, are left out.
 func (l *VMList) UnmarshalJSON(data []byte) error {
-	type bare VMList
-	if err := json.Unmarshal(data, (*bare)(l)); err != nil {
+	var list struct {
+		Number uint64            `json:"number"`
+		VMs    []json.RawMessage `json:"vms"`
+	}
+	if err := json.Unmarshal(data, &list); err != nil {
 		return err
 	}
-	for _, vm := range l.VMs {
-		if err := vm.Validate(); err != nil {
-			return err
+	*l = VMList{Number: list.Number}
+	seen := make(map[string]bool, len(list.VMs))
+	for i, entry := range list.VMs {
+		var vm VM
+		err := json.Unmarshal(entry, &vm)
+		if err == nil {
+			err = vm.Validate()
+		}
+		if err == nil && seen[vm.ID] {
+			err = &FieldError{"id", vm.ID + ": must stand once"}
+		}
+		if err != nil {
+			l.Invalid = append(l.Invalid, errors.Wrapf(err, "vms[%d]", i))
+			continue
 		}
+		seen[vm.ID] = true
+		l.VMs = append(l.VMs, vm)
 	}
 	return nil
 }
