runner: A read from a huge position doesn't end the process

Cause: the position of a read from another node, a uint64, was converted to int before it was compared, so that one of 1<<63 and more is negative and less than the number of results. What callers saw: nothing yet; the owner of a pool ends with such a message, and each owner that the node asks next. Evidence: TestReadFromHugePositionDoesNotEndTheProcess failed before: 'runtime error: slice bounds out of range [-1:]' at runner/read.go:105; passes now. Change: the comparison is one of uint64.

--- a/runner/read.go
+++ b/runner/read.go
@@ -101,7 +101,7 @@
 		}
 		return reply, nil
 	}
-	if from := int(read.GetAfter()); from < len(job.Listed) {
+	if from := read.GetAfter(); from < uint64(len(job.Listed)) {
 		reply.Results = wire.PackResults(limitBytes(job.Listed[from:], maxReplyBytes))
 	}
 	complete := len(job.Listed) == len(job.Tasks) || job.Satisfied() && len(reply.GetResults()) > 0
