runner: Text that isn't UTF-8 doesn't block the results of a pool

Cause: results and saved texts are protobuf messages, whose encoding fails for strings that aren't UTF-8. Events and signatures of upstreams were taken as they came. What callers saw: a transaction that holds such a result could never be encoded. It was repeated for ever, with the results of up to seven other jobs beside it, which were neither stored nor returned to readers meanwhile; saved texts of other tasks were lost the same way. Change: invalid bytes of an event are replaced as encoding/json replaces them, since answers are JSON. A signature that isn't UTF-8 makes the reward call invalid, and it is repeated. Why it works: all other strings of a result come from JSON or from stored messages.

--- a/runner/odd_test.go
+++ b/runner/odd_test.go
@@ -3,9 +3,15 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/platform"
+	"quetzalpier/stand"
 	"quetzalpier/wire"
 )
 
@@ -21,3 +27,25 @@
 		}, "position %d", after)
 	}
 }
+
+// Guards against a text of one task that keeps the results of all jobs from being stored:
+// messages can't hold text that isn't UTF-8.
+func TestTextThatIsNotUTF8BlocksNoJob(t *testing.T) {
+	engine, err := stand.Serve("127.0.0.1:0", 0, func(c *fasthttp.RequestCtx) {
+		c.Response.Header.SetBytesV(platform.HeaderAttempt, c.Request.Header.Peek(platform.HeaderAttempt))
+		c.Response.Header.Set(platform.HeaderWeightVersion, "1")
+		c.SetContentType("text/event-stream")
+		c.SetBodyString("id: 1\ndata: a\xff\xfeb\n\n")
+	})
+	require.NoError(t, err)
+	t.Cleanup(engine.Close)
+	r := newFixture(t, 0, func(r *fixture) {
+		r.board.Update(func(s *board.State) {
+			s.SetListed([]quetzalpier.VM{r.scorer.VM(), {
+				ID: "e", Addr: engine.Addr, Kind: quetzalpier.KindEngine, Pool: "lm", State: quetzalpier.VMLive, Slots: 8, Models: map[string]quetzalpier.Version{"m": 1},
+			}}, time.Now())
+		})
+	})
+	r.putJob(t, newJob("j", 1, 1))
+	require.Equal(t, "a\uFFFD\uFFFDb", r.waitResults(t, "j", 1)["j-0"].Text)
+}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -241,6 +242,10 @@
 	if r.task.Canceled || version < job.MinVersion {
 		return false
 	}
+	if !utf8.ValidString(data) {
+		// JSON and protobuf messages can't hold it. The replacements are those of encoding/json.
+		data = string([]rune(data))
+	}
 	r.task.Text.Add(data, version)
 	if r.lastEvent == r.firstEvent+1 {
 		r.parent.runner.Meter.FirstToken.WithLabelValues(r.parent.pool, r.class).Observe(meter.SecondsBetween(r.startedAt, now))
@@ -446,6 +451,9 @@
 		}
 		a.Units = 1
 		p.runner.Sender.RecordShared(a.VM.ID, resp, time.Now())
+		if !utf8.ValidString(resp.Stamp) {
+			return &platform.InvalidAnswerError{Upstream: a.VM.ID, Reason: "its signature is not UTF-8"}
+		}
 		result.Stamp, result.Status = resp.Stamp, resp.Status
 		return nil
 	})
