vault: Values of another writer don't keep a job from opening

Cause: Parts and Results returned an error for any value under a job's prefix that can't be decoded or is no page, and the owner reads them until it succeeds. What callers saw: a job with one odd value under part/JOB/ or out/JOB/ was never opened again after a takeover, and its results were never read; a job with an ID like JOB/1 had the same effect on job JOB. Evidence: TestOddValuesOfAJobDoNotKeepItFromOpening failed before: 'Condition never satisfied' (no result in 5 s); passes now. Change: a part that can't be decoded is left out, since its text can be generated again; keys that are no page's are left out of the results. What remains: a value at the key of the next page that can't be decoded still blocks its job, since a position must not hold two results.

--- a/runner/odd_test.go
+++ b/runner/odd_test.go
@@ -12,6 +12,7 @@
 	"quetzalpier/board"
 	"quetzalpier/platform"
 	"quetzalpier/stand"
+	"quetzalpier/vault"
 	"quetzalpier/wire"
 )
 
@@ -49,3 +50,19 @@
 	r.putJob(t, newJob("j", 1, 1))
 	require.Equal(t, "a\uFFFD\uFFFDb", r.waitResults(t, "j", 1)["j-0"].Text)
 }
+
+// Guards against values of another writer among the texts and results of a job, for which
+// it was never opened after a takeover.
+func TestOddValuesOfAJobDoNotKeepItFromOpening(t *testing.T) {
+	r := newFixture(t, 1, func(r *fixture) {
+		for key, value := range map[string]string{
+			"part/j/j-0": "\xff\xff", "part/j/a/b": "\xff", "part/j/": "", "out/j/x": "\xff", "out/j/1/000000": "\xff", "out/j/0000000": "\xff", "out/j/": "",
+			vault.Jobs + "bad": "\xff\xff", vault.Jobs: "", vault.Ends: "", vault.Ends + "j/1": "",
+		} {
+			_, err := r.kv.CompareAndSwap(t.Context(), key, []byte(value), 0, "")
+			require.NoError(t, err)
+		}
+		r.putJob(t, newJob("j", 1, 3))
+	})
+	require.Equal(t, eventText("j-0", 3), r.waitResults(t, "j", 1)["j-0"].Text)
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -110,7 +111,8 @@
 // EndedJob returns the ID of the job that an entry under Ends marks as ended.
 func EndedJob(entry quetzalpier.Entry) string { return strings.TrimPrefix(entry.Key, Ends) }
 
-// Results reads the results of a job in the order of their positions.
+// Results reads the results of a job in the order of their positions. Keys that are not
+// those of pages are left out.
 func (v *Vault) Results(ctx context.Context, id string) ([]quetzalpier.Result, error) {
 	list, err := v.KV.Range(ctx, prefixResults+id+"/", false)
 	if err != nil {
@@ -118,6 +120,9 @@
 	}
 	var stored []quetzalpier.Result
 	for _, entry := range list.Entries {
+		if !isPage(entry.Key, id) {
+			continue
+		}
 		if entry.Key != pageKey(id, len(stored)) {
 			return nil, errors.Errorf("%s: results from position %d on are missing before this page", entry.Key, len(stored))
 		}
@@ -176,7 +181,8 @@
 	return err
 }
 
-// Parts reads the saved parts of a job's tasks.
+// Parts reads the saved parts of a job's tasks. One that can't be decoded is left out: its
+// text is generated again.
 func (v *Vault) Parts(ctx context.Context, job string) ([]Part, error) {
 	prefix := prefixPart + job + "/"
 	list, err := v.KV.Range(ctx, prefix, false)
@@ -187,7 +193,7 @@
 	for _, entry := range list.Entries {
 		partial, err := wire.DecodePart(entry.Value)
 		if err != nil {
-			return nil, errors.Wrap(err, entry.Key)
+			continue
 		}
 		parts = append(parts, Part{Job: job, Task: strings.TrimPrefix(entry.Key, prefix), Partial: partial})
 	}
@@ -241,3 +247,9 @@
 
 // pageKey returns the key of a page. Keys sort in the order of the positions.
 func pageKey(id string, from int) string { return fmt.Sprintf("%s%s/%06d", prefixResults, id, from) }
+
+// isPage reports whether the key is that of a page of the job.
+func isPage(key, id string) bool {
+	from, err := strconv.Atoi(strings.TrimPrefix(key, prefixResults+id+"/"))
+	return err == nil && from >= 0 && key == pageKey(id, from)
+}
