vault: A job under the key of another one doesn't run

Cause: the value of an entry of a job was not compared with its key. What callers saw: a copy of a job under another key ran, although no client's job was accepted under the ID in it; a read of the job of that key got the other one. Evidence: TestJobUnderTheKeyOfAnotherDoesNotRun failed before: 'expected: "z-0" actual: "copied-0"'; passes now. Change: a job must have the ID of its key.

--- a/runner/odd_test.go
+++ b/runner/odd_test.go
@@ -66,3 +66,21 @@
 	})
 	require.Equal(t, eventText("j-0", 3), r.waitResults(t, "j", 1)["j-0"].Text)
 }
+
+// Guards against a job that runs, though no client's was accepted under its ID: another
+// writer put its value under another key.
+func TestJobUnderTheKeyOfAnotherDoesNotRun(t *testing.T) {
+	data, err := wire.EncodeJob(newJob("copied", 1, 3))
+	require.NoError(t, err)
+	r := newFixture(t, 1, func(r *fixture) {
+		_, err := r.kv.CompareAndSwap(t.Context(), vault.Jobs+"other", data, 0, "")
+		require.NoError(t, err)
+		r.putJob(t, newJob("z", 1, 3))
+	})
+	r.waitResults(t, "z", 1)
+	for _, run := range r.engines[0].Runs() {
+		require.Equal(t, "z-0", run.ID)
+	}
+	_, err = r.vault.Get(t.Context(), "other")
+	require.ErrorContains(t, err, "copied")
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -89,7 +89,7 @@
 	if err != nil || entry.Rev == 0 {
 		return nil, err
 	}
-	return wire.DecodeJob(entry.Value)
+	return DecodeJob(entry)
 }
 
 // End marks a job as ended. Repeated calls have no effect.
@@ -102,10 +102,16 @@
 	return err
 }
 
-// DecodeJob decodes an entry under Jobs.
+// DecodeJob decodes an entry under Jobs. Its key must be that of the job.
 func DecodeJob(entry quetzalpier.Entry) (*quetzalpier.Job, error) {
 	job, err := wire.DecodeJob(entry.Value)
-	return job, errors.Wrap(err, entry.Key)
+	if err == nil && entry.Key != Jobs+job.ID {
+		err = &quetzalpier.FieldError{Field: "id", Reason: "is that of another job, " + strconv.Quote(job.ID)}
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, entry.Key)
+	}
+	return job, nil
 }
 
 // EndedJob returns the ID of the job that an entry under Ends marks as ended.
