fleet: A node whose entry became odd is missing until it writes it again

Cause: an entry of a node that could not be decoded was skipped, so that the one from before stayed in force, and one that could be decoded needed no address. What callers saw: if another writer replaced a node's entry, the nodes that ran used the old one for ever, those that started later never found the node, and the node itself was still in its own list and wrote no new entry. Addresses that are none went into the answers to lookups. Evidence: TestOddEntryOfANodeIsMissing failed before in all 10 cases: 'expected: []string{"b"}', 'actual: []string{"a", "b", "c"}' in 7 and '[]string{"a", "b"}' in 3, also without the entry that has no ID. Change: such an entry counts as a missing one; an entry needs an ID and addresses as the settings have them. Why it works: a node that the list lacks although it covers its write writes its entry again.

--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
+	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -41,6 +44,34 @@
 	Evictions int `json:"evictions,omitempty"`
 }
 
+// decodeMember decodes and validates the entry of a node.
+func decodeMember(id string, data []byte) (memberEntry, error) {
+	var m memberEntry
+	var typeErr *json.UnmarshalTypeError
+	switch err := json.Unmarshal(data, &m); {
+	case errors.As(err, &typeErr):
+		return m, &quetzalpier.FieldError{Field: typeErr.Field, Reason: "must be of type " + typeErr.Type.String()}
+	case err != nil:
+		return m, err
+	case id == "":
+		return m, &quetzalpier.FieldError{Field: "id", Reason: "must not be empty"}
+	case !isAddr(m.Peer):
+		return m, &quetzalpier.FieldError{Field: "peer", Reason: "must be an IP address and port"}
+	case m.HTTP != "" && !isAddr(m.HTTP):
+		return m, &quetzalpier.FieldError{Field: "http", Reason: "must be an IP address and port"}
+	case len(m.Domain) > quetzalpier.MaxNameBytes || len(m.Region) > quetzalpier.MaxNameBytes:
+		return m, &quetzalpier.FieldError{Field: "domain", Reason: fmt.Sprintf("must have at most %d bytes, as the region", quetzalpier.MaxNameBytes)}
+	}
+	return m, nil
+}
+
+// isAddr reports whether the text is an address as the settings of a node may have it.
+func isAddr(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && number > 0 && net.ParseIP(host) != nil
+}
+
 // register writes the node's entry when it changes or was removed, and keeps the node's
 // lease. The entry has no lease: it stays until the node removes it at its stop, or others
 // do because the node does not answer them.
@@ -254,9 +285,11 @@
 		delete(s.Members, id)
 		return
 	}
-	var m memberEntry
-	if err := json.Unmarshal(e.Value, &m); err != nil {
+	m, err := decodeMember(id, e.Value)
+	if err != nil {
 		n.Log.Error().Str("key", e.Key).Err(err).Msg("entry of a node could not be decoded")
+		// A node whose entry is missing writes it again.
+		delete(s.Members, id)
 		return
 	}
 	state := board.Alive
--- /dev/null
+++ b/fleet/odd_test.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/meter"
+	"quetzalpier/mirror"
+	"quetzalpier/probe"
+	"quetzalpier/vault"
+)
+
+func nodeEntry(id, value string) quetzalpier.Entry {
+	return quetzalpier.Entry{Key: vault.Nodes + id, Value: []byte(value), Rev: 3}
+}
+
+// Guards against the entry of a node that another writer replaced: nodes that knew the node
+// used its earlier entry for ever, those that started later never found it, and the node
+// itself, still listed, did not write its entry again.
+func TestOddEntryOfANodeIsMissing(t *testing.T) {
+	const valid = `{"peer":"127.0.0.1:7","http":"127.0.0.1:8","domain":"d","roles":["store"]}`
+	for name, odd := range map[string]string{
+		"no JSON": "\xff", "nested": strings.Repeat("[", 100_000), "empty": `{}`, "null": "null", "no address": strings.Replace(valid, "127.0.0.1:7", "there", 1),
+		"port out of range": strings.Replace(valid, ":7", ":70000", 1), "port zero for clients": strings.Replace(valid, ":8", ":0", 1),
+		"a huge address": strings.Replace(valid, "127.0.0.1:8", strings.Repeat("1", 1<<20)+":8", 1), "a huge domain": strings.Replace(valid, `"d"`, `"`+strings.Repeat("d", 1<<20)+`"`, 1),
+		"too large a number": strings.Replace(valid, `"roles"`, `"evictions":1e400,"roles"`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{Board: board.New(board.Member{ID: "a"}), Meter: meter.New(), Log: zerolog.Nop(), nodes: &mirror.Mirror{}, nodesListed: make(chan struct{})}
+			n.prober = &probe.Prober{Board: n.Board, Log: n.Log}
+			members := func() (ids []string) {
+				n.Board.Do(func(s *board.State) { ids = slices.Sorted(maps.Keys(s.Members)) })
+				return ids
+			}
+			n.applyMembers([]quetzalpier.Entry{nodeEntry("a", valid), nodeEntry("b", valid), nodeEntry("", valid)}, true, time.Now())
+			require.Equal(t, []string{"a", "b"}, members())
+			n.applyMembers([]quetzalpier.Entry{nodeEntry("a", odd), nodeEntry("c", odd)}, false, time.Now())
+			require.Equal(t, []string{"b"}, members())
+			n.applyMembers([]quetzalpier.Entry{nodeEntry("a", valid)}, false, time.Now())
+			require.Equal(t, []string{"a", "b"}, members())
+		})
+	}
+}
