wire, limit: A huge age in a message is not from the future

Cause: times in messages between nodes are uint64 milliseconds, which were multiplied into a time.Duration. One of 2^63/10^6 ms and more wraps, often to a negative time. What callers saw: nothing yet. A limit told with such an age was from the future, and what the upstream named itself afterwards was not believed any more, for centuries; the age of a mirror's answer or of a configuration would make an old one count as confirmed. Change: wire.Millis converts all of them and keeps within the longest valid duration.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -59,7 +59,7 @@
 		return &wire.Reply{Kind: &wire.Reply_Probed{Probed: &wire.Probed{Alive: n.answerProbe(ctx, question)}}}
 	}
 	if hold := call.GetHold(); hold != nil {
-		sleep.For(ctx, time.Duration(hold.GetWait())*time.Millisecond)
+		sleep.For(ctx, wire.Millis(hold.GetWait()))
 		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
 	}
 	return &wire.Reply{Fault: "unknown call"}
--- a/fleet/strikes.go
+++ b/fleet/strikes.go
@@ -37,7 +37,7 @@
 func (n *Node) recordStrikes(strikes *wire.Strikes, now time.Time) {
 	n.Board.Do(func(s *board.State) {
 		for _, strike := range strikes.GetStrikes() {
-			poison.MergeStrikes(s, strike.GetPrint(), int(strike.GetCount()), time.Duration(strike.GetAge())*time.Millisecond, now)
+			poison.MergeStrikes(s, strike.GetPrint(), int(strike.GetCount()), wire.Millis(strike.GetAge()), now)
 		}
 	})
 }
--- a/gate/trainers.go
+++ b/gate/trainers.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"regexp"
 	"strconv"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
@@ -59,7 +58,7 @@
 
 func (g *Gate) forwardToOwner(c fiber.Ctx, call *wire.Trainer) error {
 	answer := g.CallOwner(c.RequestCtx(), call)
-	setRetryAfter(c, time.Duration(answer.GetAfter())*time.Millisecond)
+	setRetryAfter(c, wire.Millis(answer.GetAfter()))
 	contentType := fiber.MIMEApplicationJSON
 	if answer.GetStatus() != fasthttp.StatusOK {
 		contentType = "application/problem+json"
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -152,7 +152,7 @@
 		permit = &wire.Permit{Wait: uint64(askFailedDelay.Milliseconds()), Nodes: 1}
 	}
 	k.merge(permit.GetLimits(), now)
-	after = time.Duration(permit.GetWait()) * time.Millisecond
+	after = wire.Millis(permit.GetWait())
 	k.Board.Do(func(s *board.State) {
 		u := s.Upstreams[vm.ID]
 		if u == nil {
@@ -232,7 +232,7 @@
 			if item.GetLeaving() && SetLeaving(s, u, true) {
 				k.logLeaving(u.VM, "node")
 			}
-			if before := u.Limit.Limit; Merge(u, named, now.Add(-time.Duration(item.GetAge())*time.Millisecond)) {
+			if before := u.Limit.Limit; Merge(u, named, now.Add(-wire.Millis(item.GetAge()))) {
 				k.logChange(u.VM, before, named, "node")
 			}
 		})
@@ -277,7 +277,7 @@
 			k.keepEarly(early.limit, early.receivedAt)
 			continue
 		}
-		early.limit.Age += uint64(max(0, age).Milliseconds())
+		early.limit.Age = uint64((wire.Millis(early.limit.GetAge()) + max(0, age)).Milliseconds())
 		k.merge([]*wire.Limit{early.limit}, now)
 	}
 }
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -139,7 +139,7 @@
 
 // request reads from the leader's mirror.
 func (f *Feed) request(ctx context.Context, leader string, feed *wire.Feed) (quetzalpier.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(feed.GetWait())*time.Millisecond+feedMargin)
+	ctx, cancel := context.WithTimeout(ctx, wire.Millis(feed.GetWait())+feedMargin)
 	defer cancel()
 	reply, err := f.Call(ctx, leader, &wire.Call{Kind: &wire.Call_Feed{Feed: feed}})
 	if err != nil {
@@ -154,7 +154,7 @@
 		return quetzalpier.Changes{}, err
 	}
 	return quetzalpier.Changes{
-		Entries: wire.UnpackEntries(stored.GetEntries()), Rev: stored.GetRev(), Age: time.Duration(stored.GetAge()) * time.Millisecond,
+		Entries: wire.UnpackEntries(stored.GetEntries()), Rev: stored.GetRev(), Age: wire.Millis(stored.GetAge()),
 	}, nil
 }
 
@@ -236,7 +236,7 @@
 	if feed.GetRev() == 0 {
 		changes, err = m.Range(time.Now())
 	} else {
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(feed.GetWait())*time.Millisecond)
+		ctx, cancel := context.WithTimeout(ctx, wire.Millis(feed.GetWait()))
 		defer cancel()
 		changes, err = m.Watch(ctx, feed.GetRev())
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -394,7 +394,7 @@
 		}
 	}
 	for _, strike := range g.GetStrikes() {
-		age := time.Duration(strike.GetAge()) * time.Millisecond
+		age := wire.Millis(strike.GetAge())
 		if poison.MergeStrikes(s, strike.GetPrint(), int(strike.GetCount()), age, now) {
 			updates = append(updates, "s:"+strconv.FormatUint(strike.GetPrint(), 10))
 		}
@@ -433,7 +433,7 @@
 		fetched = n.fetchVMs(addr) || fetched
 	}
 	if d.GetKnown() {
-		confirmed := time.Now().Add(-time.Duration(d.GetAge())*time.Millisecond - pingTimeout)
+		confirmed := time.Now().Add(-wire.Millis(d.GetAge()) - pingTimeout)
 		n.opts.Board.Do(func(s *board.State) {
 			if s.Config.Number >= d.GetConfig() && confirmed.After(s.ConfirmedAt) {
 				s.ConfirmedAt = confirmed
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -274,7 +274,7 @@
 const probeKey = "sys/probe"
 
 func (k *KV) relay(ctx context.Context, message *wire.Store, idempotent bool, decode func(*wire.Stored)) error {
-	wait := time.Duration(message.GetFollow().GetWait()) * time.Millisecond
+	wait := wire.Millis(message.GetFollow().GetWait())
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+wait)
 	defer cancel()
 	each := relayTimeout + wait
@@ -379,12 +379,12 @@
 	case message.GetFollow() != nil:
 		var found quetzalpier.Changes
 		follow := message.GetFollow()
-		found, err = k.watchDirect(ctx, follow.GetPrefix(), follow.GetRev(), time.Duration(follow.GetWait())*time.Millisecond)
+		found, err = k.watchDirect(ctx, follow.GetPrefix(), follow.GetRev(), wire.Millis(follow.GetWait()))
 		stored.Entries, stored.Rev = wire.PackEntries(found.Entries), found.Rev
 	case message.GetRenew() != "":
 		err = k.Direct.Renew(ctx, message.GetRenew())
 	case message.GetGrant() != 0:
-		stored.Lease, err = k.Direct.Grant(ctx, time.Duration(message.GetGrant())*time.Millisecond)
+		stored.Lease, err = k.Direct.Grant(ctx, wire.Millis(message.GetGrant()))
 	default:
 		err = &quetzalpier.RefusedError{Call: "relay", Reason: "the message contains no call"}
 	}
--- a/runner/read.go
+++ b/runner/read.go
@@ -21,7 +21,7 @@
 // Read returns the results of a job whose pool this node owns. A reply without
 // Known does not say whether the job exists.
 func (r *Runner) Read(ctx context.Context, read *wire.Read) *wire.Results {
-	wait := time.Duration(read.GetWait()) * time.Millisecond
+	wait := wire.Millis(read.GetWait())
 	return waitForResults(ctx, wait, func(now time.Time) (*wire.Results, chan struct{}) { return r.pollResults(read, now) })
 }
 
--- a/usage/collector.go
+++ b/usage/collector.go
@@ -58,7 +58,7 @@
 		c.processes[key] = runs
 	}
 	for i, run := range message.GetRuns() {
-		number, at := message.GetFirst()+uint64(i), now.Add(-time.Duration(run.GetAge())*time.Millisecond)
+		number, at := message.GetFirst()+uint64(i), now.Add(-wire.Millis(run.GetAge()))
 		if known := runs[number]; known != nil {
 			// Delays only make the time later.
 			if at.Before(known.at) {
