usage: An odd window among the stored reports doesn't end the reports

Cause: the holder of the duty goes on after the newest window that it finds in the store, whatever its number. What callers saw: a key of another writer with a window far ahead ended the reports until then; with a window of 1<<62 the times overflow, and the holder looped over windows for ever. Change: windows that no holder can have closed by now are ignored and counted in the log.

--- a/usage/plan.go
+++ b/usage/plan.go
@@ -41,6 +41,12 @@
 // Due returns the true time until which the report of a window is due.
 func (s Schedule) Due(window int64) time.Time { return s.Start(window + 1).Add(s.Late) }
 
+// plausible reports whether a holder can have closed the window before now. Clocks differ by
+// less than Late.
+func (s Schedule) plausible(window int64, now time.Time) bool {
+	return window >= 0 && window <= s.At(now.Add(s.Late))
+}
+
 // closeDelay returns how long after its end a window is closed.
 func (s Schedule) closeDelay() time.Duration { return min(maxCloseDelay, s.Late/4) }
 
@@ -99,6 +105,8 @@
 	Since time.Time
 	// Lost counts the windows that were not reported while due.
 	Lost int
+	// Ignored counts the stored windows that no holder can have closed.
+	Ignored int
 
 	next    int64
 	reports []*Report
@@ -113,6 +121,10 @@
 	p := &Plan{Schedule: schedule, Since: now, next: schedule.firstDue(now)}
 	newest := int64(math.MinInt64)
 	for window, body := range stored {
+		if !schedule.plausible(window, now) {
+			p.Ignored++
+			continue
+		}
 		p.stored = append(p.stored, window)
 		newest = max(newest, window)
 		if now.Before(p.Due(window)) {
@@ -121,7 +133,7 @@
 	}
 	slices.Sort(p.stored)
 	slices.SortFunc(p.reports, func(a, b *Report) int { return int(a.Window - b.Window) })
-	if len(stored) > 0 {
+	if len(p.stored) > 0 {
 		// Windows that no holder fixed, and that are no longer due, are lost.
 		p.Lost = int(max(0, p.next-newest-1))
 		p.next = max(p.next, newest+1)
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -161,7 +161,7 @@
 		stored[window] = entry.Value
 	}
 	r.plan, r.planToken, r.failures = NewPlan(r.Schedule, stored, r.trueTime(now)), token, 0
-	r.Log.Info().Uint64("token", token).Int("stored", len(stored)).Int("repeated", len(r.plan.reports)).Int64("next", r.plan.next).
+	r.Log.Info().Uint64("token", token).Int("stored", len(stored)).Int("ignored", r.plan.Ignored).Int("repeated", len(r.plan.reports)).Int64("next", r.plan.next).
 		Msg("reports of usage read")
 	return true
 }
