platform: A job whose IDs don't fit in keys is refused

Cause: IDs of jobs and tasks, paths and token counts of a client were taken as they came. What callers saw: keys have at most 200 bytes. A job with an ID of 190 bytes is accepted, but the key of its results is too long: the store refuses the transaction, which is repeated with the results of other jobs in it; a long task ID does the same to saved texts. A job with a slash in its ID is accepted and can't be read at /lots/ID. Negative tokens make room on an engine that has none, and one length hint of 1<<62 makes the mean of its model useless. Change: new jobs are validated for it, with the field in the refusal (400). Jobs that were accepted before stay readable.

--- a/job.go
+++ b/job.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Job is a trainer's batch of tasks for one step.
@@ -125,10 +128,44 @@
 	return nil
 }
 
-// ValidateRewards validates the tasks' rewards and returns the first error found.
-// A reward's route may be configured later. Only new jobs are validated: a job
-// that was accepted must stay readable.
-func (j *Job) ValidateRewards() error {
+const (
+	// maxIDBytes is the maximum length of the ID of a new job or task: keys have at most 200
+	// bytes, and that of a saved text holds both.
+	maxIDBytes = 96
+	// maxTaskTokens is the maximum of the tokens of a new task. Sums fit in an integer.
+	maxTaskTokens = 1 << 30
+)
+
+// ValidateNew validates what is required of new jobs only, since a job that was accepted must
+// stay readable, and returns the first error found. A reward's route may be configured later.
+func (j *Job) ValidateNew() error {
+	switch {
+	case !isKeyID(j.ID) || strings.Contains(j.ID, "/"):
+		return &FieldError{"id", fmt.Sprintf("must have at most %d bytes of printable text without slashes", maxIDBytes)}
+	case j.WantGroups < 0:
+		return &FieldError{"want", "must not be negative"}
+	}
+	for i, task := range j.Tasks {
+		field := fmt.Sprintf("tasks[%d].", i)
+		switch {
+		case !isKeyID(task.ID):
+			return &FieldError{field + "id", fmt.Sprintf("must have at most %d bytes of printable text", maxIDBytes)}
+		case strings.ContainsFunc(task.Path, isSpaceOrControl):
+			return &FieldError{field + "path", "must not contain spaces or control characters"}
+		case task.MaxTokens < 0 || task.MaxTokens > maxTaskTokens:
+			return &FieldError{field + "tokens", fmt.Sprintf("must be 0 to %d", maxTaskTokens)}
+		}
+	}
+	return j.validateRewards()
+}
+
+func isKeyID(id string) bool {
+	return len(id) <= maxIDBytes && utf8.ValidString(id) && !strings.ContainsFunc(id, unicode.IsControl)
+}
+
+func isSpaceOrControl(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) }
+
+func (j *Job) validateRewards() error {
 	for i, task := range j.Tasks {
 		reward, field := task.Reward, fmt.Sprintf("tasks[%d].reward.", i)
 		switch {
