--- a/config.go
+++ b/config.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -260,24 +261,13 @@
 // Validate validates the configuration and returns the first error found.
 func (c *Config) Validate() error {
 	for name, p := range c.Pools {
-		if p.Kind != KindEngine && p.Kind != KindPlain {
-			return &FieldError{"pools." + name + ".kind", `must be "engine" or "plain"`}
-		}
-		if p.MinServing < 0 || p.MinServing > 1 {
-			return &FieldError{"pools." + name + ".serving", "must be 0 to 1"}
-		}
-		if p.Slots < 0 {
-			return &FieldError{"pools." + name + ".slots", "must not be negative"}
-		}
-		for i, rule := range p.NonIdempotentCalls {
-			if _, path, ok := strings.Cut(rule, " "); !ok || !strings.HasPrefix(path, "/") {
-				return &FieldError{fmt.Sprintf("pools.%s.once[%d]", name, i), `must be "METHOD /path"`}
-			}
+		if err := p.validate("pools." + name + "."); err != nil {
+			return err
 		}
 	}
 	for i, route := range c.Routes {
-		if route.Host == "" || !strings.HasPrefix(route.Prefix, "/") || len(route.Targets) == 0 {
-			return &FieldError{fmt.Sprintf("routes[%d]", i), "must have a host, a prefix that starts with a slash, and a target"}
+		if err := route.validate(fmt.Sprintf("routes[%d]", i)); err != nil {
+			return err
 		}
 	}
 	if err := validateCustomers(c.Customers); err != nil {
@@ -291,6 +281,76 @@
 	return nil
 }
 
+// validate returns an error whose field starts with the prefix.
+func (p Pool) validate(prefix string) error {
+	if p.Kind != KindEngine && p.Kind != KindPlain {
+		return &FieldError{prefix + "kind", `must be "engine" or "plain"`}
+	}
+	if p.MinServing < 0 || p.MinServing > 1 {
+		return &FieldError{prefix + "serving", "must be 0 to 1"}
+	}
+	for _, number := range []struct {
+		field string
+		value int
+	}{{"slots", p.Slots}, {"tokens", p.MemoryTokens}} {
+		if number.value < 0 {
+			return &FieldError{prefix + number.field, "must not be negative"}
+		}
+	}
+	for i, rule := range p.NonIdempotentCalls {
+		if _, path, ok := strings.Cut(rule, " "); !ok || !strings.HasPrefix(path, "/") {
+			return &FieldError{fmt.Sprintf("%sonce[%d]", prefix, i), `must be "METHOD /path"`}
+		}
+	}
+	if p.Replicas == nil {
+		return nil
+	}
+	return p.Replicas.validate(prefix + "replicas.")
+}
+
+func (r Replicas) validate(prefix string) error {
+	for _, number := range []struct {
+		field string
+		value float64
+	}{{"min", float64(r.Min)}, {"max", float64(r.Max)}, {"boot", float64(r.BootTime)}, {"spot", r.SpotPrice}} {
+		if number.value < 0 {
+			return &FieldError{prefix + number.field, "must not be negative"}
+		}
+	}
+	for _, price := range r.Prices {
+		if price < 0 {
+			return &FieldError{prefix + "prices", "must not be negative"}
+		}
+	}
+	return nil
+}
+
+// validate returns an error whose field starts with the prefix.
+func (r Route) validate(prefix string) error {
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || len(r.Targets) == 0 {
+		return &FieldError{prefix, "must have a host, a prefix that starts with a slash, and a target"}
+	}
+	for _, duration := range []struct {
+		field string
+		value time.Duration
+	}{{"timeout", r.Timeout}, {"aim", r.LatencyObjective}, {"due", r.JobObjective}, {"life", r.TaskTTL}} {
+		if duration.value < 0 {
+			return &FieldError{prefix + "." + duration.field, "must not be negative"}
+		}
+	}
+	total := 0.0
+	for i, target := range r.Targets {
+		if target.Weight < 0 {
+			return &FieldError{fmt.Sprintf("%s.targets[%d].weight", prefix, i), "must not be negative"}
+		}
+		total += target.Weight
+	}
+	if math.IsInf(total, 0) {
+		return &FieldError{prefix + ".targets", "must have weights with a finite sum"}
+	}
+	return nil
+}
+
 // validateCustomers returns an error if a customer has no name, or two have the same one
 // or share a key.
 func validateCustomers(customers []Customer) error {
