platform: A load out of range is invalid

Cause: the figures of a load header were any integers that aren't negative. What callers saw: with waiting requests the sum of running and waiting ones is negative, and the full upstream counts as idle (trial with share.NewBacklog: "Load:0 Shortest:0", with 4 requests running on 4 slots); queue sizes and slowdowns are multiplied. Change: Load.Validate limits each figure to 10^6.

--- a/notices.go
+++ b/notices.go
@@ -40,6 +40,20 @@
 	Slowdown int
 }
 
+// maxLoad is the highest valid figure of a load: more than an upstream can queue. Sums and
+// products of several fit in an integer.
+const maxLoad = 1e6
+
+// Validate validates the load and returns the first error found.
+func (l Load) Validate() error {
+	for _, figure := range []int{l.Running, l.Waiting, l.Slots, l.Slowdown} {
+		if figure < 0 || figure > maxLoad {
+			return &FieldError{"load", fmt.Sprintf("must have figures from 0 to %d, not %d", int(maxLoad), figure)}
+		}
+	}
+	return nil
+}
+
 // Notice is what an upstream says of itself in an answer. Leaving reports that it is about
 // to leave.
 type Notice struct {
