runner: Headers of an item don't replace those of its run

Cause: the headers of an item were set after the host of the job's route, and as they came. What callers saw: an item with a Host header ran at its worker under that host; headers that concern one connection were passed on, and one with Last-Event-Id began in the middle of its text and never got done. Evidence: TestHeadersOfAnItemDoNotReplaceThoseOfItsRun failed before: 'POST /b/j-0 HTTP/1.1\r\nHost: other\r\n... Last-Event-Id: 5 ... Connection: X-Hop' has no "Host: h". Change: hop-by-hop headers and Last-Event-Id of an item are dropped, as those of a client's request are, and the route's host is set last.

--- a/runner/odd_test.go
+++ b/runner/odd_test.go
@@ -84,3 +84,31 @@
 	_, err = r.vault.Get(t.Context(), "other")
 	require.ErrorContains(t, err, "copied")
 }
+
+// Guards against headers of an item that belong to one connection, or that replace the host
+// of the job's route or the event after which its run begins.
+func TestHeadersOfAnItemDoNotReplaceThoseOfItsRun(t *testing.T) {
+	heads := make(chan string, 8)
+	engine, err := stand.Serve("127.0.0.1:0", 0, func(c *fasthttp.RequestCtx) {
+		heads <- string(c.Request.Header.Header())
+		c.SetStatusCode(422)
+	})
+	require.NoError(t, err)
+	t.Cleanup(engine.Close)
+	r := newFixture(t, 0, func(r *fixture) {
+		r.board.Update(func(s *board.State) {
+			s.SetListed([]quetzalpier.VM{r.scorer.VM(), {
+				ID: "e", Addr: engine.Addr, Kind: quetzalpier.KindEngine, Pool: "lm", State: quetzalpier.VMLive, Slots: 8, Models: map[string]quetzalpier.Version{"m": 1},
+			}}, time.Now())
+		})
+	})
+	job := newJob("j", 1, 1)
+	job.Tasks[0].Headers = map[string]string{"Host": "other", "Connection": "X-Hop", "X-Hop": "1", "Te": "trailers", "Last-Event-Id": "5", "X-Own": "1"}
+	r.putJob(t, job)
+	head := <-heads
+	require.Contains(t, head, "Host: h\r\n")
+	require.Contains(t, head, "X-Own: 1\r\n")
+	for _, name := range []string{"other", "Connection", "X-Hop", "Te:", "Last-Event-Id"} {
+		require.NotContains(t, head, name)
+	}
+}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -185,10 +185,12 @@
 	req := &fasthttp.Request{}
 	req.Header.SetMethod(http.MethodPost)
 	req.Header.SetRequestURI(spec.Path)
-	req.Header.SetHost(job.Host)
 	for name, value := range spec.Headers {
 		req.Header.Set(name, value)
 	}
+	platform.StripHopHeaders(&req.Header)
+	req.Header.Del(platform.HeaderLastEventID)
+	req.Header.SetHost(job.Host)
 	if keyed {
 		platform.SetCustomer(&req.Header, job.Customer)
 	}
