lease: A key that no node wrote doesn't keep a pool without an owner

Cause: a name counts as held as long as its key exists. A key of another writer has no lease and never expires. What callers saw: with any value at sys/own/POOL no node took over the pool: its jobs did not run, and the candidates tried a write each 100 ms. Evidence: TestOddOwnerDoesNotKeepAPoolVacant failed before: 'Condition never satisfied' (no result in 4 s); passes now for six values. Change: a value without a node and a lease is no owner's; the key is replaced at its revision. Why it works: nodes write both, and the replacement is a compare-and-swap, so that one candidate wins. What remains: a value with the form of an owner's, of a node that does not exist, still holds the pool.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -200,10 +201,11 @@
 		h.setFence(name, lease, entry.Rev)
 		return true, nil
 	}
-	if Owner(entry.Value) != h.Node {
+	if owner := Owner(entry.Value); owner != h.Node && owner != "" {
 		return false, nil
 	}
-	// An earlier process of this node held the name.
+	// An earlier process of this node held the name, or no node wrote the key. A key without
+	// a lease would never expire.
 	return h.Replace(ctx, name, entry.Rev, lease)
 }
 
@@ -300,8 +302,11 @@
 
 func (h *Holder) value(lease string) []byte { return []byte(h.Node + " " + lease) }
 
-// Owner returns the node that wrote the value of a name's key.
+// Owner returns the node that wrote the value of a name's key; an empty string if none did.
 func Owner(value []byte) string {
-	node, _, _ := strings.Cut(string(value), " ")
+	node, lease, _ := strings.Cut(string(value), " ")
+	if lease == "" || len(node) > quetzalpier.MaxNameBytes || !utf8.ValidString(node) {
+		return ""
+	}
 	return node
 }
--- a/runner/odd_test.go
+++ b/runner/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,3 +113,16 @@
 		require.NotContains(t, head, name)
 	}
 }
+
+// Guards against a key of another writer in the place of a pool's owner, which has no lease
+// and never expires: no node took the pool over.
+func TestOddOwnerDoesNotKeepAPoolVacant(t *testing.T) {
+	for _, value := range []string{"", "ghost", "\xff\xfe", " 7", "n", strings.Repeat("x", 1<<16) + " 7"} {
+		r := newFixture(t, 1, func(r *fixture) {
+			_, err := r.kv.CompareAndSwap(t.Context(), vault.Owners+"lm", []byte(value), 0, "")
+			require.NoError(t, err)
+			r.putJob(t, newJob("j", 1, 2))
+		})
+		r.waitResults(t, "j", 1)
+	}
+}
