fleet: Lines about many entries have at most 512 IDs

Cause: entries that change alike share a log line with all their IDs. What callers saw: 10,000 entries of another writer with IDs of 180 bytes are a line of 1.9 MB at each node, and one more when they go. Evidence: TestManyOddEntriesAreLoggedInFewLines failed before: '"1869036" is not less than "204800"'; passes now. Entries that can't be decoded were bounded before (logcap). Change: a line has the count of all entries and the IDs of 512.

--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -73,6 +73,9 @@
 	return log.Info()
 }
 
+// maxLoggedIDs is the maximum number of IDs in a log line, which then has their count also.
+const maxLoggedIDs = 512
+
 // idLine adds the ID of one entry to a log line, or the IDs of several under the plural of
 // the key.
 func idLine(line *zerolog.Event, key string, ids []string) *zerolog.Event {
@@ -80,5 +83,5 @@
 		return line.Str(key, ids[0])
 	}
 	slices.Sort(ids)
-	return line.Int("count", len(ids)).Strs(key+"s", ids)
+	return line.Int("count", len(ids)).Strs(key+"s", ids[:min(len(ids), maxLoggedIDs)])
 }
--- a/fleet/odd_test.go
+++ b/fleet/odd_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -12,6 +14,7 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/logcap"
 	"quetzalpier/meter"
 	"quetzalpier/mirror"
 	"quetzalpier/probe"
@@ -49,3 +52,26 @@
 		})
 	}
 }
+
+// Guards against log lines of megabytes, and many of them, when another writer leaves 10,000
+// entries, good ones or odd ones in their place.
+func TestManyOddEntriesAreLoggedInFewLines(t *testing.T) {
+	var lines bytes.Buffer
+	log := zerolog.New(&lines).Hook(&logcap.Limiter{})
+	v := &upstreamList{board: board.New(board.Member{ID: "n"}), log: log}
+	var good, odd []quetzalpier.Entry
+	for i := range 10_000 {
+		e := heartbeat(fmt.Sprint(strings.Repeat("i", 180), i), "ready", "1")
+		good = append(good, e)
+		e.Value = []byte(strings.Repeat("x", 1000))
+		odd = append(odd, e)
+	}
+	now := time.Now()
+	for _, entries := range [][]quetzalpier.Entry{odd, good, odd} {
+		lines.Reset()
+		v.apply(entries, true, mirror.State{}, now)
+		require.Less(t, lines.Len(), 200<<10)
+		require.LessOrEqual(t, bytes.Count(lines.Bytes(), []byte("\n")), logcap.Burst+2)
+	}
+	v.board.Do(func(s *board.State) { require.Empty(t, s.Upstreams) })
+}
