entry: A huge deadline of a client is not over at once

Cause: the milliseconds of X-Quetzalpier-Deadline-Ms and of X-Quetzalpier-Wait-Ms were multiplied into a time.Duration, which wraps. Change: both are limited before the multiplication.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -369,7 +369,7 @@
 func (e *Entry) readResults(c *fasthttp.RequestCtx, r *request, call platform.Call) {
 	wait := time.Duration(0)
 	if ms, err := strconv.Atoi(string(c.Request.Header.Peek(platform.HeaderWait))); err == nil && ms > 0 {
-		wait = min(maxReadWait, time.Duration(ms)*time.Millisecond)
+		wait = time.Duration(min(ms, int(maxReadWait.Milliseconds()))) * time.Millisecond
 	}
 	total, results, err := e.jobResultsFrom(r, call.Job, call.After, wait)
 	if err != nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -77,7 +77,7 @@
 	}
 	r.path, _, _ = strings.Cut(r.uri, "?")
 	if ms, err := strconv.ParseInt(string(c.Request.Header.Peek(platform.HeaderDeadline)), 10, 64); err == nil && ms >= 0 {
-		r.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+		r.deadline = now.Add(time.Duration(min(ms, quetzalpier.MaxDuration.Milliseconds())) * time.Millisecond)
 	}
 	return r
 }
