--- a/fleet/odd_test.go
+++ b/fleet/odd_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -18,6 +19,7 @@
 	"quetzalpier/meter"
 	"quetzalpier/mirror"
 	"quetzalpier/probe"
+	"quetzalpier/sleep"
 	"quetzalpier/vault"
 )
 
@@ -75,3 +77,27 @@
 	}
 	v.board.Do(func(s *board.State) { require.Empty(t, s.Upstreams) })
 }
+
+// FuzzDecodeMember checks that the entry of a node that is accepted has what others need to
+// reach the node.
+func FuzzDecodeMember(f *testing.F) {
+	for _, value := range []string{
+		`{"peer":"127.0.0.1:7","http":"127.0.0.1:8","domain":"d","region":"r","roles":["store"],"leaves":true,"evictions":3}`, `{"peer":"127.0.0.1:0"}`, `{"peer":"::1"}`, `{"peer":"[::1]:7","http":"h:1"}`,
+		`{"peer":"127.0.0.1:7","evictions":-9223372036854775808}`, `{"peer":"127.0.0.1:7","evictions":1e300}`, `{"peer":"127.0.0.1:7","peer":7}`, `null`, `[]`, "\xff", strings.Repeat("[", 20_000),
+	} {
+		f.Add("a", []byte(value))
+		f.Add("", []byte(value))
+	}
+	f.Fuzz(func(t *testing.T, id string, value []byte) {
+		m, err := decodeMember(id, value)
+		if err != nil {
+			require.Less(t, len(err.Error()), 1000)
+			return
+		}
+		require.NotEmpty(t, id)
+		_, port, err := net.SplitHostPort(m.Peer)
+		require.NoError(t, err)
+		require.NotEqual(t, "0", port)
+		require.LessOrEqual(t, sleep.Backoff(m.Evictions, minEvictionPause, maxEvictionPause, 0), maxEvictionPause)
+	})
+}
--- a/usage/odd_test.go
+++ b/usage/odd_test.go
@@ -30,3 +30,20 @@
 		require.Zero(t, plan.Lost, "window %d", odd)
 	}
 }
+
+// FuzzNewPlan checks that a plan goes on after any stored windows, within a few windows of now.
+func FuzzNewPlan(f *testing.F) {
+	for _, odd := range []int64{0, -1, math.MinInt64, math.MaxInt64, 1 << 62, math.MaxInt64 / 5000, 360_000_000, 360_000_002, 360_000_003} {
+		f.Add(odd, int64(359_999_998), int64(9000))
+	}
+	schedule := usage.Schedule{Window: 5 * time.Second, Late: 10 * time.Second}
+	start := time.Unix(1_800_000_000, 0)
+	f.Fuzz(func(t *testing.T, a, b, afterMillis int64) {
+		now := start.Add(time.Duration(afterMillis%3_600_000) * time.Millisecond)
+		plan := usage.NewPlan(schedule, map[int64][]byte{a: nil, b: nil}, now)
+		later := now.Add(time.Minute)
+		step := plan.Next(later)
+		require.Equal(t, usage.Close, step.Kind)
+		require.InDelta(t, schedule.At(later), step.Window, 16)
+	})
+}
