--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,7 @@
 package quetzalpier
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -76,6 +77,17 @@
 // Error implements error.
 func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
 
+// DecodeJSON decodes a document of another program. Its errors name the field and don't quote
+// the value, which may be as long as the document.
+func DecodeJSON(data []byte, into any) error {
+	err := json.Unmarshal(data, into)
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return &FieldError{cmp.Or(typeErr.Field, "document"), "must be of type " + typeErr.Type.String()}
+	}
+	return err
+}
+
 // RevisionError reports that a compare-and-swap had no effect because the key's
 // revision differed from the expected one.
 type RevisionError struct {
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -47,10 +47,7 @@
 // decodeMember decodes and validates the entry of a node.
 func decodeMember(id string, data []byte) (memberEntry, error) {
 	var m memberEntry
-	var typeErr *json.UnmarshalTypeError
-	switch err := json.Unmarshal(data, &m); {
-	case errors.As(err, &typeErr):
-		return m, &quetzalpier.FieldError{Field: typeErr.Field, Reason: "must be of type " + typeErr.Type.String()}
+	switch err := quetzalpier.DecodeJSON(data, &m); {
 	case err != nil:
 		return m, err
 	case id == "":
--- a/runner/odd_test.go
+++ b/runner/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +18,21 @@
 	"quetzalpier/wire"
 )
 
+// newFixtureWith starts a node whose only engine answers with handler.
+func newFixtureWith(t *testing.T, handler fasthttp.RequestHandler) *fixture {
+	t.Helper()
+	engine, err := stand.Serve("127.0.0.1:0", 0, handler)
+	require.NoError(t, err)
+	t.Cleanup(engine.Close)
+	return newFixture(t, 0, func(r *fixture) {
+		r.board.Update(func(s *board.State) {
+			s.SetListed([]quetzalpier.VM{r.scorer.VM(), {
+				ID: "e", Addr: engine.Addr, Kind: quetzalpier.KindEngine, Pool: "lm", State: quetzalpier.VMLive, Slots: 8, Models: map[string]quetzalpier.Version{"m": 1},
+			}}, time.Now())
+		})
+	})
+}
+
 // Guards against a read from a position beyond an integer, which is negative after the
 // conversion: the slice of the listed results panicked, and the process ended.
 func TestReadFromHugePositionDoesNotEndTheProcess(t *testing.T) {
@@ -33,21 +49,12 @@
 // Guards against a text of one task that keeps the results of all jobs from being stored:
 // messages can't hold text that isn't UTF-8.
 func TestTextThatIsNotUTF8BlocksNoJob(t *testing.T) {
-	engine, err := stand.Serve("127.0.0.1:0", 0, func(c *fasthttp.RequestCtx) {
+	r := newFixtureWith(t, func(c *fasthttp.RequestCtx) {
 		c.Response.Header.SetBytesV(platform.HeaderAttempt, c.Request.Header.Peek(platform.HeaderAttempt))
 		c.Response.Header.Set(platform.HeaderWeightVersion, "1")
 		c.SetContentType("text/event-stream")
 		c.SetBodyString("id: 1\ndata: a\xff\xfeb\n\n")
 	})
-	require.NoError(t, err)
-	t.Cleanup(engine.Close)
-	r := newFixture(t, 0, func(r *fixture) {
-		r.board.Update(func(s *board.State) {
-			s.SetListed([]quetzalpier.VM{r.scorer.VM(), {
-				ID: "e", Addr: engine.Addr, Kind: quetzalpier.KindEngine, Pool: "lm", State: quetzalpier.VMLive, Slots: 8, Models: map[string]quetzalpier.Version{"m": 1},
-			}}, time.Now())
-		})
-	})
 	r.putJob(t, newJob("j", 1, 1))
 	require.Equal(t, "a\uFFFD\uFFFDb", r.waitResults(t, "j", 1)["j-0"].Text)
 }
@@ -90,18 +97,9 @@
 // of the job's route or the event after which its run begins.
 func TestHeadersOfAnItemDoNotReplaceThoseOfItsRun(t *testing.T) {
 	heads := make(chan string, 8)
-	engine, err := stand.Serve("127.0.0.1:0", 0, func(c *fasthttp.RequestCtx) {
+	r := newFixtureWith(t, func(c *fasthttp.RequestCtx) {
 		heads <- string(c.Request.Header.Header())
-		c.SetStatusCode(422)
-	})
-	require.NoError(t, err)
-	t.Cleanup(engine.Close)
-	r := newFixture(t, 0, func(r *fixture) {
-		r.board.Update(func(s *board.State) {
-			s.SetListed([]quetzalpier.VM{r.scorer.VM(), {
-				ID: "e", Addr: engine.Addr, Kind: quetzalpier.KindEngine, Pool: "lm", State: quetzalpier.VMLive, Slots: 8, Models: map[string]quetzalpier.Version{"m": 1},
-			}}, time.Now())
-		})
+		c.SetStatusCode(http.StatusUnprocessableEntity)
 	})
 	job := newJob("j", 1, 1)
 	job.Tasks[0].Headers = map[string]string{"Host": "other", "Connection": "X-Hop", "X-Hop": "1", "Te": "trailers", "Last-Event-Id": "5", "X-Own": "1"}
--- a/vms.go
+++ b/vms.go
@@ -84,7 +84,7 @@
 	seen := make(map[string]bool, len(list.VMs))
 	for i, entry := range list.VMs {
 		var vm VM
-		err := json.Unmarshal(entry, &vm)
+		err := DecodeJSON(entry, &vm)
 		if err == nil {
 			err = vm.Validate()
 		}
