runner: A text that is too long to be stored doesn't block other jobs

Cause: the text of a run had no limit, while a result is one value of the key-value service, which holds 1 MB. What callers saw: the transaction with such a result was refused for ever, with the results of up to seven other jobs beside it; saved texts of other tasks were held up the same way. Evidence: TestTextThatDoesNotFitBlocksNoJob failed before: 'Condition never satisfied' (no result of the other job in 5 s); passes now. Change: a run is broken off when its text has more than 960 KiB, which counts as a failed attempt like status 500; the task is given up after the job's attempts.

--- a/runner/odd_test.go
+++ b/runner/odd_test.go
@@ -59,6 +59,24 @@
 	require.Equal(t, "a\uFFFD\uFFFDb", r.waitResults(t, "j", 1)["j-0"].Text)
 }
 
+// Guards against a text that is too long for a value of the key-value service: it was refused
+// for ever, with the results of other jobs in the same transaction.
+func TestTextThatDoesNotFitBlocksNoJob(t *testing.T) {
+	r := newFixtureWith(t, func(c *fasthttp.RequestCtx) {
+		c.Response.Header.SetBytesV(platform.HeaderAttempt, c.Request.Header.Peek(platform.HeaderAttempt))
+		c.Response.Header.Set(platform.HeaderWeightVersion, "1")
+		events := "id: 1\ndata: a\n\n"
+		if strings.HasPrefix(string(c.Path()), "/b/huge") {
+			events += "id: 2\ndata: " + strings.Repeat("x", 600<<10) + "\n\nid: 3\ndata: " + strings.Repeat("y", 600<<10) + "\n\n"
+		}
+		c.SetBodyString(events)
+	})
+	r.putJob(t, newJob("huge", 1, 1, 1))
+	r.putJob(t, newJob("other", 1, 1))
+	require.Equal(t, "a", r.waitResults(t, "other", 1)["other-0"].Text)
+	require.False(t, r.waitResults(t, "huge", 2)["huge-0"].Done)
+}
+
 // Guards against values of another writer among the texts and results of a job, for which
 // it was never opened after a takeover.
 func TestOddValuesOfAJobDoNotKeepItFromOpening(t *testing.T) {
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -77,6 +77,18 @@
 	return "engine " + e.Engine + " generated with weight version " + strconv.FormatUint(uint64(e.Version), 10) + ", which the task does not accept"
 }
 
+// maxTextBytes limits the text of a task, since a result is stored in one value of the
+// key-value service, which holds 1 MB.
+const maxTextBytes = 960 << 10
+
+// textSizeError reports a text that is too long to be stored.
+type textSizeError struct{ Engine string }
+
+// Error implements error.
+func (e *textSizeError) Error() string {
+	return "engine " + e.Engine + " generated more than " + strconv.Itoa(maxTextBytes) + " bytes"
+}
+
 // run is one run of a task on an engine.
 type run struct {
 	parent *poolRunner
@@ -91,6 +103,8 @@
 	timeout time.Duration
 	// firstEvent is the last event before the run.
 	firstEvent int
+	// textBytes is the size of the text so far, with the separators of its events.
+	textBytes int
 	// waited is how long the task waited for the run.
 	waited tasks.Wait
 	// heldTokens is how many of the promptTokens that the task shares with others the engine
@@ -114,7 +128,7 @@
 	events := len(l.Task.Text.Events)
 	r := &run{
 		parent: p, task: l.Task, engine: p.engines[l.Engine.VM.ID], vm: l.Engine.VM, startedAt: l.Task.StartedAt,
-		firstEvent: events, lastEvent: events, waited: l.Waited, timeout: eventTimeout(l.Task.SilentRuns),
+		firstEvent: events, lastEvent: events, textBytes: textSize(l.Task.Text) + events, waited: l.Waited, timeout: eventTimeout(l.Task.SilentRuns),
 		heldTokens: l.HeldTokens, promptTokens: l.PromptTokens,
 		class: l.Class, mixed: l.Mixed,
 	}
@@ -228,6 +242,13 @@
 			return errors.Errorf("engine %s sent event %d after event %d", r.vm.ID, event.ID, r.lastEvent)
 		}
 		r.lastEvent++
+		if !utf8.ValidString(event.Data) {
+			// JSON and protobuf messages can't hold it. The replacements are those of encoding/json.
+			event.Data = string([]rune(event.Data))
+		}
+		if r.textBytes += len(event.Data) + 1; r.textBytes > maxTextBytes {
+			return &textSizeError{Engine: r.vm.ID}
+		}
 		if !r.addEvent(event.Data, version, time.Now()) {
 			return &versionError{Engine: r.vm.ID, Version: version}
 		}
@@ -244,10 +265,6 @@
 	if r.task.Canceled || version < job.MinVersion {
 		return false
 	}
-	if !utf8.ValidString(data) {
-		// JSON and protobuf messages can't hold it. The replacements are those of encoding/json.
-		data = string([]rune(data))
-	}
 	r.task.Text.Add(data, version)
 	if r.lastEvent == r.firstEvent+1 {
 		r.parent.runner.Meter.FirstToken.WithLabelValues(r.parent.pool, r.class).Observe(meter.SecondsBetween(r.startedAt, now))
@@ -302,6 +319,7 @@
 	var status *statusError
 	var version *versionError
 	var linkErr *link.Error
+	var oversized *textSizeError
 	errors.As(err, &status)
 	errors.As(err, &version)
 	errors.As(err, &linkErr)
@@ -313,7 +331,10 @@
 		r.engine.NotUntil = now.Add(refusedDelay)
 	case status != nil && status.Status == http.StatusUnprocessableEntity:
 		p.scheduler.Fail(r.task, now)
-	case status != nil && status.Status == http.StatusInternalServerError:
+	case errors.As(err, &oversized), status != nil && status.Status == http.StatusInternalServerError:
+		if oversized != nil {
+			r.task.DropText()
+		}
 		r.task.Failures++
 		r.task.NotBefore = now.Add(retryDelay)
 		if r.task.Failures >= r.task.Job.Spec.MaxAttempts {
