--- a/vms.go
+++ b/vms.go
@@ -109,8 +109,8 @@
 	if err := v.validateNames(); err != nil {
 		return err
 	}
-	if err := ValidateAddr(v.Addr); err != nil {
-		return &FieldError{"addr", v.ID + ": " + err.Error()}
+	if !isAddr(v.Addr) {
+		return &FieldError{"addr", v.ID + ": must be an IP address and port"}
 	}
 	if v.Kind != KindEngine && v.Kind != KindPlain {
 		return &FieldError{"kind", v.ID + `: must be "engine" or "plain"`}
@@ -142,18 +142,9 @@
 	return nil
 }
 
-// InvalidAddrError reports text that is not the address of another process.
-type InvalidAddrError struct{}
-
-// Error implements error.
-func (InvalidAddrError) Error() string { return "must be an IP address and port" }
-
-// ValidateAddr returns an error unless the text is an IP address and port to connect to.
-// The unspecified address is not: a connection to it stays on this VM.
-func ValidateAddr(text string) error {
+// isAddr reports whether the text is an IP address and port to connect to. The unspecified
+// address is not: a connection to it stays on this VM.
+func isAddr(text string) bool {
 	addr, err := netip.ParseAddrPort(text)
-	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
-		return InvalidAddrError{}
-	}
-	return nil
+	return err == nil && addr.Port() != 0 && !addr.Addr().IsUnspecified()
 }
