platform: An engine's state out of range is refused

Cause: the numbers of running and queued requests in an engine's state were any integers. What callers saw: nothing yet; with running requests the sum is negative and counts as none, so that the engine looks idle to route.

--- a/platform.go
+++ b/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -109,3 +110,16 @@
 	Queued  int    `json:"queued"`
 	Leaving bool   `json:"leaving,omitempty"`
 }
+
+// Validate validates the state and returns the first error found.
+func (s EngineState) Validate() error {
+	for _, number := range []struct {
+		field string
+		value int
+	}{{"running", s.Running}, {"queued", s.Queued}} {
+		if number.value < 0 || number.value > maxLoad {
+			return &FieldError{number.field, fmt.Sprintf("must be 0 to %d, not %d", int(maxLoad), number.value)}
+		}
+	}
+	return nil
+}
