--- a/runner/stream.go
+++ b/runner/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -77,6 +78,18 @@
 	return "engine " + e.Engine + " generated with weight version " + strconv.FormatUint(uint64(e.Version), 10) + ", which the task does not accept"
 }
 
+// maxTextBytes limits the text of a task, since a result is stored in one value of the
+// key-value service, which holds 1 MB.
+const maxTextBytes = 960 << 10
+
+// textSizeError reports a text that is too long to be stored.
+type textSizeError struct{ Engine string }
+
+// Error implements error.
+func (e *textSizeError) Error() string {
+	return "engine " + e.Engine + " generated more than " + strconv.Itoa(maxTextBytes) + " bytes"
+}
+
 // run is one run of a task on an engine.
 type run struct {
 	parent *poolRunner
@@ -93,6 +106,8 @@
 	timeout time.Duration
 	// firstEvent is the last event before the run.
 	firstEvent int
+	// textBytes is the size of the text so far, with the separators of its events.
+	textBytes int
 	// waited is how long the task waited for the run.
 	waited tasks.Wait
 	// heldTokens is how many of the promptTokens that the task shares with others the engine
@@ -116,7 +131,7 @@
 	events := len(l.Task.Text.Events)
 	r := &run{
 		parent: p, task: l.Task, engine: p.engines[l.Engine.VM.ID], vm: l.Engine.VM, startedAt: l.Task.StartedAt,
-		firstEvent: events, lastEvent: events, waited: l.Waited, timeout: eventTimeout(l.Task.SilentRuns),
+		firstEvent: events, lastEvent: events, textBytes: textSize(l.Task.Text) + events, waited: l.Waited, timeout: eventTimeout(l.Task.SilentRuns),
 		heldTokens: l.HeldTokens, promptTokens: l.PromptTokens,
 		class: l.Class, mixed: l.Mixed,
 	}
@@ -192,10 +207,12 @@
 	req := &fasthttp.Request{}
 	req.Header.SetMethod(http.MethodPost)
 	req.Header.SetRequestURI(spec.Path)
-	req.Header.SetHost(job.Host)
 	for name, value := range spec.Headers {
 		req.Header.Set(name, value)
 	}
+	platform.StripHopHeaders(&req.Header)
+	req.Header.Del(platform.HeaderLastEventID)
+	req.Header.SetHost(job.Host)
 	if keyed {
 		platform.SetCustomer(&req.Header, job.Customer)
 	}
@@ -236,6 +253,13 @@
 			return errors.Errorf("engine %s sent event %d after event %d", r.vm.ID, event.ID, r.lastEvent)
 		}
 		r.lastEvent++
+		if !utf8.ValidString(event.Data) {
+			// JSON and protobuf messages can't hold it. The replacements are those of encoding/json.
+			event.Data = string([]rune(event.Data))
+		}
+		if r.textBytes += len(event.Data) + 1; r.textBytes > maxTextBytes {
+			return &textSizeError{Engine: r.vm.ID}
+		}
 		if !r.addEvent(event.Data, version, time.Now()) {
 			return &versionError{Engine: r.vm.ID, Version: version}
 		}
@@ -306,6 +330,7 @@
 	var status *statusError
 	var version *versionError
 	var linkErr *link.Error
+	var oversized *textSizeError
 	errors.As(err, &status)
 	errors.As(err, &version)
 	errors.As(err, &linkErr)
@@ -317,7 +342,10 @@
 		r.engine.NotUntil = now.Add(refusedDelay)
 	case status != nil && status.Status == http.StatusUnprocessableEntity:
 		p.scheduler.Fail(r.task, now)
-	case status != nil && status.Status == http.StatusInternalServerError:
+	case errors.As(err, &oversized), status != nil && status.Status == http.StatusInternalServerError:
+		if oversized != nil {
+			r.task.DropText()
+		}
 		r.task.Failures++
 		r.task.NotBefore = now.Add(retryDelay)
 		if r.task.Failures >= r.task.Job.Spec.MaxAttempts {
@@ -484,6 +512,9 @@
 		}
 		a.Units = 1
 		p.runner.Sender.RecordShared(a.VM.ID, resp, time.Now())
+		if !utf8.ValidString(resp.Stamp) {
+			return &platform.InvalidAnswerError{Upstream: a.VM.ID, Reason: "its signature is not UTF-8"}
+		}
 		result.Stamp, result.Status = resp.Stamp, resp.Status
 		return nil
 	})
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -89,7 +90,7 @@
 	if err != nil || entry.Rev == 0 {
 		return nil, err
 	}
-	return wire.DecodeJob(entry.Value)
+	return DecodeJob(entry)
 }
 
 // End marks a job as ended at a time. Repeated calls have no effect.
@@ -106,10 +107,16 @@
 	return err
 }
 
-// DecodeJob decodes an entry under Jobs.
+// DecodeJob decodes an entry under Jobs. Its key must be that of the job.
 func DecodeJob(entry quetzalpier.Entry) (*quetzalpier.Job, error) {
 	job, err := wire.DecodeJob(entry.Value)
-	return job, errors.Wrap(err, entry.Key)
+	if err == nil && entry.Key != Jobs+job.ID {
+		err = &quetzalpier.FieldError{Field: "id", Reason: "is that of another job, " + strconv.Quote(job.ID)}
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, entry.Key)
+	}
+	return job, nil
 }
 
 // EndedJob returns the ID of the job that an entry under Ends marks as ended.
@@ -119,7 +126,8 @@
 // clock of the front; zero if the entry does not say so.
 func EndedAt(entry quetzalpier.Entry) time.Time { return wire.DecodeEnd(entry.Value) }
 
-// Results reads the results of a job in the order of their positions.
+// Results reads the results of a job in the order of their positions. Keys that are not
+// those of pages are left out.
 func (v *Vault) Results(ctx context.Context, id string) ([]quetzalpier.Result, error) {
 	list, err := v.KV.Range(ctx, prefixResults+id+"/", false)
 	if err != nil {
@@ -127,6 +135,9 @@
 	}
 	var stored []quetzalpier.Result
 	for _, entry := range list.Entries {
+		if !isPage(entry.Key, id) {
+			continue
+		}
 		if entry.Key != pageKey(id, len(stored)) {
 			return nil, errors.Errorf("%s: results from position %d on are missing before this page", entry.Key, len(stored))
 		}
@@ -185,7 +196,8 @@
 	return err
 }
 
-// Parts reads the saved parts of a job's tasks.
+// Parts reads the saved parts of a job's tasks. One that can't be decoded is left out: its
+// text is generated again.
 func (v *Vault) Parts(ctx context.Context, job string) ([]Part, error) {
 	prefix := prefixPart + job + "/"
 	list, err := v.KV.Range(ctx, prefix, false)
@@ -196,7 +208,7 @@
 	for _, entry := range list.Entries {
 		partial, err := wire.DecodePart(entry.Value)
 		if err != nil {
-			return nil, errors.Wrap(err, entry.Key)
+			continue
 		}
 		parts = append(parts, Part{Job: job, Task: strings.TrimPrefix(entry.Key, prefix), Partial: partial})
 	}
@@ -250,3 +262,9 @@
 
 // pageKey returns the key of a page. Keys sort in the order of the positions.
 func pageKey(id string, from int) string { return fmt.Sprintf("%s%s/%06d", prefixResults, id, from) }
+
+// isPage reports whether the key is that of a page of the job.
+func isPage(key, id string) bool {
+	from, err := strconv.Atoi(strings.TrimPrefix(key, prefixResults+id+"/"))
+	return err == nil && from >= 0 && key == pageKey(id, from)
+}
