--- a/link/link.go
+++ b/link/link.go
@@ -218,6 +218,12 @@
 	return nil
 }
 
+// Discard resets the connection, so that it is not reused after an invalid response.
+func (r *Response) Discard() {
+	r.complete = false
+	_ = r.Close()
+}
+
 // IdleTime returns how long a connection may be idle and still be reused: the
 // timeout in the upstream's Keep-Alive header, less a margin for the time that a
 // request takes to reach it.
