platform: An answer in another version of HTTP is invalid

Cause: the HTTP library ignores Transfer-Encoding in an answer with another version than HTTP/1.1, and returns the bytes up to the end of the connection, chunk sizes included. Callers saw: a 200 whose body held the chunk sizes, framed as whole, also if the last chunk was missing; on a stream, where lines that are no fields are skipped, a 200 without events. Evidence: TestOddAnswer/chunks_of_an_HTTP/1.0_answer and TestOddStream/ chunks_of_an_HTTP/1.0_answer on the code before: []int{502, 504} does not contain 200.

--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -28,15 +28,22 @@
 	chunked   = "Transfer-Encoding: chunked\r\n"
 	chunks    = "2;a=b\r\npa\r\n2\r\nid\r\n0\r\nX-Sum: 1\r\n\r\n"
 	body      = "\r\npaid"
+	lastChunk = "0\r\n\r\n"
 	wholeText = head + length + body
 	// foreignText is the answer to an earlier request.
 	foreignText = okLine + platform.HeaderAttempt + ": b2\r\n" + platform.HeaderStamp + ": s\r\n" + length + body
 
+	oneEvent = "id: 1\ndata: x\n\n"
+
 	kind = "Content-Type: text/plain; charset=utf-8\r\n"
-	// clientText is what a client gets of wholeText.
+	// clientText is what a client gets of wholeText, and streamHead the head of a stream.
 	clientText = okLine + kind + length + signed + body
+	streamHead = okLine + kind + signed + chunked + "\r\n"
 )
 
+// eventChunk is a chunk of a stream.
+func eventChunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
 // scripted is an entry before a worker that gives a scripted answer to each path that ends in
 // "odd", and a whole one to others.
 type scripted struct {
@@ -191,6 +198,7 @@
 		{name: "a negative chunk", parts: []string{head + chunked + "\r\n-4\r\npaid\r\n0\r\n\r\n"}},
 		{name: "a chunk beyond 64 bits", parts: []string{head + chunked + "\r\n10000000000000004\r\npaid\r\n0\r\n\r\n"}},
 		{name: "a chunk longer than its size", parts: []string{head + chunked + "\r\n3\r\npaid\r\n0\r\n\r\n"}},
+		{name: "chunks of an HTTP/1.0 answer", ending: stand.CloseConn, parts: []string{"HTTP/1.0 200 OK\r\n" + signed + chunked + "\r\n" + chunks}},
 		{name: "a status of one digit", ending: stand.CloseConn, parts: []string{"HTTP/1.1 2\r\n" + signed + length + body}},
 		{name: "interim answers", parts: []string{"HTTP/1.1 100 Continue\r\n\r\n", strings.Repeat("HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n", 3) + wholeText}, want: clientText, kept: true},
 		{name: "an interim answer only", ending: stand.CloseConn, parts: []string{"HTTP/1.1 103 Early Hints\r\n" + signed + "\r\n"}},
@@ -240,3 +248,52 @@
 		}
 	}
 }
+
+// TestOddStream guards against streams that end too soon and reach the client as whole ones.
+func TestOddStream(t *testing.T) {
+	cases := []struct {
+		name   string
+		ending stand.Ending
+		parts  []string
+		// want is what the client gets, which has the last chunk only if the stream is whole;
+		// empty for an error.
+		want string
+	}{
+		{name: "whole", parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent) + lastChunk}, want: streamHead + eventChunk(oneEvent) + lastChunk},
+		{name: "whole, with a length", parts: []string{head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(oneEvent)) + oneEvent}, want: streamHead + eventChunk(oneEvent) + lastChunk},
+		{name: "no length, closed", ending: stand.CloseConn, parts: []string{head + "\r\n" + oneEvent}, want: streamHead + eventChunk(oneEvent) + lastChunk},
+		{name: "no length, reset", ending: stand.ResetConn, parts: []string{head + "\r\n" + oneEvent}, want: streamHead + eventChunk(oneEvent)},
+		{name: "no last chunk", ending: stand.CloseConn, parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent)}, want: streamHead + eventChunk(oneEvent)},
+		{name: "no last chunk, reset", ending: stand.ResetConn, parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent)}, want: streamHead + eventChunk(oneEvent)},
+		{name: "cut in the last chunk", ending: stand.CloseConn, parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent) + "0\r\n"}, want: streamHead + eventChunk(oneEvent)},
+		{name: "cut in a size", ending: stand.CloseConn, parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent) + "f"}, want: streamHead + eventChunk(oneEvent)},
+		{name: "cut in an extension", ending: stand.CloseConn, parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent) + "f;a="}, want: streamHead + eventChunk(oneEvent)},
+		{name: "cut in an event", ending: stand.CloseConn, parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent+"id: 2\n")}, want: streamHead + eventChunk(oneEvent)},
+		{name: "a whole body with half an event", parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent+"id: 2\ndata: y\n") + lastChunk}, want: streamHead + eventChunk(oneEvent)},
+		{name: "a whole body that ends in a version", parts: []string{head + chunked + "\r\n" + eventChunk(oneEvent+platform.VersionLine(2)) + lastChunk}, want: streamHead + eventChunk(oneEvent)},
+		{name: "cut in the head", ending: stand.CloseConn, parts: []string{head + chunked}},
+		{name: "chunks of an HTTP/1.0 answer", ending: stand.CloseConn, parts: []string{"HTTP/1.0 200 OK\r\n" + signed + chunked + "\r\n" + eventChunk(oneEvent)}},
+		{name: "no ID", parts: []string{okLine + chunked + "\r\n" + eventChunk(oneEvent) + lastChunk}},
+		{name: "an error", parts: []string{"HTTP/1.1 422 Unprocessable Entity\r\n" + ownID + length + body}, want: "HTTP/1.1 422 Unprocessable Entity\r\n" + kind + length + ownID + body},
+		{name: "an error that is cut", ending: stand.CloseConn, parts: []string{"HTTP/1.1 422 Unprocessable Entity\r\n" + ownID + "Content-Length: 5\r\n" + body}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScripted(t, stand.ScriptedAnswer{Parts: c.parts, Ending: c.ending})
+			if c.want == "" {
+				s.requireFailed(t, http.MethodPost, "/unresumable/odd")
+				s.requireWhole(t)
+				return
+			}
+			_, raw, err := s.request(t, http.MethodPost, "/unresumable/odd")
+			require.Equal(t, c.want, raw)
+			if err == nil {
+				s.requireWhole(t)
+				return
+			}
+			_, err = s.reader.ReadByte()
+			require.ErrorIs(t, err, io.EOF, "the connection must be closed")
+		})
+	}
+}
