link: Only a final status is that of a response

Cause: the HTTP library returns any three digits as a status, and a 101 without a request to switch protocols. Callers saw: a 101, after which a client may read the connection as another protocol, a status such as 99, without a length for its body on a kept connection, or 999. Evidence: TestOddAnswer on the code before: another_protocol: []int{502, 504} does not contain 101; a_status_below_100: malformed HTTP status code "99"; a_status_from_600_on: does not contain 999. Change: a status outside 200 to 599 fails the attempt at its header. Why it works: the interim ones before are skipped by the library; nothing else is forwarded. Open: the library reports a status of 000 as 200, which its interface doesn't tell apart.

--- a/link/link.go
+++ b/link/link.go
@@ -160,6 +160,8 @@
 			return nil, &ForeignError{err}
 		case err != nil:
 			return nil, err
+		case !isFinal(resp.StatusCode()):
+			return nil, errors.Errorf("status %d is not that of a response", resp.StatusCode())
 		}
 		if call.Foreign == nil || !call.Foreign(&resp.Header) {
 			return resp, nil
@@ -179,6 +181,10 @@
 	return nil, &ForeignError{errors.Errorf("%d of them", maxForeign)}
 }
 
+// isFinal reports whether a status may be that of a final response. No call asks to switch
+// protocols.
+func isFinal(status int) bool { return status >= 200 && status < 600 }
+
 // Read reads the response body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	if r.complete {
