link: Errors of a malformed response leave out its bytes

Cause: the HTTP library's errors quote what was received, up to 200 bytes at each end, and the node sends the text of the last error to the client. Callers saw: a 502 or 504 whose text held the head of a worker's answer, and parts of its body, which need not belong to the client's request. Evidence: TestOddAnswer on the code before: contents: "HTTP/1.1 200 OK\r\n X-Quetzalpier-Attempt-Id: a1\r\n..." should not contain "paid". Change: a failed read is reported by the connection's own error, any other failure of the header as malformed. Both still unwrap to their cause. Why it works: the connection's errors hold no received bytes.

--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -112,7 +112,8 @@
 	require.Equal(t, clientText, raw)
 }
 
-// requireFailed requires that the client gets an error of the node's own, framed as whole.
+// requireFailed requires that the client gets an error of the node's own, framed as whole and
+// without bytes of the worker.
 func (s *scripted) requireFailed(t *testing.T, method, path string) {
 	t.Helper()
 	resp, raw, err := s.request(t, method, path)
@@ -122,6 +123,9 @@
 	if _, text, _ := strings.Cut(raw, "\r\n\r\n"); method != http.MethodHead {
 		require.Contains(t, raw, fmt.Sprintf("\r\nContent-Length: %d\r\n", len(text)))
 	}
+	for _, part := range []string{"paid", "200 OK", platform.HeaderStamp} {
+		require.NotContains(t, raw, part)
+	}
 }
 
 // TestCutAnswer guards against answers of workers that stopped in the middle and reached the
--- a/link/conn.go
+++ b/link/conn.go
@@ -42,6 +42,8 @@
 	// which the connection leads broke it off.
 	silent      bool
 	tunnelBroke bool
+	// failed is the error of the last read or write that failed.
+	failed error
 	// watch ends the call if the path of the connection is lost.
 	watch *watch
 	// heard is when the upstream was last heard on any connection of the node's own; nil if
@@ -97,6 +99,9 @@
 func (c *conn) recordFailure(err error) {
 	var timeout net.Error
 	var tunnel *quetzalpier.TunnelError
+	if err != nil {
+		c.failed = err
+	}
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
 		c.silent = true
--- a/link/error.go
+++ b/link/error.go
@@ -53,6 +53,16 @@
 // Unwrap returns the cause.
 func (e *ForeignError) Unwrap() error { return e.Cause }
 
+// MalformedError reports a response header that can't be parsed. Its text leaves out the
+// received bytes: it is sent to clients, and the bytes may belong to another request.
+type MalformedError struct{ Cause error }
+
+// Error implements error.
+func (*MalformedError) Error() string { return "malformed response header" }
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Cause }
+
 // Ran reports whether the request ran on the upstream: no if no byte of it was
 // sent, unknown otherwise.
 func (e *Error) Ran() quetzalpier.Ran {
--- a/link/link.go
+++ b/link/link.go
@@ -156,6 +156,12 @@
 		resp.SkipBody = call.Request.Header.IsHead()
 		err := resp.ReadLimitBody(c.reader, 0)
 		switch {
+		case err != nil && c.failed != nil:
+			err = errors.Wrap(c.failed, "incomplete response header")
+		case err != nil:
+			err = &MalformedError{err}
+		}
+		switch {
 		case err != nil && skipped > 0:
 			return nil, &ForeignError{err}
 		case err != nil:
