link, gate, engine: A response body over the limit is an error

Cause: the product's own interface read an upstream's body up to a limit, 64 MB for services and models and 1 MB for errors of engines, and took the part for the whole. Callers saw: a 200 with the first 64 MB of a longer body, or an engine's error with the first MB of its text, framed as whole; the claim of a request with an idempotency key kept it. Why it works: one byte more than the limit is asked for, so that a larger body is noticed.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -116,7 +116,7 @@
 
 func statusError(addr string, response *link.Response) error {
 	defer func() { _ = response.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response, maxLineBytes))
+	body, err := response.ReadAll(maxLineBytes)
 	if err != nil {
 		return err
 	}
--- a/gate/models.go
+++ b/gate/models.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"sort"
 	"strconv"
 	"strings"
@@ -185,7 +184,7 @@
 		return err
 	}
 	defer func() { _ = answer.Close() }()
-	c.raw, err = io.ReadAll(io.LimitReader(answer, maxResponseBytes))
+	c.raw, err = answer.ReadAll(maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/gate/service.go
+++ b/gate/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -184,7 +183,7 @@
 		return err
 	}
 	defer func() { _ = answer.Close() }()
-	body, err := io.ReadAll(io.LimitReader(answer, maxResponseBytes))
+	body, err := answer.ReadAll(maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/link/error.go
+++ b/link/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"quetzalpier"
 )
@@ -63,6 +64,14 @@
 // Unwrap returns the cause.
 func (e *MalformedError) Unwrap() error { return e.Cause }
 
+// OversizedError reports a response body that is too large.
+type OversizedError struct{ Limit int }
+
+// Error implements error.
+func (e *OversizedError) Error() string {
+	return "response body has more than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
 // Ran reports whether the request ran on the upstream: no if no byte of it was
 // sent, unknown otherwise.
 func (e *Error) Ran() quetzalpier.Ran {
--- a/link/link.go
+++ b/link/link.go
@@ -207,6 +207,16 @@
 	return n, r.links.newError(r.ctx, r.addr, StageBody, r.conn, err)
 }
 
+// ReadAll reads the complete body. It returns an OversizedError if that has more than limit
+// bytes.
+func (r *Response) ReadAll(limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = &OversizedError{limit}
+	}
+	return body, err
+}
+
 // Close keeps the connection for reuse if the complete body was read, and resets
 // it otherwise.
 func (r *Response) Close() error {
