runner: An error status counts only in a complete answer to the run

Cause: a run took the status of any answer but 200 at its word. It ignored that its body broke off, and did not look at its ID, as it does for a 200 and as requests do for each status. Callers saw: a task was stored as failed after a 422, or after MaxAttempts of 500, that was cut in its body or had no ID, and so need not have been the answer to this run. Evidence: TestOddRun on the code before: run_a_task_error_that_is_cut, run_a_task_error_ without_ID, run_an_engine_error,_cut and run_an_engine_error,_no_ID: Should be true (the result's Done). Change: such an answer is a failed run, as a broken stream is. One that states that the run did not begin, or comes from another engine, needs no ID, as before. The test also cuts runs and reward calls elsewhere; those cases were green. stand.Scripted resets its connections when it is closed, and does not wait for the other side. Why it works: the task goes on at the same or another engine until an answer of its own ends it.

--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -73,7 +73,7 @@
 		return stand.ScriptedAnswer{Parts: []string{wholeText}}
 	})
 	require.NoError(t, err)
-	t.Cleanup(func() { s.links.CloseIdle(w.Addr); w.Close() })
+	t.Cleanup(w.Close)
 	s.worker = w
 	s.setUpstreams(quetzalpier.VM{ID: w.Addr, Addr: w.Addr, Pool: "p", Kind: quetzalpier.KindPlain, State: quetzalpier.VMLive, Slots: 6, Software: "v1"})
 }
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -154,17 +154,22 @@
 	defer func() { _ = resp.Close() }()
 	overdue := time.AfterFunc(r.timeout, cancel)
 	defer overdue.Stop()
+	worker := string(resp.Header.Peek(platform.HeaderWorker))
+	status := &statusError{
+		Engine: r.vm.ID, Status: resp.Status, OtherEngine: worker != "" && worker != r.vm.ID,
+		NotRun: len(resp.Header.Peek(platform.HeaderNotRun)) > 0 || resp.Status == http.StatusMisdirectedRequest,
+	}
+	declined := resp.Status != http.StatusOK && (status.NotRun || status.OtherEngine)
+	if id := string(resp.Header.Peek(platform.HeaderAttempt)); id != r.task.Spec.ID && !declined {
+		resp.Discard()
+		return errors.Errorf("response of engine %s is for task %q", r.vm.ID, id)
+	}
 	if resp.Status != http.StatusOK {
 		// The connection is kept if the body is short.
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxErrorBytes))
-		worker := string(resp.Header.Peek(platform.HeaderWorker))
-		return &statusError{
-			Engine: r.vm.ID, Status: resp.Status, OtherEngine: worker != "" && worker != r.vm.ID,
-			NotRun: len(resp.Header.Peek(platform.HeaderNotRun)) > 0 || resp.Status == http.StatusMisdirectedRequest,
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxErrorBytes)); err != nil {
+			return err
 		}
-	}
-	if id := string(resp.Header.Peek(platform.HeaderAttempt)); id != r.task.Spec.ID {
-		return errors.Errorf("response of engine %s is for task %q", r.vm.ID, id)
+		return status
 	}
 	// A run that is resumed after its final event generates none, and its
 	// response names no version.
--- a/stand/scripted.go
+++ b/stand/scripted.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -39,38 +38,41 @@
 	// Conns is the number of connections that were accepted.
 	Conns atomic.Int32
 
-	port    *Port
-	answer  func(req *fasthttp.Request) ScriptedAnswer
-	workers conc.WaitGroup
+	listener           *Listener
+	answer             func(req *fasthttp.Request) ScriptedAnswer
+	accepting, serving conc.WaitGroup
 }
 
 // NewScripted starts a server on a free loopback address.
 func NewScripted(answer func(req *fasthttp.Request) ScriptedAnswer) (*Scripted, error) {
-	port, err := OpenPort()
+	listener, err := Listen("127.0.0.1:0", 0)
 	if err != nil {
 		return nil, err
 	}
-	s := &Scripted{Addr: port.Addr, port: port, answer: answer}
-	s.workers.Go(func() {
+	s := &Scripted{Addr: listener.Addr().String(), listener: listener, answer: answer}
+	s.accepting.Go(func() {
 		for {
-			conn, err := port.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			s.Conns.Add(1)
-			s.workers.Go(func() { s.serve(conn) })
+			s.serving.Go(func() { s.serve(conn.(*faultyConn)) })
 		}
 	})
 	return s, nil
 }
 
-// Close stops the server. It waits until the other sides have closed their connections.
+// Close stops the server and resets its connections.
 func (s *Scripted) Close() {
-	s.port.Close()
-	s.workers.Wait()
+	_ = s.listener.Listener.Close()
+	s.accepting.Wait()
+	s.listener.CloseConns()
+	s.serving.Wait()
 }
 
-func (s *Scripted) serve(conn net.Conn) {
+func (s *Scripted) serve(conn *faultyConn) {
+	// Resets the connection unless it was closed before.
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -89,11 +91,11 @@
 		}
 		switch answer.Ending {
 		case CloseConn:
+			_ = conn.Conn.Close()
 			return
 		case ResetConn:
 			// The bytes are read before the reset, which would discard them.
 			time.Sleep(scriptedPause)
-			_ = conn.(*net.TCPConn).SetLinger(0)
 			return
 		case StallConn:
 			_, _ = io.Copy(io.Discard, conn)
