--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,12 +67,17 @@
 // replaceWorker starts a worker in place of the one before.
 func (s *scripted) replaceWorker(t *testing.T, odd stand.ScriptedAnswer) {
 	t.Helper()
-	w, err := stand.NewScripted(func(req *fasthttp.Request) stand.ScriptedAnswer {
+	s.replaceWorkerBy(t, func(req *fasthttp.Request) stand.ScriptedAnswer {
 		if strings.HasSuffix(string(req.Header.RequestURI()), "odd") {
 			return odd
 		}
 		return stand.ScriptedAnswer{Parts: []string{wholeText}}
 	})
+}
+
+func (s *scripted) replaceWorkerBy(t *testing.T, answer func(*fasthttp.Request) stand.ScriptedAnswer) {
+	t.Helper()
+	w, err := stand.NewScripted(answer)
 	require.NoError(t, err)
 	t.Cleanup(w.Close)
 	s.worker = w
@@ -304,3 +310,35 @@
 		})
 	}
 }
+
+// TestCutResumedHead guards against a resumed stream in which a head stands that broke off, or
+// that ends there as if it were whole.
+func TestCutResumedHead(t *testing.T) {
+	const begun = head + chunked + "\r\n"
+	second := "id: 2\ndata: y\n\n"
+	for ending, how := range map[string]stand.Ending{"closed": stand.CloseConn, "reset": stand.ResetConn} {
+		// Each cut has a node of its own, since retries are limited in number.
+		for cut := 0; cut <= len(begun); cut += 7 {
+			t.Run(fmt.Sprintf("%s after %q", ending, begun[:cut]), func(t *testing.T) {
+				t.Parallel()
+				s := newScripted(t, stand.ScriptedAnswer{})
+				var attempts atomic.Int32
+				s.replaceWorkerBy(t, func(req *fasthttp.Request) stand.ScriptedAnswer {
+					attempt, resumed := attempts.Add(1), string(req.Header.Peek(platform.HeaderLastEventID)) == "1"
+					switch {
+					case attempt == 1:
+						return stand.ScriptedAnswer{Parts: []string{begun + eventChunk(oneEvent)}, Ending: how}
+					case attempt == 2 && resumed:
+						return stand.ScriptedAnswer{Parts: []string{begun[:cut]}, Ending: how}
+					case resumed:
+						return stand.ScriptedAnswer{Parts: []string{begun + eventChunk(second) + lastChunk}}
+					}
+					return stand.ScriptedAnswer{Ending: how}
+				})
+				_, raw, err := s.request(t, http.MethodPost, "/stream/odd")
+				require.NoError(t, err, raw)
+				require.Equal(t, streamHead+eventChunk(oneEvent)+eventChunk(second)+lastChunk, raw)
+			})
+		}
+	}
+}
