client: Errors of a broken answer leave out its bytes

Cause: the HTTP library's errors quote up to 200 bytes at each end of what was received. The reason of a call with an unknown outcome holds them. Callers saw: a 502 for a job whose store answered with a cut head could quote that answer, and so did the logs. Evidence: TestCutCallAnswer on the code before: 'error when reading response headers: EOF: buffer size=8, contents: "HTTP/1.1"' should not contain "HTTP/1.1". Change: single-attempt clients set the library's option for errors without contents. Why it works: with the option, an error names the cause and the size of the buffer only.

--- a/client/client.go
+++ b/client/client.go
@@ -29,6 +29,11 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader:  true,
+		// Errors reach clients and logs, and what was received may belong to another call.
+		ConfigureClient: func(host *fasthttp.HostClient) error {
+			host.SecureErrorLogMessage = true
+			return nil
+		},
 	}
 }
 
