link: The end of a tunnel's session is no silence of the upstream

Cause: a session that closes ends its streams by a deadline, so the error of a tunnel may have a timeout as its cause. That was looked for first. Callers saw: a request whose helping node went away counted as one to a silent upstream: its idle connections were closed, and the upstream was held to have failed, not the path. Change: the tunnel's error is looked for before the timeout. Why it works: only the tunnel reports TunnelError, and it leaves timeouts of its reads alone.

--- a/link/conn.go
+++ b/link/conn.go
@@ -103,9 +103,10 @@
 		c.failed = err
 	}
 	switch {
-	case errors.As(err, &timeout) && timeout.Timeout():
-		c.silent = true
+	// Its cause may be a timeout, by which the session ends its streams.
 	case errors.As(err, &tunnel):
 		c.tunnelBroke = true
+	case errors.As(err, &timeout) && timeout.Timeout():
+		c.silent = true
 	}
 }
