tunnel: A node that ends a tunnel doesn't report a reset of the upstream

Cause: when the node that asked for a tunnel went, or the helping node stopped, the helping node closed the connection to the upstream, and its own reader reported that as a reset. Callers saw: an answer that was broken off by the helping node counted as a failure of the upstream, which then got fewer requests; it was never taken for whole. Change: a tunnel that a node has ended is only closed. The other side sees a stream without a last piece, which is an error of the tunnel. Why it works: CLOSED and RESET are sent only for what the upstream did.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -58,6 +58,8 @@
 	// passed on, in Unix nanoseconds.
 	awaiting atomic.Bool
 	usedAt   atomic.Int64
+	// ended is set once one of the nodes has ended the tunnel, and not the upstream.
+	ended atomic.Bool
 }
 
 // Drain refuses further tunnels, and closes the open ones when they are idle. It returns
@@ -75,6 +77,7 @@
 	defer s.mu.Unlock()
 	for t := range s.open {
 		if !t.active(now) {
+			t.ended.Store(true)
 			_ = t.conn.Close()
 		}
 	}
@@ -187,7 +190,9 @@
 	for {
 		piece := &wire.Piece{}
 		err := t.stream.Receive(piece)
-		if err == nil && len(piece.GetData()) > 0 {
+		if err != nil {
+			t.ended.Store(true)
+		} else if len(piece.GetData()) > 0 {
 			t.awaiting.Store(true)
 			t.usedAt.Store(time.Now().UnixNano())
 			_, err = t.conn.Write(piece.GetData())
@@ -203,7 +208,8 @@
 	}
 }
 
-// passResponses passes the bytes of the upstream on, and how they ended.
+// passResponses passes the bytes of the upstream on, and how they ended. A tunnel that a node
+// has ended is only closed, since that says nothing of the upstream.
 func (t *served) passResponses() {
 	defer func() {
 		t.stream.Close()
@@ -215,6 +221,9 @@
 		n, err := t.conn.Read(buffer)
 		piece := &wire.Piece{Data: buffer[:n]}
 		switch {
+		case err != nil && t.ended.Load():
+			abort(t.conn)
+			return
 		case err == io.EOF:
 			piece.End = wire.Piece_CLOSED
 		case err != nil:
