--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -342,3 +342,24 @@
 		}
 	}
 }
+
+// TestSplicedHead guards against an answer to another request behind a head that broke off, which
+// the client got as the answer to its own.
+func TestSplicedHead(t *testing.T) {
+	others := map[string]string{
+		"another request's": foreignText,
+		"one without an ID": okLine + platform.HeaderStamp + ": s\r\n" + length + body,
+	}
+	for name, other := range others {
+		for _, path := range []string{"/once/odd", "/unresumable/odd"} {
+			t.Run(name+", "+path, func(t *testing.T) {
+				t.Parallel()
+				s := newScripted(t, stand.ScriptedAnswer{})
+				for cut := len(okLine); cut < len(head+length); cut++ {
+					s.replaceWorker(t, stand.ScriptedAnswer{Parts: []string{(head + length)[:cut] + other}, Ending: stand.CloseConn})
+					s.requireFailed(t, http.MethodPost, path)
+				}
+			})
+		}
+	}
+}
