platform, runner: Not-Run counts only beside the status of a refusal

Cause: the header that states that a request did not run counted beside any status. In a head that broke off, before a refusal of another request on the same connection, it stands beside the status of an answer that did run. Callers saw: a request that must run at most once was sent to three workers that had each run it, and was refused with 503, which promises that it did not run. Evidence: TestSplicedHead/one_that_was_not_run on the code before: []int{502, 504} does not contain 503, 'after 3 attempts ...: HTTP status 200 (ran=no)'; TestOddAnswer/ an_error_that_was_not_run, with status 500: does not contain 503. Why it works: the status is that of the first head, which the worker sent for this request.

--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -228,6 +228,7 @@
 		{name: "a foreign answer and a cut head", ending: stand.CloseConn, parts: []string{foreignText + head}},
 		{name: "a foreign answer without a length", ending: stand.CloseConn, parts: []string{strings.Replace(foreignText, length, "", 1) + wholeText}},
 		{name: "an interim answer's ID", parts: []string{"HTTP/1.1 103 Early Hints\r\n" + signed + "\r\n" + okLine + length + body}},
+		{name: "an error that was not run", parts: []string{"HTTP/1.1 500 Internal Server Error\r\n" + ownID + platform.HeaderNotRun + ": 1\r\n" + length + body}},
 		{name: "no ID", parts: []string{okLine + platform.HeaderStamp + ": s\r\n" + length + body}},
 		{name: "no signature", parts: []string{okLine + ownID + length + body}},
 		{name: "a signature in the trailer", parts: []string{okLine + ownID + chunked + "\r\n4\r\npaid\r\n0\r\n" + platform.HeaderStamp + ": s\r\n\r\n"}},
@@ -349,6 +350,8 @@
 	others := map[string]string{
 		"another request's": foreignText,
 		"one without an ID": okLine + platform.HeaderStamp + ": s\r\n" + length + body,
+		// The request ran, so that it must not be sent again.
+		"one that was not run": "HTTP/1.1 503 Service Unavailable\r\n" + platform.HeaderNotRun + ": 1\r\n" + length + body,
 	}
 	for name, other := range others {
 		for _, path := range []string{"/once/odd", "/unresumable/odd"} {
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -157,7 +157,7 @@
 	worker := string(resp.Header.Peek(platform.HeaderWorker))
 	status := &statusError{
 		Engine: r.vm.ID, Status: resp.Status, OtherEngine: worker != "" && worker != r.vm.ID,
-		NotRun: len(resp.Header.Peek(platform.HeaderNotRun)) > 0 || resp.Status == http.StatusMisdirectedRequest,
+		NotRun: platform.StatesNotRun(resp.Status, resp.Header),
 	}
 	declined := resp.Status != http.StatusOK && (status.NotRun || status.OtherEngine)
 	if id := string(resp.Header.Peek(platform.HeaderAttempt)); id != r.task.Spec.ID && !declined {
