--- a/link/error.go
+++ b/link/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"quetzalpier"
 )
@@ -53,6 +54,24 @@
 // Unwrap returns the cause.
 func (e *ForeignError) Unwrap() error { return e.Cause }
 
+// MalformedError reports a response header that can't be parsed. Its text leaves out the
+// received bytes: it is sent to clients, and the bytes may belong to another request.
+type MalformedError struct{ Cause error }
+
+// Error implements error.
+func (*MalformedError) Error() string { return "malformed response header" }
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Cause }
+
+// OversizedError reports a response body that is too large.
+type OversizedError struct{ Limit int }
+
+// Error implements error.
+func (e *OversizedError) Error() string {
+	return "response body has more than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
 // Ran reports whether the request ran on the upstream: no if no byte of it was
 // sent, unknown otherwise.
 func (e *Error) Ran() quetzalpier.Ran {
--- a/link/link.go
+++ b/link/link.go
@@ -168,10 +168,18 @@
 		resp.SkipBody = call.Request.Header.IsHead()
 		err := resp.ReadLimitBody(c.reader, 0)
 		switch {
+		case err != nil && c.failed != nil:
+			err = errors.Wrap(c.failed, "incomplete response header")
+		case err != nil:
+			err = &MalformedError{err}
+		}
+		switch {
 		case err != nil && skipped > 0:
 			return nil, &ForeignError{err}
 		case err != nil:
 			return nil, err
+		case !isFinal(resp.StatusCode()):
+			return nil, errors.Errorf("status %d is not that of a response", resp.StatusCode())
 		}
 		if call.Foreign == nil || !call.Foreign(&resp.Header) {
 			return resp, nil
@@ -192,6 +200,10 @@
 	return nil, &ForeignError{errors.Errorf("%d of them", maxForeign)}
 }
 
+// isFinal reports whether a status may be that of a final response. No call asks to switch
+// protocols.
+func isFinal(status int) bool { return status >= 200 && status < 600 }
+
 // Read reads the response body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	if r.complete {
@@ -208,6 +220,16 @@
 	return n, r.links.newError(r.ctx, r.addr, StageBody, r.conn, err)
 }
 
+// ReadAll reads the complete body. It returns an OversizedError if that has more than limit
+// bytes.
+func (r *Response) ReadAll(limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = &OversizedError{limit}
+	}
+	return body, err
+}
+
 // Close keeps the connection for reuse if the complete body was read, and resets
 // it otherwise.
 func (r *Response) Close() error {
@@ -234,6 +256,12 @@
 	return nil
 }
 
+// Discard resets the connection, so that it is not reused after an invalid response.
+func (r *Response) Discard() {
+	r.complete = false
+	_ = r.Close()
+}
+
 // IdleTime returns how long a connection may be idle and still be reused: the
 // timeout in the upstream's Keep-Alive header, less a margin for the time that a
 // request takes to reach it.
