runner: Keep jobs back that may have ended until the ends are read

A new owner or a stand-in opened a job of a front's notice at once, before it had read which jobs have ended. That takes seconds while the store refuses the node.

A job that a notice brings is kept back until the ends have been read once by this owner. Two kinds go on: a job younger than 2 s, whose end is younger than the 3 s that users allow, and, while the store is unavailable to the node directly and through others, all jobs of a stand-in after one failed read and of an owner after 1.2 s, about its lease. New steps are not delayed by a takeover or an outage. No call to the store is added: the watch of the ends reads them anyway.

--- a/runner/ending.go
+++ b/runner/ending.go
@@ -1,13 +1,25 @@
 package runner
 
 import (
+	"context"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"quetzalpier"
 	"quetzalpier/tasks"
 )
 
+const (
+	// recentJob is the age up to which a job is opened before the ends have been read: an end
+	// of it is younger, and the users allow three seconds from an end to the last run.
+	recentJob = 2 * time.Second
+	// unreadEndsWait is how long an owner that can't read the ends keeps jobs back while the
+	// key-value service fails it: about as long as its lease, after which another node that
+	// reads the ends takes over, unless the service fails all nodes.
+	unreadEndsWait = 1200 * time.Millisecond
+)
+
 // endSource is how a node learned of the end of a job.
 type endSource string
 
@@ -28,6 +40,66 @@
 // lag returns how long ago the end was stored. It returns false if that is not known.
 func (e end) lag(now time.Time) (time.Duration, bool) { return now.Sub(e.At), !e.At.IsZero() }
 
+// endsSource reads the ends of jobs for a pool, and reports failed reads to it.
+type endsSource struct{ pool *poolRunner }
+
+// Range implements mirror.Source.
+func (s endsSource) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
+	found, err := s.pool.runner.KV.Range(ctx, prefix, stale)
+	if err != nil && ctx.Err() == nil {
+		s.pool.failEndsRead(s.pool.runner.KVFailed(), time.Now())
+	}
+	return found, err
+}
+
+// WatchPrefix implements mirror.Source.
+func (s endsSource) WatchPrefix(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
+	return s.pool.runner.KV.WatchPrefix(ctx, prefix, rev, wait)
+}
+
+// hold keeps back a job that may have ended, if the ends have not been read yet. It reports
+// whether it does.
+func (p *poolRunner) hold(job *quetzalpier.Job, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.endsKnown || now.Sub(job.SubmittedAt) < recentJob {
+		return false
+	}
+	p.held[job.ID] = job
+	return true
+}
+
+// releaseHeld opens the jobs that were kept back.
+func (p *poolRunner) releaseHeld(now time.Time) {
+	p.mu.Lock()
+	held := p.held
+	p.endsKnown, p.held = true, nil
+	p.mu.Unlock()
+	for _, job := range held {
+		p.runner.Log.Info().Str("job", job.ID).Dur("age_ms", now.Sub(job.SubmittedAt)).Msg("job was kept back until the ends of jobs were read")
+		p.openInBackground(job, false, now)
+	}
+}
+
+// failEndsRead records that the ends could not be read, directly or through other nodes.
+// kvFailed reports whether the key-value service is unavailable to this node: then the jobs
+// are not kept back for long, since the outage may last.
+func (p *poolRunner) failEndsRead(kvFailed bool, now time.Time) {
+	p.mu.Lock()
+	if !kvFailed {
+		p.endsFailedAt = time.Time{}
+	} else if p.endsFailedAt.IsZero() {
+		p.endsFailedAt = now
+	}
+	release := kvFailed && !p.endsKnown && (p.standInFor != nil || now.Sub(p.endsFailedAt) >= unreadEndsWait)
+	p.mu.Unlock()
+	if !release {
+		return
+	}
+	p.runner.Log.Warn().Str("pool", p.pool).Msg("opening jobs although the ends of jobs can't be read")
+	p.releaseHeld(now)
+}
+
 // endJob ends a job and cancels its runs and reward calls.
 func (p *poolRunner) endJob(id string, end end, now time.Time) {
 	p.mu.Lock()
--- a/runner/ending_test.go
+++ b/runner/ending_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"quetzalpier"
+	"quetzalpier/board"
 	"quetzalpier/vault"
 	"quetzalpier/wire"
 )
@@ -92,6 +93,57 @@
 	return []quetzalpier.Entry{{Key: vault.Ends + "j", Value: value, Rev: 1}}
 }
 
+// Guards against steps that wait for ends which can't be read in an outage, and against
+// work for ended jobs before they are read.
+func TestJobKeptBack(t *testing.T) {
+	notice := func(p *poolRunner, age time.Duration) (opened func() bool) {
+		job := &quetzalpier.Job{ID: "k", SubmittedAt: burstStart.Add(-age), ExpiresAt: burstStart.Add(time.Hour)}
+		if !p.hold(job, burstStart) {
+			p.openJob(job, false, burstStart)
+		}
+		return func() bool {
+			p.goroutines.Wait()
+			return p.scheduler.Jobs["k"] != nil
+		}
+	}
+	t.Run("a recent job starts at once", func(t *testing.T) {
+		require.True(t, notice(newBurst(t, 1, 1, 1).pool, recentJob-time.Millisecond)())
+	})
+	t.Run("until the ends are read", func(t *testing.T) {
+		p := newBurst(t, 1, 1, 1).pool
+		opened := notice(p, recentJob)
+		p.failEndsRead(false, burstStart)
+		p.applyEnds(nil, false, burstStart)
+		require.False(t, opened())
+		p.applyEnds(nil, true, burstStart)
+		require.True(t, opened())
+	})
+	t.Run("an ended job is never opened", func(t *testing.T) {
+		p := newBurst(t, 1, 1, 1).pool
+		opened := notice(p, recentJob)
+		p.applyEnds([]quetzalpier.Entry{{Key: vault.Ends + "k", Rev: 1}}, true, burstStart)
+		require.False(t, opened())
+	})
+	t.Run("a stand-in goes on after a failed read", func(t *testing.T) {
+		p := newBurst(t, 1, 1, 1).pool
+		p.standInFor = &board.Owner{}
+		opened := notice(p, recentJob)
+		p.failEndsRead(true, burstStart)
+		require.True(t, opened())
+	})
+	t.Run("an owner goes on about when its lease ends", func(t *testing.T) {
+		p := newBurst(t, 1, 1, 1).pool
+		opened := notice(p, recentJob)
+		p.failEndsRead(true, burstStart)
+		require.False(t, opened())
+		p.failEndsRead(false, burstStart.Add(unreadEndsWait))
+		p.failEndsRead(true, burstStart.Add(unreadEndsWait))
+		require.False(t, opened())
+		p.failEndsRead(true, burstStart.Add(2*unreadEndsWait))
+		require.True(t, opened())
+	})
+}
+
 // Guards against calls that reach an upstream after the end of their job unseen.
 func TestSentAfterEnd(t *testing.T) {
 	b, log := newLoggedBurst(t, 5)
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -79,6 +79,12 @@
 	standInFor    *board.Owner
 	kvRecoveredAt time.Time
 	fence         uint64
+	// endsKnown is set once the ends of jobs have been read, or can't be for now. Until then
+	// held keeps back the jobs that may have ended, and endsFailedAt is when the first read
+	// of the present outage failed; zero for none.
+	endsKnown    bool
+	endsFailedAt time.Time
+	held         map[string]*quetzalpier.Job
 	// jobsRead is set once the jobs in the key-value service have been read. A job
 	// that arrives before may be one that an earlier owner has worked on.
 	jobsRead  bool
@@ -129,7 +135,7 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: scheduler, engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, sent: map[string]sentTimes{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, held: map[string]*quetzalpier.Job{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, sent: map[string]sentTimes{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 }
 
@@ -166,7 +172,9 @@
 
 func (p *poolRunner) run() {
 	p.goroutines.Go(func() {
-		p.newMirror(vault.Ends, min(p.runner.WatchTimeout, maxEndsWatch), p.applyEnds).Run(p.ctx)
+		ends := p.newMirror(vault.Ends, min(p.runner.WatchTimeout, maxEndsWatch), p.applyEnds)
+		ends.KV = endsSource{p}
+		ends.Run(p.ctx)
 	})
 	p.goroutines.Go(func() { p.newMirror(vault.Jobs, p.runner.WatchTimeout, p.applyJobs).Run(p.ctx) })
 	p.goroutines.Go(func() { p.commitLoop(p.ctx) })
@@ -211,12 +219,15 @@
 			p.endJob(vault.EndedJob(entry), end{vault.EndedAt(entry), source}, now)
 		}
 	}
+	if full {
+		p.releaseHeld(now)
+	}
 }
 
 // readEnds reads the ends of all jobs, until that succeeds or the runner stops.
 func (p *poolRunner) readEnds() {
 	for failures := 1; p.ctx.Err() == nil; failures++ {
-		found, err := p.runner.KV.Range(p.ctx, vault.Ends, false)
+		found, err := endsSource{p}.Range(p.ctx, vault.Ends, false)
 		if err == nil {
 			p.applyEnds(found.Entries, true, time.Now())
 			return
--- a/runner/read.go
+++ b/runner/read.go
@@ -139,12 +139,13 @@
 	return customer, known
 }
 
-// OpenJob opens a job that a client submitted, if this node owns its pool.
+// OpenJob opens a job that a client submitted, if this node owns its pool. One that may have
+// ended is opened once the ends are known.
 func (r *Runner) OpenJob(job *quetzalpier.Job, now time.Time) {
 	r.mu.Lock()
 	p := r.runners[job.Pool]
 	r.mu.Unlock()
-	if p == nil {
+	if p == nil || p.hold(job, now) {
 		return
 	}
 	p.openJob(job, false, now)
