entry: Share an end that the store refuses with nodes that store it

Evidence: TestForgottenEnd failed before, "Should be true ... the end is neither stored nor known to the pool's owner", and passes now.

A node that is asked stops the job's tasks at once if it processes the job, and stores the end itself until it is stored. It runs the code of the front for that; there is no second copy. A planned stop hands over what no other node stores, and waits for the answers within its context.

An end counts for the customer's own job only. The message carries the customer's name. A node stops the tasks only if the job is known to be the customer's (Runner.StopJob), and stores the end only after findJob has found the same. The job stands in a new field, since earlier builds ignore the customer: they end no job by this message, as today, and their answer does not count as storing it.

An end that the store accepts costs what it did.

--- /dev/null
+++ b/entry/ends.go
@@ -0,0 +1,315 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"quetzalpier"
+	"quetzalpier/board"
+	"quetzalpier/platform"
+	"quetzalpier/sleep"
+	"quetzalpier/wire"
+)
+
+const (
+	// endTimeout limits how long a client waits for an end to be stored.
+	endTimeout = 3 * time.Second
+	// laterEndRetryMax bounds the pause between two attempts if nobody waits for the end.
+	laterEndRetryMax = time.Second
+)
+
+// unstoredEnd is the end of a job that a customer requested; its name is empty if there are
+// no customers.
+type unstoredEnd struct {
+	customer string
+	job      string
+}
+
+// pendingEnd is what a node knows of an end that it is to store. ctx ends once the end is
+// stored or the node is closed.
+type pendingEnd struct {
+	call   *wire.Call
+	ctx    context.Context
+	cancel context.CancelFunc
+	// later is set once the end is being stored although its client was refused.
+	later bool
+	// kept is set once another node stores it as well. Only share, which holds sharing, uses
+	// the answers of the nodes that were asked and the number of rounds in which they were.
+	kept    atomic.Bool
+	sharing chan struct{}
+	answers map[string]*wire.Reply
+	rounds  int
+}
+
+// endJob stores the end of a job. If that fails within endTimeout, the client is
+// refused, and the end is stored as soon as that is possible: the client may not
+// repeat it.
+func (e *Entry) endJob(c *fasthttp.RequestCtx, r *request, call platform.Call) {
+	if e.recordFor(call.Job).ended && e.findJob(r, call.Job) == nil {
+		e.logEnd(e.Log.Info(), c, r, call.Job).Msg("job end was stored before")
+		return
+	}
+	share := func() { e.shareEnd(r, call.Job) }
+	err := e.storeEnd(e.ctx, r, call.Job, r.start.Add(endTimeout), storePause, share)
+	if err == nil {
+		e.logEnd(e.Log.Info(), c, r, call.Job).Msg("job end stored")
+		return
+	}
+	e.logEnd(e.Log.Warn(), c, r, call.Job).Err(err).Bool("later", !isNotFound(err)).Msg("job end not stored")
+	if isNotFound(err) {
+		e.refuse(c, r, err)
+		return
+	}
+	e.refuse(c, r, quetzalpier.Unavailable("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
+	e.storeEndLater(r, call.Job, share)
+}
+
+// logEnd adds to a line what became of a request to end a job.
+func (e *Entry) logEnd(line *zerolog.Event, c *fasthttp.RequestCtx, r *request, job string) *zerolog.Event {
+	return line.Str("job", job).Bool("client_gone", clientGone(c)).Dur("took_ms", time.Since(r.start))
+}
+
+// storeEnd stores the end of a job until it succeeds, ctx ends or the deadline is too
+// close for another attempt, and notifies the nodes that run the tasks of jobs. A job that is
+// not the customer's is not found. It calls failed after each failure.
+func (e *Entry) storeEnd(ctx context.Context, r *request, job string, deadline time.Time, pause func(failures int) time.Duration, failed func()) error {
+	for failures := 1; ; failures++ {
+		err := e.findJob(r, job)
+		if isNotFound(err) {
+			e.dropEnd(unstoredEnd{r.customerName(), job})
+			return err
+		}
+		now := time.Now()
+		if err == nil {
+			callCtx, cancel := context.WithDeadline(ctx, sleep.Earlier(deadline, now.Add(storeCallTimeout)))
+			err = e.Vault.End(callCtx, job, now)
+			cancel()
+		}
+		if err == nil {
+			e.record(job, jobRecord{ended: true, updatedAt: time.Now()})
+			e.notifyEnd(job, now)
+			e.dropEnd(unstoredEnd{r.customerName(), job})
+			return nil
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		e.stopTasks(r, job)
+		failed()
+		wait := pause(failures)
+		if !time.Now().Add(wait).Before(deadline) || !sleep.For(ctx, wait) {
+			return err
+		}
+	}
+}
+
+// notifyEnd sends the end of a job, which is stored, to the owners of pools.
+func (e *Entry) notifyEnd(job string, at time.Time) {
+	e.notifyOwners(&wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackEnd(job, at)}})
+}
+
+// pend adds an end to those that are to be stored. It returns the end that was added before,
+// if there is one, and nil if the node is closed.
+func (e *Entry) pend(r *request, job string) *pendingEnd {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	key := unstoredEnd{r.customerName(), job}
+	if pending := e.unstoredEnds[key]; pending != nil {
+		return pending
+	}
+	if e.ctx.Err() != nil {
+		return nil
+	}
+	pending := &pendingEnd{
+		call:    &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackPendingEnd(job, r.customerName(), r.start)}},
+		answers: map[string]*wire.Reply{}, sharing: make(chan struct{}, 1),
+	}
+	pending.ctx, pending.cancel = context.WithCancel(e.ctx)
+	e.unstoredEnds[key] = pending
+	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
+	return pending
+}
+
+// dropEnd removes an end from those that are to be stored.
+func (e *Entry) dropEnd(key unstoredEnd) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if pending := e.unstoredEnds[key]; pending != nil {
+		pending.cancel()
+		delete(e.unstoredEnds, key)
+		e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
+	}
+}
+
+// EndStored tells that another node has stored the end of a job.
+func (e *Entry) EndStored(job string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key, pending := range e.unstoredEnds {
+		if key.job == job {
+			pending.cancel()
+			delete(e.unstoredEnds, key)
+		}
+	}
+	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
+}
+
+// AcceptEnd stores an end that another node could not store, as soon as that is possible, if
+// the job is the customer's. It returns false if this node is closed.
+func (e *Entry) AcceptEnd(job, customer string, at, now time.Time) bool {
+	r := &request{start: now}
+	if !at.IsZero() {
+		r.start = sleep.Earlier(at, now)
+	}
+	if customer != "" {
+		r.customer = &quetzalpier.Customer{Name: customer}
+	}
+	e.Board.Do(func(s *board.State) { r.index = s.Access })
+	return e.storeEndLater(r, job, func() {})
+}
+
+// storeEndLater stores an end whose client was refused, unless another node does so
+// first, while the job's results are kept. It calls failed after each failure, and returns
+// false if this node is closed.
+func (e *Entry) storeEndLater(r *request, job string, failed func()) bool {
+	pending := e.pend(r, job)
+	if pending == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if pending.later {
+		return true
+	}
+	pending.later = true
+	e.workers.Go(func() {
+		e.stopTasks(r, job)
+		err := e.storeEnd(pending.ctx, r, job, r.start.Add(e.Retention), laterEndPause, failed)
+		line := e.Log.Info()
+		if err != nil {
+			line = e.Log.Warn()
+		}
+		line.Str("job", job).Str("customer", r.customerName()).Bool("known", pending.ctx.Err() != nil && e.ctx.Err() == nil).Bool("stopping", e.ctx.Err() != nil).
+			Dur("age_ms", time.Since(r.start)).Err(err).Msg("storing an end whose client was refused ended")
+		if e.ctx.Err() == nil {
+			e.dropEnd(unstoredEnd{r.customerName(), job})
+		}
+	})
+	return true
+}
+
+// stopTasks ends the job at this node, if it processes it for the customer.
+func (e *Entry) stopTasks(r *request, job string) {
+	if e.StopJob != nil {
+		e.StopJob(job, r.customerName(), r.start, time.Now())
+	}
+}
+
+// shareEnd tells the nodes that run the job's tasks, or would take them over, of an end that
+// this node could not store, so that they stop the tasks and store the end as well.
+func (e *Entry) shareEnd(r *request, job string) {
+	pending := e.pend(r, job)
+	if pending == nil {
+		return
+	}
+	select {
+	case pending.sharing <- struct{}{}:
+		e.workers.Go(func() {
+			defer func() { <-pending.sharing }()
+			e.share(pending.ctx, pending)
+		})
+	default:
+	}
+}
+
+// share asks other nodes to store an end. It reports whether all have answered or it has asked
+// for long enough. The caller holds the end's sharing.
+func (e *Entry) share(ctx context.Context, pending *pendingEnd) bool {
+	if pending.rounds >= maxNotices && pending.kept.Load() {
+		return true
+	}
+	pending.rounds++
+	all := e.notifyOnce(ctx, e.endKeepers(), pending.call, pending.answers)
+	for _, reply := range pending.answers {
+		if reply.GetKept().GetPresent() {
+			pending.kept.Store(true)
+		}
+	}
+	return all
+}
+
+// endKeepers returns the addresses of the other nodes that process the jobs of pools, or
+// would take them over.
+func (e *Entry) endKeepers() []string {
+	var pools []string
+	var self string
+	e.Board.Do(func(s *board.State) {
+		self = s.Self.Peer
+		for pool := range s.Owners {
+			pools = append(pools, pool)
+		}
+		for _, route := range s.Config.Routes {
+			for _, target := range route.Targets {
+				if route.Batch {
+					pools = append(pools, target.Pool)
+				}
+			}
+		}
+	})
+	peers := e.ownerPeers()
+	for _, pool := range pools {
+		peers = append(peers, e.keeperPeers(pool)...)
+	}
+	slices.Sort(peers)
+	return slices.DeleteFunc(slices.Compact(peers), func(peer string) bool { return peer == self })
+}
+
+// handOverEnds asks other nodes to store the ends that no other node stores yet.
+func (e *Entry) handOverEnds(ctx context.Context) {
+	var calls conc.WaitGroup
+	for _, pending := range e.unkeptEnds() {
+		calls.Go(func() {
+			for failures := 1; failures <= maxNotices; failures++ {
+				select {
+				case pending.sharing <- struct{}{}:
+				case <-ctx.Done():
+					return
+				}
+				all := e.share(ctx, pending)
+				<-pending.sharing
+				if all || pending.kept.Load() || pending.ctx.Err() != nil || !sleep.For(ctx, storePause(failures)) {
+					return
+				}
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// unkeptEnds returns the ends that are neither stored nor known to a node that stores them.
+func (e *Entry) unkeptEnds() map[unstoredEnd]*pendingEnd {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	unkept := maps.Clone(e.unstoredEnds)
+	maps.DeleteFunc(unkept, func(_ unstoredEnd, pending *pendingEnd) bool { return pending.kept.Load() })
+	return unkept
+}
+
+// logUnstoredEnds logs the ends that are forgotten with this node.
+func (e *Entry) logUnstoredEnds() {
+	for key := range e.unkeptEnds() {
+		e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg("node stops without having stored the end of a job")
+	}
+}
+
+func laterEndPause(failures int) time.Duration {
+	return sleep.Backoff(failures, storeRetryMax, laterEndRetryMax, rand.Float64())
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,9 @@
 	Runs RunRecorder
 	// Call sends a call to another node.
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
+	// StopJob ends a job at this node at once, if the node processes it and it is the
+	// customer's, before its end is stored; nil for a node that processes no jobs.
+	StopJob func(job, customer string, endedAt, now time.Time)
 	// LookupTTL is the time for which clients may cache a lookup answer.
 	LookupTTL time.Duration
 	// Retention is the time for which results stay readable.
@@ -91,7 +94,7 @@
 	cache   map[string]*jobResults
 	records map[string]jobRecord
 	// unstoredEnds are the ends that are still to be stored.
-	unstoredEnds map[unstoredEnd]bool
+	unstoredEnds map[unstoredEnd]*pendingEnd
 	seenNodes    map[string]seenNode
 	// named holds the addresses of the last lookup answer by node.
 	named map[string]string
@@ -106,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		Options: options, ctx: ctx, close: cancel,
-		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[unstoredEnd]bool{}, seenNodes: map[string]seenNode{},
+		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[unstoredEnd]*pendingEnd{}, seenNodes: map[string]seenNode{},
 	}
 }
 
@@ -160,10 +163,10 @@
 // InFlight returns the number of requests that are not answered yet.
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
 
-// Close stops the servers after the requests in flight, or when ctx ends.
+// Close stops the servers after the requests in flight, or when ctx ends, and hands the ends
+// that are not stored yet to other nodes.
 func (e *Entry) Close(ctx context.Context) {
 	defer e.close()
-	defer e.logUnstoredEnds()
 	var shutdowns, sweeper conc.WaitGroup
 	sweepCtx, stopSweeper := context.WithCancel(ctx)
 	sweeper.Go(func() { e.closeUnusedConns(sweepCtx) })
@@ -174,9 +177,12 @@
 			}
 		})
 	}
+	shutdowns.Go(func() { e.handOverEnds(ctx) })
 	shutdowns.Wait()
 	stopSweeper()
 	sweeper.Wait()
+	e.handOverEnds(ctx)
+	e.logUnstoredEnds()
 }
 
 // closeUnusedConns closes the connections that have brought no request, until ctx ends.
--- a/entry/forgotten_end_test.go
+++ b/entry/forgotten_end_test.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/platform"
 	"quetzalpier/stand"
+	"quetzalpier/vault"
 	"quetzalpier/wire"
 )
 
@@ -26,7 +32,7 @@
 	ended := make(chan string, 16)
 	r.entry.Call = func(_ context.Context, _ string, call *wire.Call) (*wire.Reply, error) {
 		if end := call.GetEnded(); end != nil {
-			ended <- end.GetJob()
+			ended <- end.GetPending()
 		}
 		return &wire.Reply{}, nil
 	}
@@ -42,6 +48,75 @@
 	require.True(t, len(stored.Entries) > 0 || len(ended) > 0, "the end is neither stored nor known to the pool's owner")
 }
 
+// Guards against ends that a node accepts from another one and then forgets, or applies to
+// the job of another customer.
+func TestAcceptedEnd(t *testing.T) {
+	stored := func(t *testing.T, r *testEntry) bool {
+		t.Helper()
+		found, err := platform.NewKV(r.kv.Addr).Range(t.Context(), "in/end/", false)
+		return err == nil && len(found.Entries) == 1
+	}
+	accept := func(t *testing.T, customer string) *testEntry {
+		t.Helper()
+		r := newTestEntry(t)
+		r.setCustomers()
+		_, err := (&vault.Vault{KV: platform.NewKV(r.kv.Addr)}).Put(t.Context(), &quetzalpier.Job{
+			ID: "j1", Host: host, Pool: "p", Model: "m", WantGroups: 1, MaxAttempts: 1, Customer: "alpha", Tasks: []quetzalpier.Task{{ID: "t", Group: "g", Path: "/t"}},
+		})
+		require.NoError(t, err)
+		r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+		require.True(t, r.entry.AcceptEnd("j1", customer, time.Now(), time.Now()))
+		time.Sleep(300 * time.Millisecond)
+		r.kv.SetFaults(stand.KVFaults{})
+		return r
+	}
+	t.Run("it is stored once that is possible", func(t *testing.T) {
+		r := accept(t, "alpha")
+		require.Eventually(t, func() bool { return stored(t, r) }, testTimeout, 20*time.Millisecond)
+	})
+	for _, customer := range []string{"beta", ""} {
+		t.Run("that of another customer's job is not stored, customer "+customer, func(t *testing.T) {
+			r := accept(t, customer)
+			require.Never(t, func() bool { return stored(t, r) }, 2*time.Second, 100*time.Millisecond)
+			require.InDelta(t, 0, testutil.ToFloat64(r.entry.Meter.UnstoredEnds), 0)
+		})
+	}
+	t.Run("it is dropped once another node has stored it", func(t *testing.T) {
+		r := newTestEntry(t)
+		r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+		require.True(t, r.entry.AcceptEnd("j1", "", time.Now(), time.Now()))
+		require.InDelta(t, 1, testutil.ToFloat64(r.entry.Meter.UnstoredEnds), 0)
+		r.entry.EndStored("j1")
+		require.InDelta(t, 0, testutil.ToFloat64(r.entry.Meter.UnstoredEnds), 0)
+	})
+	t.Run("a planned stop hands it over", func(t *testing.T) {
+		r := newTestEntry(t)
+		r.setConfig()
+		r.board.Update(func(s *board.State) {
+			s.Owners["p"] = board.Owner{Node: "o"}
+			s.Members["o"] = board.Member{ID: "o", Peer: "o:1"}
+		})
+		var log lockedBuffer
+		r.entry.Log = zerolog.New(&log)
+		var calls atomic.Int32
+		handedOver := make(chan *wire.Ended, 16)
+		r.entry.Call = func(_ context.Context, _ string, call *wire.Call) (*wire.Reply, error) {
+			if call.GetEnded() == nil || calls.Add(1) == 1 {
+				return nil, errors.New("no answer")
+			}
+			handedOver <- call.GetEnded()
+			return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+		}
+		r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+		require.True(t, r.entry.AcceptEnd("j1", "alpha", time.Now(), time.Now()))
+		r.entry.Close(t.Context())
+		require.Len(t, handedOver, 1)
+		end := <-handedOver
+		require.Equal(t, []string{"j1", "alpha", ""}, []string{end.GetPending(), end.GetCustomer(), end.GetJob()}, "earlier builds end the job of any customer")
+		require.NotContains(t, log.String(), "node stops without having stored")
+	})
+}
+
 // A front that had no configuration yet refused an end and forgot it, although its client
 // may not repeat it (incident UNASKED).
 func TestEndBeforeConfiguration(t *testing.T) {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -27,13 +26,10 @@
 	// step loses value with every second of delay, but a late one is worth more to
 	// its trainer than a refused one.
 	submitTimeout = 6 * time.Second
-	endTimeout    = 3 * time.Second
 	// storeRetryDelay and storeRetryMax bound the pause between two attempts to
 	// store a job or its end.
-	storeRetryDelay = 100 * time.Millisecond
-	storeRetryMax   = 400 * time.Millisecond
-	// laterEndRetryMax bounds the pause if nobody waits for the end.
-	laterEndRetryMax = time.Second
+	storeRetryDelay  = 100 * time.Millisecond
+	storeRetryMax    = 400 * time.Millisecond
 	storeCallTimeout = 1200 * time.Millisecond
 	// keepCallTimeout limits a call that stores a job on nodes' disks. The pool's
 	// owner is called first and, until a call succeeds, at most otherKeepers other
@@ -71,13 +67,6 @@
 	updatedAt time.Time
 }
 
-// unstoredEnd is the end of a job that a customer requested; its name is empty if there are
-// no customers.
-type unstoredEnd struct {
-	customer string
-	job      string
-}
-
 // recordFor returns the record of a job; it is empty for an unknown one.
 func (e *Entry) recordFor(job string) jobRecord {
 	e.mu.Lock()
@@ -236,42 +225,45 @@
 	return peers
 }
 
-// notifyOwners sends a new job, or the end of one, to the owners of pools. They also
-// receive it through their watch, but possibly late while the key-value service is
-// unhealthy. It is repeated while an owner, or a new one, has not received it.
+// notifyOwners sends a new job to the owners of pools. They also receive it through their
+// watch, but possibly late while the key-value service is unhealthy. It is repeated while an
+// owner, or a new one, has not received it.
 func (e *Entry) notifyOwners(call *wire.Call) {
 	e.workers.Go(func() {
-		notified := map[string]bool{}
+		answers := map[string]*wire.Reply{}
 		for failures := 1; failures <= maxNotices; failures++ {
-			if e.notifyOnce(call, notified) || !sleep.For(e.ctx, storePause(failures)) {
+			if e.notifyOnce(e.ctx, e.ownerPeers(), call, answers) || !sleep.For(e.ctx, storePause(failures)) {
 				return
 			}
 		}
 	})
 }
 
-// notifyOnce sends a call to the present owners that are not among the notified ones,
-// and adds those that accept it. It reports whether all have.
-func (e *Entry) notifyOnce(call *wire.Call, notified map[string]bool) bool {
+// notifyOnce sends a call to those peers that have not answered it yet, and adds the answers
+// that it gets. It reports whether all peers have answered.
+func (e *Entry) notifyOnce(ctx context.Context, peers []string, call *wire.Call, answers map[string]*wire.Reply) bool {
 	var mu sync.Mutex
 	var calls conc.WaitGroup
 	all := true
-	for _, peer := range e.ownerPeers() {
-		if notified[peer] {
+	for _, peer := range peers {
+		if answers[peer] != nil {
 			continue
 		}
 		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(e.ctx, keepCallTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, keepCallTimeout)
 			defer cancel()
-			_, err := e.Call(ctx, peer, call)
+			reply, err := e.Call(callCtx, peer, call)
 			mu.Lock()
 			defer mu.Unlock()
 			if err == nil {
-				notified[peer] = true
+				answers[peer] = reply
 				return
 			}
 			all = false
-			e.Log.Warn().Str("peer", peer).Err(err).Msg("notifying an owner of a new or ended job failed")
+			if ctx.Err() != nil {
+				return
+			}
+			e.Log.Warn().Str("peer", peer).Err(err).Msg("notifying a node of a new or ended job failed")
 		})
 	}
 	calls.Wait()
@@ -291,100 +283,6 @@
 	return peers
 }
 
-// endJob stores the end of a job. If that fails within endTimeout, the client is
-// refused, and the end is stored as soon as that is possible: the client may not
-// repeat it.
-func (e *Entry) endJob(c *fasthttp.RequestCtx, r *request, call platform.Call) {
-	if e.recordFor(call.Job).ended && e.findJob(r, call.Job) == nil {
-		e.logEnd(e.Log.Info(), c, r, call.Job).Msg("job end was stored before")
-		return
-	}
-	err := e.storeEnd(e.ctx, r, call.Job, r.start.Add(endTimeout), storePause)
-	if err == nil {
-		e.logEnd(e.Log.Info(), c, r, call.Job).Msg("job end stored")
-		return
-	}
-	e.logEnd(e.Log.Warn(), c, r, call.Job).Err(err).Bool("later", !isNotFound(err)).Msg("job end not stored")
-	if isNotFound(err) {
-		e.refuse(c, r, err)
-		return
-	}
-	e.refuse(c, r, quetzalpier.Unavailable("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	key := unstoredEnd{r.customerName(), call.Job}
-	if e.unstoredEnds[key] {
-		return
-	}
-	e.unstoredEnds[key] = true
-	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
-	e.workers.Go(func() { e.storeEndLater(r, call.Job) })
-}
-
-// logEnd adds to a line what became of a request to end a job.
-func (e *Entry) logEnd(line *zerolog.Event, c *fasthttp.RequestCtx, r *request, job string) *zerolog.Event {
-	return line.Str("job", job).Bool("client_gone", clientGone(c)).Dur("took_ms", time.Since(r.start))
-}
-
-// logUnstoredEnds logs the ends that are forgotten with this node.
-func (e *Entry) logUnstoredEnds() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for key := range e.unstoredEnds {
-		e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg("node stops without having stored the end of a job")
-	}
-}
-
-// storeEnd stores the end of a job until it succeeds, ctx ends or the deadline is too
-// close for another attempt, and notifies the owners of pools. A job that is not the
-// customer's is not found.
-func (e *Entry) storeEnd(ctx context.Context, r *request, job string, deadline time.Time, pause func(failures int) time.Duration) error {
-	for failures := 1; ; failures++ {
-		err := e.findJob(r, job)
-		if isNotFound(err) {
-			return err
-		}
-		now := time.Now()
-		if err == nil {
-			callCtx, cancel := context.WithDeadline(ctx, sleep.Earlier(deadline, now.Add(storeCallTimeout)))
-			err = e.Vault.End(callCtx, job, now)
-			cancel()
-		}
-		if err == nil {
-			e.record(job, jobRecord{ended: true, updatedAt: time.Now()})
-			e.notifyOwners(&wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackEnd(job, now)}})
-			return nil
-		}
-		wait := pause(failures)
-		if !time.Now().Add(wait).Before(deadline) || !sleep.For(ctx, wait) {
-			return err
-		}
-	}
-}
-
-// storeEndLater stores an end whose client was refused, unless another node does so
-// first, while the job's results are kept.
-func (e *Entry) storeEndLater(r *request, job string) {
-	err := e.storeEnd(e.ctx, r, job, r.start.Add(e.Retention), laterEndPause)
-	e.mu.Lock()
-	delete(e.unstoredEnds, unstoredEnd{r.customerName(), job})
-	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
-	e.mu.Unlock()
-	if isNotFound(err) {
-		e.Log.Warn().Str("job", job).Str("customer", r.customerName()).Err(err).Msg("the end of a job, whose client was refused, was not stored")
-		return
-	}
-	if err != nil {
-		e.Log.Error().Str("job", job).Bool("stopping", e.ctx.Err() != nil).Dur("age_ms", time.Since(r.start)).Err(err).Msg("the end of a job, whose client was refused, could not be stored")
-		return
-	}
-	e.Log.Info().Str("job", job).Dur("age_ms", time.Since(r.start)).Msg("end stored after its client was refused")
-}
-
-func laterEndPause(failures int) time.Duration {
-	return sleep.Backoff(failures, storeRetryMax, laterEndRetryMax, rand.Float64())
-}
-
 // readResults responds with a job's results from a position on.
 func (e *Entry) readResults(c *fasthttp.RequestCtx, r *request, call platform.Call) {
 	wait := time.Duration(0)
--- a/entry/owned.go
+++ b/entry/owned.go
@@ -26,7 +26,7 @@
 // an owner or the cache says of it: if that is empty, the job has no customer, or an older
 // build does not know it. Then the stored job decides.
 func (e *Entry) checkJob(r *request, job, customer string) error {
-	if !r.index.Enabled() {
+	if !r.hasCustomers() {
 		return nil
 	}
 	if customer == "" {
@@ -63,7 +63,7 @@
 // needs no call to the key-value service if this node or an owner knows the job. Without
 // customers it finds any job.
 func (e *Entry) findJob(r *request, job string) error {
-	if !r.index.Enabled() {
+	if !r.hasCustomers() {
 		return nil
 	}
 	customer := e.cachedCustomer(job)
--- a/entry/request.go
+++ b/entry/request.go
@@ -50,6 +50,10 @@
 	return r.customer.Name
 }
 
+// hasCustomers reports whether jobs have customers, as far as the request shows: another node
+// that checked its key may know a newer configuration.
+func (r *request) hasCustomers() bool { return r.index.Enabled() || r.customer != nil }
+
 // sendJob returns a job for the sender with what it needs of the request and its route.
 func (r *request) sendJob(route *quetzalpier.Route) *send.Job {
 	job := &send.Job{
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -37,8 +37,7 @@
 		return n.lookUpKept(kept.GetJob())
 	}
 	if ended := call.GetEnded(); ended != nil {
-		n.runner.EndJob(ended.GetJob(), ended.StoredAt(), time.Now())
-		return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+		return n.receiveEnd(ended, time.Now())
 	}
 	if store := call.GetStore(); store != nil {
 		return &wire.Reply{Kind: &wire.Reply_Stored{Stored: n.kv.Serve(ctx, store)}}
@@ -65,6 +64,17 @@
 	return &wire.Reply{Fault: "unknown call"}
 }
 
+// receiveEnd stops the tasks of a job that has ended, and stores its end if that is pending.
+func (n *Node) receiveEnd(ended *wire.Ended, now time.Time) *wire.Reply {
+	if job := ended.GetPending(); job != "" {
+		accepted := n.entry.AcceptEnd(job, ended.GetCustomer(), ended.StoredAt(), now)
+		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Job: job, Present: accepted}}}
+	}
+	n.runner.EndJob(ended.GetJob(), ended.StoredAt(), now)
+	n.entry.EndStored(ended.GetJob())
+	return &wire.Reply{Kind: &wire.Reply_Accepted{Accepted: &wire.Accepted{}}}
+}
+
 // answerProbe answers whether this node reaches another one. It answers a message that one
 // is unreachable at once and checks that in the background, since the sender has all nodes
 // to tell.
--- a/fleet/calls_test.go
+++ b/fleet/calls_test.go
@@ -13,6 +13,9 @@
 	"quetzalpier/lease"
 	"quetzalpier/runner"
 	"quetzalpier/setup"
+	"quetzalpier/stand"
+	"quetzalpier/vault"
+	"quetzalpier/wire"
 )
 
 func TestUnreachablePeers(t *testing.T) {
@@ -54,6 +57,19 @@
 	})
 }
 
+// Guards against an end that another node could not store and that this one accepts only.
+func TestPendingEnd(t *testing.T) {
+	n, kv, _ := openTestNode(t, "store")
+	kv.SetFaults(stand.KVFaults{Unavailable: true})
+	reply := n.handleCall(t.Context(), &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackPendingEnd("j", "", time.Now())}})
+	require.True(t, reply.GetKept().GetPresent())
+	kv.SetFaults(stand.KVFaults{})
+	require.Eventually(t, func() bool {
+		stored, err := n.kv.Get(t.Context(), vault.Ends+"j")
+		return err == nil && stored.Rev > 0
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
 func remaining(ids []string, removed string) (kept []string) {
 	for _, id := range ids {
 		if id != removed {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -231,7 +231,7 @@
 	options := entry.Options{
 		Board: n.Board, Sender: n.sender, Upstreams: upstreams, Origins: n.origins, Vault: jobVault, Meter: n.Meter, Log: n.Log,
 		Call: n.callPeer, LookupTTL: n.Settings.LookupTTL.D(), Retention: n.Settings.Retention.D(), KVStable: n.kvStable, KVFailed: n.kv.DirectFailed,
-		ConfigAge: n.configAge, RefuseAfter: n.refuseAfter(),
+		StopJob: n.runner.StopJob, ConfigAge: n.configAge, RefuseAfter: n.refuseAfter(),
 	}
 	if n.duties.recorder != nil {
 		options.Runs = n.duties.recorder
--- a/runner/ending_test.go
+++ b/runner/ending_test.go
@@ -144,6 +144,23 @@
 	})
 }
 
+// Guards against a customer that ends another one's job before the end is stored.
+func TestStopJob(t *testing.T) {
+	b, log := newLoggedBurst(t, 2)
+	b.place(t)
+	b.pool.scheduler.Jobs["j"].Spec.Customer = "alpha"
+	r := b.pool.runner
+	r.runners = map[string]*poolRunner{"lm": b.pool}
+	for _, other := range []string{"beta", ""} {
+		r.StopJob("j", other, burstStart, burstStart)
+	}
+	r.StopJob("k", "alpha", burstStart, burstStart)
+	require.Empty(t, logLines[endedLine](t, log, "job ended"))
+	require.Empty(t, b.pool.endedJobs)
+	r.StopJob("j", "alpha", burstStart, burstStart)
+	require.Len(t, logLines[endedLine](t, log, "job ended"), 1)
+}
+
 // Guards against calls that reach an upstream after the end of their job unseen.
 func TestSentAfterEnd(t *testing.T) {
 	b, log := newLoggedBurst(t, 5)
--- a/runner/read.go
+++ b/runner/read.go
@@ -152,6 +152,20 @@
 	signal(p.wake)
 }
 
+// StopJob ends a job whose end is not stored yet, on the pools that this node processes, if it
+// is known to be the customer's.
+func (r *Runner) StopJob(job, customer string, endedAt, now time.Time) {
+	for _, p := range r.activeRunners() {
+		p.mu.Lock()
+		known := p.scheduler.Jobs[job]
+		stops := known != nil && known.Spec.OwnedBy(customer)
+		p.mu.Unlock()
+		if stops {
+			p.endJob(job, end{endedAt, sourceNotice}, now)
+		}
+	}
+}
+
 // EndJob ends a job whose end a front stored at endedAt, on the pools that this node
 // processes. endedAt is zero if the front does not say so.
 func (r *Runner) EndJob(job string, endedAt, now time.Time) {
--- a/wire/end.go
+++ b/wire/end.go
@@ -15,7 +15,13 @@
 	return &Ended{Job: job, At: uint64(max(0, at.UnixMilli()))}
 }
 
-// StoredAt returns when the end was stored; zero if the message does not say so.
+// PackPendingEnd returns the request to store the end of a customer's job that its client asked
+// for at a time.
+func PackPendingEnd(job, customer string, at time.Time) *Ended {
+	return &Ended{At: uint64(max(0, at.UnixMilli())), Pending: job, Customer: customer}
+}
+
+// StoredAt returns when the end was stored or requested; zero if the message does not say so.
 func (x *Ended) StoredAt() time.Time {
 	if ms := x.GetAt(); ms > 0 && ms <= lastMilli {
 		return time.UnixMilli(int64(ms))
