entry: Keep ends whose client's key can't be checked yet

Evidence: TestEndBeforeConfiguration failed before, "Condition never satisfied ... the end was forgotten", and TestEndBeforeKeyIsChecked in its two cases with the right key, with the same message. Both pass now.

The front keeps such an end with the key, and checks the key with each configuration until the check gives a result. Then the end is stored like any other one that was late: only if the key is valid and the job is its customer's, and only if no route leads to its path. The key stays on the front, so that such an end is lost if the front stops before the check. At most 1,000 are kept at a time, since anyone may send them.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/access"
 	"quetzalpier/board"
 	"quetzalpier/platform"
 	"quetzalpier/sleep"
@@ -24,6 +26,8 @@
 	endTimeout = 3 * time.Second
 	// laterEndRetryMax bounds the pause between two attempts if nobody waits for the end.
 	laterEndRetryMax = time.Second
+	// maxUncheckedEnds bounds the ends that are kept of clients whose API keys are not checked.
+	maxUncheckedEnds = 1000
 )
 
 // unstoredEnd is the end of a job that a customer requested; its name is empty if there are
@@ -72,6 +76,61 @@
 	e.storeEndLater(r, call.Job, share)
 }
 
+// endUnchecked keeps the end of a job whose client was refused because this node could not
+// check its API key yet. It is stored once the check succeeds.
+func (e *Entry) endUnchecked(c *fasthttp.RequestCtx, r *request) {
+	call, isCall, err := parseCall(c, r)
+	if !isCall || err != nil || !call.End {
+		return
+	}
+	if e.uncheckedEnds.Add(1) > maxUncheckedEnds {
+		e.uncheckedEnds.Add(-1)
+		e.Log.Error().Str("job", call.Job).Msg("too many ends of jobs wait for a configuration; one is dropped")
+		return
+	}
+	later, key := *r, credentials(c)
+	key.Key = bytes.Clone(key.Key)
+	e.workers.Go(func() {
+		defer e.uncheckedEnds.Add(-1)
+		err := e.awaitCheck(&later, key)
+		e.Log.Info().Str("job", call.Job).Str("customer", later.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
+		if err == nil {
+			e.storeEndLater(&later, call.Job, func() { e.shareEnd(&later, call.Job) })
+		}
+	})
+}
+
+// awaitCheck checks the API key of a call about a job until that gives a result, while the
+// job's results are kept. It sets the customer of the request.
+func (e *Entry) awaitCheck(r *request, key access.Credentials) error {
+	for failures := 1; ; failures++ {
+		now := time.Now()
+		err := e.checkAgain(r, key, now)
+		wait := storePause(failures)
+		if !isUnavailable(err) || now.Add(wait).After(r.start.Add(e.Retention)) || !sleep.For(e.ctx, wait) {
+			return err
+		}
+	}
+}
+
+// checkAgain checks the API key of a call about a job with the present configuration.
+func (e *Entry) checkAgain(r *request, key access.Credentials, now time.Time) (err error) {
+	r.freshness = access.Freshness{Age: e.ConfigAge(now), RefuseAfter: e.RefuseAfter}
+	routed := false
+	e.Board.Do(func(s *board.State) {
+		r.index, r.configNumber = s.Access, s.Config.Number
+		_, routed = s.Config.MatchRoute(r.host, r.path)
+	})
+	switch {
+	case r.configNumber == 0:
+		return quetzalpier.Unavailable("config", "no configuration known yet", quetzalpier.RanNo, 0)
+	case routed:
+		return quetzalpier.NotFound("call", "a route leads to "+r.path)
+	}
+	r.customer, err = r.index.CheckJobCall(key, r.freshness)
+	return err
+}
+
 // logEnd adds to a line what became of a request to end a job.
 func (e *Entry) logEnd(line *zerolog.Event, c *fasthttp.RequestCtx, r *request, job string) *zerolog.Event {
 	return line.Str("job", job).Bool("client_gone", clientGone(c)).Dur("took_ms", time.Since(r.start))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,8 @@
 	mu      sync.Mutex
 	cache   map[string]*jobResults
 	records map[string]jobRecord
+	// uncheckedEnds is the number of ends whose clients' API keys are still to be checked.
+	uncheckedEnds atomic.Int64
 	// unstoredEnds are the ends that are still to be stored.
 	unstoredEnds map[unstoredEnd]*pendingEnd
 	seenNodes    map[string]seenNode
@@ -256,6 +258,7 @@
 		})
 	case number == 0:
 		e.refuse(c, req, quetzalpier.Unavailable("config", "no configuration known yet", quetzalpier.RanNo, e.Sender.Jitter(noConfigRetryAfter)))
+		e.endUnchecked(c, req)
 	case found && route.Batch:
 		e.submitJob(c, req, &route)
 	case found && route.Stream:
@@ -269,10 +272,14 @@
 	return &route
 }
 
+func parseCall(c *fasthttp.RequestCtx, req *request) (call platform.Call, isCall bool, err error) {
+	return platform.ParseCall(req.method, req.path, func(name string) string { return string(c.QueryArgs().Peek(name)) })
+}
+
 // handleJobCall serves a call about a submitted job. It responds 404 if the
 // request is no such call.
 func (e *Entry) handleJobCall(c *fasthttp.RequestCtx, req *request) {
-	call, ok, err := platform.ParseCall(req.method, req.path, func(name string) string { return string(c.QueryArgs().Peek(name)) })
+	call, ok, err := parseCall(c, req)
 	var refused error
 	req.customer, refused = req.index.CheckJobCall(credentials(c), req.freshness)
 	switch {
@@ -280,6 +287,9 @@
 		e.refuse(c, req, quetzalpier.NotFound("route", "no route leads there"))
 	case refused != nil:
 		e.refuseKey(c, req, refused)
+		if isUnavailable(refused) {
+			e.endUnchecked(c, req)
+		}
 	case err != nil:
 		e.refuse(c, req, quetzalpier.Malformed(err))
 	case call.End:
--- a/entry/forgotten_end_test.go
+++ b/entry/forgotten_end_test.go
@@ -48,22 +48,30 @@
 	require.True(t, len(stored.Entries) > 0 || len(ended) > 0, "the end is neither stored nor known to the pool's owner")
 }
 
+// storeJob stores the job j1 of a customer.
+func (r *testEntry) storeJob(t *testing.T, customer string) {
+	t.Helper()
+	_, err := (&vault.Vault{KV: platform.NewKV(r.kv.Addr)}).Put(t.Context(), &quetzalpier.Job{
+		ID: "j1", Host: host, Pool: "p", Model: "m", WantGroups: 1, MaxAttempts: 1, Customer: customer, Tasks: []quetzalpier.Task{{ID: "t", Group: "g", Path: "/t"}},
+	})
+	require.NoError(t, err)
+}
+
+// hasEnd reports whether one end is stored.
+func (r *testEntry) hasEnd(t *testing.T) bool {
+	t.Helper()
+	found, err := platform.NewKV(r.kv.Addr).Range(t.Context(), "in/end/", false)
+	return err == nil && len(found.Entries) == 1
+}
+
 // Guards against ends that a node accepts from another one and then forgets, or applies to
 // the job of another customer.
 func TestAcceptedEnd(t *testing.T) {
-	stored := func(t *testing.T, r *testEntry) bool {
-		t.Helper()
-		found, err := platform.NewKV(r.kv.Addr).Range(t.Context(), "in/end/", false)
-		return err == nil && len(found.Entries) == 1
-	}
 	accept := func(t *testing.T, customer string) *testEntry {
 		t.Helper()
 		r := newTestEntry(t)
 		r.setCustomers()
-		_, err := (&vault.Vault{KV: platform.NewKV(r.kv.Addr)}).Put(t.Context(), &quetzalpier.Job{
-			ID: "j1", Host: host, Pool: "p", Model: "m", WantGroups: 1, MaxAttempts: 1, Customer: "alpha", Tasks: []quetzalpier.Task{{ID: "t", Group: "g", Path: "/t"}},
-		})
-		require.NoError(t, err)
+		r.storeJob(t, "alpha")
 		r.kv.SetFaults(stand.KVFaults{Unavailable: true})
 		require.True(t, r.entry.AcceptEnd("j1", customer, time.Now(), time.Now()))
 		time.Sleep(300 * time.Millisecond)
@@ -72,12 +80,12 @@
 	}
 	t.Run("it is stored once that is possible", func(t *testing.T) {
 		r := accept(t, "alpha")
-		require.Eventually(t, func() bool { return stored(t, r) }, testTimeout, 20*time.Millisecond)
+		require.Eventually(t, func() bool { return r.hasEnd(t) }, testTimeout, 20*time.Millisecond)
 	})
 	for _, customer := range []string{"beta", ""} {
 		t.Run("that of another customer's job is not stored, customer "+customer, func(t *testing.T) {
 			r := accept(t, customer)
-			require.Never(t, func() bool { return stored(t, r) }, 2*time.Second, 100*time.Millisecond)
+			require.Never(t, func() bool { return r.hasEnd(t) }, 2*time.Second, 100*time.Millisecond)
 			require.InDelta(t, 0, testutil.ToFloat64(r.entry.Meter.UnstoredEnds), 0)
 		})
 	}
@@ -131,6 +139,46 @@
 	}, 5*time.Second, 50*time.Millisecond, "the end was forgotten")
 }
 
+// Guards against ends that a node forgets, or stores for anyone, because it can't check the
+// client's API key yet.
+func TestEndBeforeKeyIsChecked(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		config func(r *testEntry)
+	}{{"without a configuration", func(*testEntry) {}}, {"with an old configuration", func(r *testEntry) {
+		r.setCustomers()
+		r.board.Update(func(s *board.State) {
+			config := s.Config
+			config.Number, config.Customers = config.Number+1, config.Customers[1:]
+			s.SetConfig(config)
+		})
+		r.configAge.Store(int64(time.Hour))
+	}}} {
+		for header, stores := range map[string]bool{"ka": true, "kb": false, "wrong": false, "": false} {
+			t.Run(test.name+", key "+header, func(t *testing.T) {
+				t.Parallel()
+				r := newTestEntry(t)
+				r.storeJob(t, "alpha")
+				test.config(r)
+				var key map[string]string
+				if header != "" {
+					key = withKey(header)
+				}
+				resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", key)
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, resp.StatusCode, http.StatusUnauthorized)
+				r.setCustomers()
+				r.configAge.Store(0)
+				if stores {
+					require.Eventually(t, func() bool { return r.hasEnd(t) }, testTimeout, 20*time.Millisecond, "the end was forgotten")
+				} else {
+					require.Never(t, func() bool { return r.hasEnd(t) }, 1500*time.Millisecond, 50*time.Millisecond)
+				}
+			})
+		}
+	}
+}
+
 // An end that was stored while no owner of the pool was known was sent to none that came
 // after, who may have it from nowhere else for as long as it can't read the ends.
 func TestEndStoredBetweenTwoOwners(t *testing.T) {
--- a/entry/owned.go
+++ b/entry/owned.go
@@ -22,6 +22,11 @@
 	return errors.As(err, &refusal) && refusal.Status == http.StatusNotFound
 }
 
+func isUnavailable(err error) bool {
+	var refusal *quetzalpier.Refusal
+	return errors.As(err, &refusal) && refusal.Status == http.StatusServiceUnavailable
+}
+
 // checkJob returns a refusal if the job is not the request's customer's. customer is what
 // an owner or the cache says of it: if that is empty, the job has no customer, or an older
 // build does not know it. Then the stored job decides.
