relay: Cut direct watches when direct calls begin to fail

Users allow 3 s. The node's direct watch, open since before the refusal, got no answer until its time was up, and only then went through another node.

Evidence: TestWatchLeftOpen failed before, "4s" is not less than "3s", and passes now.

When a direct call fails after calls that succeeded, the direct watches that wait are ended and repeated through another node from the same revision. The connections stay open. A watch that the node makes for others ends as well, and is refused, so that they ask the next node (TestServedWatchLeftOpen failed before: "expected: 1 actual: 0", no refusal). Only one node is asked at a time, as before.

Each loss of direct access costs one relayed watch of at most 1 s for each waiting watch. A single watch that hangs while all other calls succeed is not covered: no call fails then. go test -race on relay (three times), mirror and fleet is green.

--- a/relay/hung_watch_test.go
+++ b/relay/hung_watch_test.go
@@ -58,3 +58,23 @@
 		require.Less(t, time.Since(began), 3*time.Second)
 	})
 }
+
+// Guards against watches of other nodes that wait at a node which the service refuses, and
+// against a reset of all connections for each refused call.
+func TestServedWatchLeftOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := hungKV{&faultyKV{MemoryKV: stand.NewMemoryKV()}}
+		kv := &relay.KV{
+			Direct: direct, Peers: func() []string { return nil }, Log: zerolog.Nop(),
+			Reset: func() { require.Fail(t, "connections were reset") },
+		}
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() {
+			direct.setFault(errRefused, false)
+			_, _ = kv.Get(t.Context(), "sys/x")
+		})
+		stored := kv.Serve(t.Context(), &wire.Store{Follow: &wire.Follow{Prefix: "in/end/", Wait: 2000}})
+		require.Equal(t, wire.Failure_REFUSED, stored.GetFailure().GetKind(), "the other node asks a third one")
+		require.Equal(t, 100*time.Millisecond, time.Since(began))
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,6 +70,10 @@
 	mu           sync.Mutex
 	directFailed bool
 	recoveredAt  time.Time
+	// access is canceled by loseAccess when direct calls begin to fail; nil if no direct watch
+	// was made since they succeed.
+	access     context.Context
+	loseAccess context.CancelFunc
 	// resetDone is set once the direct connections were closed during the present
 	// outage.
 	resetDone bool
@@ -132,10 +136,18 @@
 
 // watchDirect makes a direct watch. A healthy service may close a waiting watch; the
 // caller then has to read the changes that the watch may have missed. One that was not
-// answered in time shows that the service is silent.
+// answered in time shows that the service is silent. A watch ends at once when other direct
+// calls begin to fail: it may get no answer, or only one of before.
 func (k *KV) watchDirect(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
 	start := time.Now()
+	access := k.directAccess()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(access, cancel)()
 	found, err := k.Direct.WatchPrefix(ctx, prefix, rev, wait)
+	if err != nil && access.Err() != nil {
+		return found, &lostWatchError{Prefix: prefix}
+	}
 	unanswered := time.Since(start) >= wait+directTimeout-timeoutSlack
 	if isOutcomeUnknown(err) && ctx.Err() == nil && !unanswered {
 		err = &quetzalpier.CompactedError{Prefix: prefix, Rev: rev, Cut: true}
@@ -143,6 +155,19 @@
 	return found, err
 }
 
+// directAccess returns a context that ends when direct calls begin to fail.
+func (k *KV) directAccess() context.Context {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.access == nil {
+		k.access, k.loseAccess = context.WithCancel(context.Background())
+		if k.directFailed {
+			k.loseAccess()
+		}
+	}
+	return k.access
+}
+
 // Commit implements quetzalpier.KV.
 func (k *KV) Commit(ctx context.Context, txn quetzalpier.Txn) (uint64, error) {
 	return k.commit(ctx, 2*directTimeout, txn)
@@ -215,7 +240,7 @@
 			// outage.
 			return err
 		}
-		if !isCutWatch(err) {
+		if !isCutWatch(err) && !isLostWatch(err) {
 			k.recordDirect(err)
 		}
 		if !unavailable(err) || (isOutcomeUnknown(err) && !idempotent) {
@@ -238,6 +263,10 @@
 	k.directFailed = failed
 	if changed && !failed {
 		k.recoveredAt = time.Now()
+		k.access = nil
+	}
+	if changed && failed && k.access != nil {
+		k.loseAccess()
 	}
 	// Watches that wait on connections of before the outage may get no answer.
 	reset := isOutcomeUnknown(err) && !k.resetDone
@@ -392,6 +421,21 @@
 	return stored
 }
 
+// lostWatchError is the end of a direct watch because other direct calls began to fail.
+type lostWatchError struct{ Prefix string }
+
+func (e *lostWatchError) Error() string { return e.Unwrap().Error() }
+
+// Unwrap returns the refusal that the watch amounts to: another node may answer it.
+func (e *lostWatchError) Unwrap() error {
+	return &quetzalpier.RefusedError{Call: "watch " + e.Prefix, Reason: "direct access was lost"}
+}
+
+func isLostWatch(err error) bool {
+	var lost *lostWatchError
+	return errors.As(err, &lost)
+}
+
 // unavailable reports whether the service refused a call or did not answer.
 func unavailable(err error) bool { return isOutcomeUnknown(err) || isRefused(err) }
 
