entry: Notify new and standing-by owners of a stored end

The next owner had it only from its own reads, which take seconds while the store refuses it. Nodes that run a pool without being listed as its owner, as former owners and stand-ins do, never got it from a front.

The front sends an end to the owners of pools and to the store VMs that would take them over (keeperPeers), which are the nodes that stand in or owned the pool before. It repeats that up to five times while one does not answer, and for up to 6 s while a pool has no known owner.

An end costs three messages instead of one where the owner is known, and no call to the store. New jobs still go to owners only.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -26,6 +26,9 @@
 	endTimeout = 3 * time.Second
 	// laterEndRetryMax bounds the pause between two attempts if nobody waits for the end.
 	laterEndRetryMax = time.Second
+	// endNoticeTime limits how long the nodes that process jobs are notified of an end: a pool
+	// has a new owner sooner unless the key-value service is unavailable.
+	endNoticeTime = 6 * time.Second
 	// maxUncheckedEnds bounds the ends that are kept of clients whose API keys are not checked.
 	maxUncheckedEnds = 1000
 )
@@ -170,9 +173,29 @@
 	}
 }
 
-// notifyEnd sends the end of a job, which is stored, to the owners of pools.
+// notifyEnd sends the end of a job, which is stored, to the nodes that process the jobs of
+// pools or would take them over: a former owner may still run the tasks, and a new one may
+// not be able to read the ends. It is repeated while one has not received it or a pool has
+// no known owner.
 func (e *Entry) notifyEnd(job string, at time.Time) {
-	e.notifyOwners(&wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackEnd(job, at)}})
+	call := &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackEnd(job, at)}}
+	e.workers.Go(func() {
+		answers := map[string]*wire.Reply{}
+		until := time.Now().Add(endNoticeTime)
+		for failures := 0; failures < maxNotices && time.Now().Before(until); {
+			peers, owned := e.endPeers()
+			all := e.notifyOnce(e.ctx, peers, call, answers)
+			if all && owned {
+				return
+			}
+			if !all {
+				failures++
+			}
+			if !sleep.For(e.ctx, storePause(max(1, failures))) {
+				return
+			}
+		}
+	})
 }
 
 // pend adds an end to those that are to be stored. It returns the end that was added before,
@@ -305,30 +328,39 @@
 	return all
 }
 
-// endKeepers returns the addresses of the other nodes that process the jobs of pools, or
-// would take them over.
-func (e *Entry) endKeepers() []string {
-	var pools []string
-	var self string
+// endPeers returns the addresses of the nodes that process the jobs of pools, or would take
+// them over. owned reports whether the owners of all pools with jobs are known.
+func (e *Entry) endPeers() (peers []string, owned bool) {
+	pools := map[string]bool{}
+	owned = true
 	e.Board.Do(func(s *board.State) {
-		self = s.Self.Peer
 		for pool := range s.Owners {
-			pools = append(pools, pool)
+			pools[pool] = true
 		}
 		for _, route := range s.Config.Routes {
 			for _, target := range route.Targets {
 				if route.Batch {
-					pools = append(pools, target.Pool)
+					pools[target.Pool] = true
+					_, known := s.Members[s.Owners[target.Pool].Node]
+					owned = owned && known
 				}
 			}
 		}
 	})
-	peers := e.ownerPeers()
-	for _, pool := range pools {
+	peers = e.ownerPeers()
+	for pool := range pools {
 		peers = append(peers, e.keeperPeers(pool)...)
 	}
 	slices.Sort(peers)
-	return slices.DeleteFunc(slices.Compact(peers), func(peer string) bool { return peer == self })
+	return slices.Compact(peers), owned
+}
+
+// endKeepers returns the endPeers that are other nodes.
+func (e *Entry) endKeepers() []string {
+	var self string
+	e.Board.Do(func(s *board.State) { self = s.Self.Peer })
+	peers, _ := e.endPeers()
+	return slices.DeleteFunc(peers, func(peer string) bool { return peer == self })
 }
 
 // handOverEnds asks other nodes to store the ends that no other node stores yet.
