--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,9 @@
 	Runs RunRecorder
 	// Call sends a call to another node.
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
+	// StopJob ends a job at this node at once, if the node processes it and it is the
+	// customer's, before its end is stored; nil for a node that processes no jobs.
+	StopJob func(job, customer string, endedAt, now time.Time)
 	// LookupTTL is the time for which clients may cache a lookup answer.
 	LookupTTL time.Duration
 	// Retention is the time for which results stay readable.
@@ -92,8 +95,10 @@
 	mu      sync.Mutex
 	cache   map[string]*jobResults
 	records map[string]jobRecord
+	// uncheckedEnds is the number of ends whose clients' API keys are still to be checked.
+	uncheckedEnds atomic.Int64
 	// unstoredEnds are the ends that are still to be stored.
-	unstoredEnds map[unstoredEnd]bool
+	unstoredEnds map[unstoredEnd]*pendingEnd
 	seenNodes    map[string]seenNode
 	// named holds the addresses of the last lookup answer by node.
 	named map[string]string
@@ -111,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		Options: options, ctx: ctx, close: cancel,
-		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[unstoredEnd]bool{}, seenNodes: map[string]seenNode{},
+		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[unstoredEnd]*pendingEnd{}, seenNodes: map[string]seenNode{},
 	}
 }
 
@@ -167,10 +172,10 @@
 // InFlight returns the number of requests that are not answered yet.
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
 
-// Close stops the servers after the requests in flight, or when ctx ends.
+// Close stops the servers after the requests in flight, or when ctx ends, and hands the ends
+// that are not stored yet to other nodes.
 func (e *Entry) Close(ctx context.Context) {
 	defer e.close()
-	defer e.logUnstoredEnds()
 	var shutdowns, sweeper conc.WaitGroup
 	sweepCtx, stopSweeper := context.WithCancel(ctx)
 	sweeper.Go(func() { e.closeUnusedConns(sweepCtx) })
@@ -181,9 +186,12 @@
 			}
 		})
 	}
+	shutdowns.Go(func() { e.handOverEnds(ctx) })
 	shutdowns.Wait()
 	stopSweeper()
 	sweeper.Wait()
+	e.handOverEnds(ctx)
+	e.logUnstoredEnds()
 }
 
 // closeUnusedConns closes the connections that have brought no request, until ctx ends.
@@ -257,6 +265,7 @@
 		})
 	case number == 0:
 		e.refuse(c, req, quetzalpier.Unavailable("config", "no configuration known yet", quetzalpier.RanNo, e.Sender.Jitter(noConfigRetryAfter)))
+		e.endUnchecked(c, req)
 	case found && route.Batch:
 		e.submitJob(c, req, &route)
 	case found && route.Stream:
@@ -270,10 +279,14 @@
 	return &route
 }
 
+func parseCall(c *fasthttp.RequestCtx, req *request) (call platform.Call, isCall bool, err error) {
+	return platform.ParseCall(req.method, req.path, func(name string) string { return string(c.QueryArgs().Peek(name)) })
+}
+
 // handleJobCall serves a call about a submitted job. It responds 404 if the
 // request is no such call.
 func (e *Entry) handleJobCall(c *fasthttp.RequestCtx, req *request) {
-	call, ok, err := platform.ParseCall(req.method, req.path, func(name string) string { return string(c.QueryArgs().Peek(name)) })
+	call, ok, err := parseCall(c, req)
 	var refused error
 	req.customer, refused = req.index.CheckJobCall(credentials(c), req.freshness)
 	switch {
@@ -281,6 +294,9 @@
 		e.refuse(c, req, quetzalpier.NotFound("route", "no route leads there"))
 	case refused != nil:
 		e.refuseKey(c, req, refused)
+		if isUnavailable(refused) {
+			e.endUnchecked(c, req)
+		}
 	case err != nil:
 		e.refuse(c, req, quetzalpier.Malformed(err))
 	case call.End:
--- a/entry/owned.go
+++ b/entry/owned.go
@@ -22,11 +22,16 @@
 	return errors.As(err, &refusal) && refusal.Status == http.StatusNotFound
 }
 
+func isUnavailable(err error) bool {
+	var refusal *quetzalpier.Refusal
+	return errors.As(err, &refusal) && refusal.Status == http.StatusServiceUnavailable
+}
+
 // checkJob returns a refusal if the job is not the request's customer's. customer is what
 // an owner or the cache says of it: if that is empty, the job has no customer, or an older
 // build does not know it. Then the stored job decides.
 func (e *Entry) checkJob(r *request, job, customer string) error {
-	if !r.index.Enabled() {
+	if !r.hasCustomers() {
 		return nil
 	}
 	if customer == "" {
@@ -63,7 +68,7 @@
 // needs no call to the key-value service if this node or an owner knows the job. Without
 // customers it finds any job.
 func (e *Entry) findJob(r *request, job string) error {
-	if !r.index.Enabled() {
+	if !r.hasCustomers() {
 		return nil
 	}
 	customer := e.cachedCustomer(job)
--- a/runner/read.go
+++ b/runner/read.go
@@ -139,18 +139,33 @@
 	return customer, known
 }
 
-// OpenJob opens a job that a client submitted, if this node owns its pool.
+// OpenJob opens a job that a client submitted, if this node owns its pool. One that may have
+// ended is opened once the ends are known.
 func (r *Runner) OpenJob(job *quetzalpier.Job, now time.Time) {
 	r.mu.Lock()
 	p := r.runners[job.Pool]
 	r.mu.Unlock()
-	if p == nil {
+	if p == nil || p.hold(job, now) {
 		return
 	}
 	p.openJob(job, false, now)
 	signal(p.wake)
 }
 
+// StopJob ends a job whose end is not stored yet, on the pools that this node processes, if it
+// is known to be the customer's.
+func (r *Runner) StopJob(job, customer string, endedAt, now time.Time) {
+	for _, p := range r.activeRunners() {
+		p.mu.Lock()
+		known := p.scheduler.Jobs[job]
+		stops := known != nil && known.Spec.OwnedBy(customer)
+		p.mu.Unlock()
+		if stops {
+			p.endJob(job, end{endedAt, sourceNotice}, now)
+		}
+	}
+}
+
 // EndJob ends a job whose end a front stored at endedAt, on the pools that this node
 // processes. endedAt is zero if the front does not say so.
 func (r *Runner) EndJob(job string, endedAt, now time.Time) {
