runner, link: Work starts only while the ends of jobs are known to be current

An owner that is replaced, overloaded or waits for the store went on with what it had, for as long as it did not know better. Now a run or reward call of a job that is older than two seconds is sent only if the store, or another node for it, answered a watch or read of the ends within the last 2.2 s; that is checked before and after the connection is opened. A watch of ends takes 1 s at most instead of 2 s. In an outage that the node and those that it asks all see, work goes on: no end can be stored then.

--- a/link/link.go
+++ b/link/link.go
@@ -52,7 +52,7 @@
 	// off if the path of its connection is lost.
 	Repeatable bool
 	// OnConnected is called before the request is sent, which opening a connection may have
-	// delayed; nil does nothing.
+	// delayed. It is not sent if OnConnected cancels the context. Nil does nothing.
 	OnConnected func()
 	// OnSent is called once the request was written completely; nil does nothing.
 	OnSent func()
@@ -117,11 +117,14 @@
 		c.abort()
 		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: true, Err: ctx.Err()}
 	}
+	c.sent, c.last = 0, Sighting{Request: call.ID, Upstream: call.Upstream, Addr: call.Addr, Purpose: call.Purpose}
 	stopCancel := context.AfterFunc(ctx, c.abort)
 	if call.OnConnected != nil {
 		call.OnConnected()
 	}
-	c.sent, c.last = 0, Sighting{Request: call.ID, Upstream: call.Upstream, Addr: call.Addr, Purpose: call.Purpose}
+	if ctx.Err() != nil {
+		return nil, l.closeFailed(ctx, call.Addr, c, stopCancel, StageConnect, ctx.Err())
+	}
 	c.readTimeout = call.HeaderTimeout
 	l.watchPath(ctx, call, c)
 	err = call.Request.Write(c.writer)
--- a/runner/ended_test.go
+++ b/runner/ended_test.go
@@ -41,6 +41,18 @@
 	require.Equal(t, runs, len(engine.Runs()), "runs began later than %s after the end", cancelBound)
 }
 
+// repeatRewards makes the reward call of a job's first task be repeated after each failure.
+func (r *fixture) repeatRewards(job *quetzalpier.Job) {
+	job.Tasks[0].Reward.Path = "/patient/r"
+	r.board.Update(func(s *board.State) {
+		config := s.Config
+		config.Number++
+		config.Routes = append(config.Routes[:len(config.Routes):len(config.Routes)],
+			quetzalpier.Route{Name: "patient", Host: "h", Prefix: "/patient/", Idempotent: true, MaxAttempts: 1 << 20, Targets: []quetzalpier.Target{{Pool: "app", Weight: 1}}})
+		s.SetConfig(config)
+	})
+}
+
 // The owner ran tasks of jobs whose end it had not read (incident UNASKED).
 func TestTaskSentAfterEnd(t *testing.T) {
 	t.Run("jobs_too_large_to_read", func(t *testing.T) {
@@ -83,14 +95,7 @@
 		r := newFixture(t, 1, func(r *fixture) { r.runner.Log = zerolog.New(&lines) })
 		r.scorer.SetFaults(stand.WorkerFaults{Status: 500, StatusCount: 1 << 20})
 		job := newJob("j", 1, 2)
-		job.Tasks[0].Reward.Path = "/patient/r"
-		r.board.Update(func(s *board.State) {
-			config := s.Config
-			config.Number++
-			config.Routes = append(config.Routes[:len(config.Routes):len(config.Routes)],
-				quetzalpier.Route{Name: "patient", Host: "h", Prefix: "/patient/", Idempotent: true, MaxAttempts: 1 << 20, Targets: []quetzalpier.Target{{Pool: "app", Weight: 1}}})
-			s.SetConfig(config)
-		})
+		r.repeatRewards(job)
 		r.putJob(t, job)
 		// From the fifth failure on, the pause before the next call is above 0.8 s.
 		require.Eventually(t, func() bool { return lines.count("reward call failed") >= 5 }, waitTimeout, time.Millisecond)
--- a/runner/ending.go
+++ b/runner/ending.go
@@ -18,8 +18,27 @@
 	// key-value service fails it: about as long as its lease, after which another node that
 	// reads the ends takes over, unless the service fails all nodes.
 	unreadEndsWait = 1200 * time.Millisecond
+	// maxEndsAge is how old the last answer about ends may be when a run or reward call is
+	// sent: more than a watch takes, and less than the users' three seconds by the way to the
+	// upstream.
+	maxEndsAge = 2200 * time.Millisecond
+	// endsRetryDelay is the delay before a task is started again that was kept back.
+	endsRetryDelay = 50 * time.Millisecond
 )
 
+// staleEndsError reports that a run or reward call was not sent, since its job may have ended
+// without this node's knowledge.
+type staleEndsError struct {
+	Job string
+	// Age is how long ago the ends were known to be current.
+	Age time.Duration
+}
+
+// Error implements error.
+func (e *staleEndsError) Error() string {
+	return "job " + e.Job + " may have ended: the ends of jobs are not known for the last " + e.Age.String()
+}
+
 // endSource is how a node learned of the end of a job.
 type endSource string
 
@@ -57,6 +76,23 @@
 	return s.pool.runner.KV.WatchPrefix(ctx, prefix, rev, wait)
 }
 
+// checkEnds returns an error if a job may have ended too long ago without this node's
+// knowledge to start its work. In an outage of the key-value service, which nobody can end a
+// job in either, work goes on.
+//
+// Load pattern: an owner has so much to do, or waits so long for the service, that it learns
+// late of ends and of the node that took its pool over.
+func (p *poolRunner) checkEnds(job *quetzalpier.Job, now time.Time) error {
+	ends := p.ends.State()
+	age := now.Sub(ends.LastContact)
+	outage := ends.Failing && p.runner.KVFailed()
+	if age <= maxEndsAge || outage || now.Sub(job.SubmittedAt) < recentJob {
+		return nil
+	}
+	p.runner.Log.Warn().Str("job", job.ID).Dur("age_ms", age).Msg("work is kept back, since ends of jobs may be unknown")
+	return &staleEndsError{Job: job.ID, Age: age}
+}
+
 // hold keeps back a job that may have ended, if the ends have not been read yet. It reports
 // whether it does.
 func (p *poolRunner) hold(job *quetzalpier.Job, now time.Time) bool {
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -36,7 +36,7 @@
 	maxConcurrentReads = 8
 	// maxEndsWatch is how long a watch of ends waits at most. One that gets no answer
 	// is noticed soon after, within the three seconds in which an end must be known.
-	maxEndsWatch = 2 * time.Second
+	maxEndsWatch = time.Second
 	// kvRetryBase and kvRetryMax bound the pause before a failed call to the
 	// key-value service is repeated.
 	kvRetryBase = 100 * time.Millisecond
@@ -79,6 +79,8 @@
 	standInFor    *board.Owner
 	kvRecoveredAt time.Time
 	fence         uint64
+	// ends follows the ends of jobs.
+	ends *mirror.Mirror
 	// endsKnown is set once the ends of jobs have been read, or can't be for now. Until then
 	// held keeps back the jobs that may have ended, and endsFailedAt is when the first read
 	// of the present outage failed; zero for none.
@@ -131,12 +133,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	scheduler := tasks.NewScheduler()
 	scheduler.Reuse, scheduler.Share = r.ReusePrompts, r.ShareByPriority
-	return &poolRunner{
+	p := &poolRunner{
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: scheduler, engines: map[string]*engine{},
 		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, held: map[string]*quetzalpier.Job{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, sent: map[string]sentTimes{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
 	}
+	p.ends = p.newMirror(vault.Ends, min(r.WatchTimeout, maxEndsWatch), p.applyEnds)
+	p.ends.KV = endsSource{p}
+	return p
 }
 
 // updateFence applies the fencing token of a lease that was acquired anew. Another
@@ -172,9 +177,7 @@
 
 func (p *poolRunner) run() {
 	p.goroutines.Go(func() {
-		ends := p.newMirror(vault.Ends, min(p.runner.WatchTimeout, maxEndsWatch), p.applyEnds)
-		ends.KV = endsSource{p}
-		ends.Run(p.ctx)
+		p.ends.Run(p.ctx)
 	})
 	p.goroutines.Go(func() { p.newMirror(vault.Jobs, p.runner.WatchTimeout, p.applyJobs).Run(p.ctx) })
 	p.goroutines.Go(func() { p.commitLoop(p.ctx) })
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -41,6 +41,11 @@
 	// maxReadBytes is the size beyond which a read gets no answer in time; zero for
 	// none.
 	maxReadBytes int
+	// hung is a prefix whose watches get no answer; empty for none. hangs is set once one does.
+	// out is set while all reads and watches are refused.
+	hung  string
+	hangs bool
+	out   bool
 	// heldRead holds back the reply to the next read of a prefix; nil for none.
 	heldRead *heldRead
 }
@@ -53,7 +58,7 @@
 
 func (s *lossyKV) Range(ctx context.Context, prefix string, stale bool) (quetzalpier.Changes, error) {
 	s.mu.Lock()
-	fails := s.unreadable != "" && strings.HasPrefix(prefix, s.unreadable)
+	fails := s.out || s.unreadable != "" && strings.HasPrefix(prefix, s.unreadable)
 	limit := s.maxReadBytes
 	held := s.heldRead
 	if held != nil && strings.HasPrefix(prefix, held.prefix) {
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -162,11 +162,22 @@
 func (r *run) stream(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var stale error
+	check := func() {
+		if stale = r.parent.checkEnds(r.task.Job.Spec, time.Now()); stale != nil {
+			cancel()
+		}
+	}
+	// Opening a connection may take a second.
+	check()
 	resp, err := r.parent.runner.Upstreams.Send(ctx, r.vm, link.Call{
 		Request: r.request(time.Now()), Purpose: link.PurposeRun, HeaderTimeout: r.timeout, ReadTimeout: r.timeout,
-		Direct: true, Repeatable: true, OnSent: func() { r.recordSent(time.Now()) },
+		Direct: true, Repeatable: true, OnConnected: check, OnSent: func() { r.recordSent(time.Now()) },
 	})
-	if err != nil {
+	switch {
+	case stale != nil:
+		return stale
+	case err != nil:
 		return err
 	}
 	defer func() { _ = resp.Close() }()
@@ -301,7 +312,8 @@
 	delete(p.cancels, r.task)
 	r.engine.Running--
 	var limited *quetzalpier.LimitedError
-	if !errors.As(err, &limited) {
+	var stale *staleEndsError
+	if !errors.As(err, &limited) && !errors.As(err, &stale) {
 		p.logRun(r, err, canceled, now)
 	}
 	if r.task.Phase != tasks.Running || r.task.Job.Ended {
@@ -317,6 +329,8 @@
 	}
 	switch {
 	case canceled, err == nil && dropped:
+	case errors.As(err, &stale):
+		r.task.NotBefore = now.Add(endsRetryDelay)
 	case errors.As(err, &limited):
 		// The run was not sent; the engine gets no other one until its limit allows it.
 	case err == nil:
@@ -497,6 +511,10 @@
 	job.Priority = route.Priority
 	result := rewardOutcome{MaxAttempts: route.MaxAttempts, BeganAt: now}
 	result.Err = p.runner.Sender.Do(ctx, job, func(ctx context.Context, a *send.Attempt) error {
+		if err := p.checkEnds(task.Job.Spec, time.Now()); err != nil {
+			cancel()
+			return err
+		}
 		req := &fasthttp.Request{}
 		req.Header.SetMethod(http.MethodPost)
 		req.Header.SetRequestURI(reward.Path)
