entry: Test of an end whose only other keeper is lost (red)

An end that the store refuses is in the memory of its front and of the nodes that accepted it. The job itself is in the store or on more disks than may be lost.

Red on: "should have 1 item(s), but has 0", "no node that is alive was asked to store the end".

--- /dev/null
+++ b/entry/lost_keeper_test.go
@@ -0,0 +1,54 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier/board"
+	"quetzalpier/platform"
+	"quetzalpier/runner"
+	"quetzalpier/stand"
+	"quetzalpier/wire"
+)
+
+// setStoreNodes makes nodes with disks known, whose addresses are their IDs with a port.
+func (r *testEntry) setStoreNodes(ids ...string) {
+	r.board.Update(func(s *board.State) {
+		for _, id := range ids {
+			s.Members[id] = board.Member{ID: id, Peer: id + ":1", State: board.Alive, Roles: []string{runner.ClassStore}}
+		}
+	})
+}
+
+// A front that stopped handed an end over to no other node since one had accepted it before
+// and was lost before it could store it.
+func TestEndKeptByLostNode(t *testing.T) {
+	r := newTestEntry(t)
+	r.setConfig()
+	r.setStoreNodes("a")
+	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: "a"} })
+	asked := make(chan string, 64)
+	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+		if call.GetEnded().GetPending() == "" {
+			return nil, errors.New("no answer")
+		}
+		asked <- peer
+		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+	}
+	r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+	require.Equal(t, "a:1", <-asked)
+	r.board.Update(func(s *board.State) {
+		delete(s.Members, "a")
+		delete(s.Owners, "p")
+	})
+	r.setStoreNodes("b")
+	r.entry.Close(t.Context())
+	require.Len(t, asked, 1, "no node that is alive was asked to store the end")
+}
