entry: Test of an end that a former owner is not told of (red)

A pool's runner outlives its lease until another node takes over, but notices of an end go to the known owner and two further nodes by hash, of which a former owner need not be one: it has the end from its watch only.

Red on: "the former owner was not notified".

--- a/entry/lost_keeper_test.go
+++ b/entry/lost_keeper_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"quetzalpier/board"
+	"quetzalpier/hash"
 	"quetzalpier/platform"
 	"quetzalpier/runner"
 	"quetzalpier/stand"
@@ -52,3 +54,34 @@
 	r.entry.Close(t.Context())
 	require.Len(t, asked, 1, "no node that is alive was asked to store the end")
 }
+
+// An end that was stored while its pool had no owner was not sent to the former owner, which
+// goes on running the tasks until another node takes over.
+func TestFormerOwnerNotNotified(t *testing.T) {
+	r := newTestEntry(t)
+	r.setConfig()
+	nodes := []string{"a", "b", "c"}
+	r.setStoreNodes(nodes...)
+	former := hash.Owners("p", nodes, len(nodes))[2]
+	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: former} })
+	requireStatus(t, r, "/none", http.StatusNotFound)
+	r.board.Update(func(s *board.State) { delete(s.Owners, "p") })
+	notified := make(chan string, 64)
+	r.entry.Call = func(_ context.Context, peer string, _ *wire.Call) (*wire.Reply, error) {
+		notified <- peer
+		return &wire.Reply{}, nil
+	}
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	for deadline := time.After(3 * time.Second); ; {
+		select {
+		case peer := <-notified:
+			if peer == former+":1" {
+				return
+			}
+		case <-deadline:
+			require.Fail(t, "the former owner was not notified")
+		}
+	}
+}
