entry: Test of an unchecked end that is forgotten when its front stops (red)

An end whose client's key could not be checked is only in a goroutine of its front. A planned stop ends that without a handover, and logUnstoredEnds does not know of it.

--- a/entry/lost_keeper_test.go
+++ b/entry/lost_keeper_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"quetzalpier/board"
@@ -85,3 +86,30 @@
 		}
 	}
 }
+
+// A front that stopped before it could check the key of an end's client forgot the end and
+// said so nowhere.
+func TestUncheckedEndForgottenAtStop(t *testing.T) {
+	r := newTestEntry(t)
+	r.storeJob(t, "alpha")
+	r.setCustomers()
+	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: "a"} })
+	r.setStoreNodes("a")
+	r.configAge.Store(int64(time.Hour))
+	var log lockedBuffer
+	r.entry.Log = zerolog.New(&log)
+	handedOver := make(chan string, 64)
+	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+		if call.GetEnded() != nil {
+			handedOver <- peer
+		}
+		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+	}
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", withKey("unknown"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	r.entry.Close(t.Context())
+	if len(handedOver) == 0 {
+		require.Contains(t, log.String(), "node stops without having stored", "the end is known to no node, and no line says so")
+	}
+}
