--- /dev/null
+++ b/entry/lost_keeper_test.go
@@ -0,0 +1,115 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier/board"
+	"quetzalpier/hash"
+	"quetzalpier/platform"
+	"quetzalpier/runner"
+	"quetzalpier/stand"
+	"quetzalpier/wire"
+)
+
+// setStoreNodes makes nodes with disks known, whose addresses are their IDs with a port.
+func (r *testEntry) setStoreNodes(ids ...string) {
+	r.board.Update(func(s *board.State) {
+		for _, id := range ids {
+			s.Members[id] = board.Member{ID: id, Peer: id + ":1", State: board.Alive, Roles: []string{runner.ClassStore}}
+		}
+	})
+}
+
+// A front that stopped handed an end over to no other node since one had accepted it before
+// and was lost before it could store it.
+func TestEndKeptByLostNode(t *testing.T) {
+	r := newTestEntry(t)
+	r.setConfig()
+	r.setStoreNodes("a")
+	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: "a"} })
+	asked := make(chan string, 64)
+	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+		if call.GetEnded().GetPending() == "" {
+			return nil, errors.New("no answer")
+		}
+		asked <- peer
+		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+	}
+	r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+	require.Equal(t, "a:1", <-asked)
+	r.board.Update(func(s *board.State) {
+		delete(s.Members, "a")
+		delete(s.Owners, "p")
+	})
+	r.setStoreNodes("b")
+	r.entry.Close(t.Context())
+	require.Len(t, asked, 1, "no node that is alive was asked to store the end")
+}
+
+// An end that was stored while its pool had no owner was not sent to the former owner, which
+// goes on running the tasks until another node takes over.
+func TestFormerOwnerNotNotified(t *testing.T) {
+	r := newTestEntry(t)
+	r.setConfig()
+	nodes := []string{"a", "b", "c"}
+	r.setStoreNodes(nodes...)
+	former := hash.Owners("p", nodes, len(nodes))[2]
+	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: former} })
+	requireStatus(t, r, "/none", http.StatusNotFound)
+	r.board.Update(func(s *board.State) { delete(s.Owners, "p") })
+	notified := make(chan string, 64)
+	r.entry.Call = func(_ context.Context, peer string, _ *wire.Call) (*wire.Reply, error) {
+		notified <- peer
+		return &wire.Reply{}, nil
+	}
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	for deadline := time.After(3 * time.Second); ; {
+		select {
+		case peer := <-notified:
+			if peer == former+":1" {
+				return
+			}
+		case <-deadline:
+			require.Fail(t, "the former owner was not notified")
+		}
+	}
+}
+
+// A front that stopped before it could check the key of an end's client forgot the end and
+// said so nowhere.
+func TestUncheckedEndForgottenAtStop(t *testing.T) {
+	r := newTestEntry(t)
+	r.storeJob(t, "alpha")
+	r.setCustomers()
+	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: "a"} })
+	r.setStoreNodes("a")
+	r.configAge.Store(int64(time.Hour))
+	var log lockedBuffer
+	r.entry.Log = zerolog.New(&log)
+	handedOver := make(chan string, 64)
+	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+		if call.GetEnded() != nil {
+			handedOver <- peer
+		}
+		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+	}
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", withKey("unknown"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	r.entry.Close(t.Context())
+	if len(handedOver) == 0 {
+		require.Contains(t, log.String(), "node stops without having stored", "the end is known to no node, and no line says so")
+	}
+}
