runner: A job that was kept back is opened with its stored results, whatever its time

A job that was kept back until the ends were read was opened as if no earlier owner had stored results, and the read of all jobs left it out: readers got none of its results until the next conflict (LOST). And a repeated submission, which has a time of its own, was not kept back at all.

Jobs that were kept back are opened with what is stored for them, unless that can't be read. The subtest that a recent job starts at once goes with the rule that it tested.

--- a/runner/ending.go
+++ b/runner/ending.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// recentJob is the age up to which a job is opened before the ends have been read: an end
-	// of it is younger, and the users allow three seconds from an end to the last run.
-	recentJob = 2 * time.Second
 	// unreadEndsWait is how long an owner that can't read the ends keeps jobs back while the
 	// key-value service fails it: about as long as its lease, after which another node that
 	// reads the ends takes over, unless the service fails all nodes.
@@ -86,34 +83,36 @@
 	ends := p.ends.State()
 	age := now.Sub(ends.LastContact)
 	outage := ends.Failing && p.runner.KVFailed()
-	if age <= maxEndsAge || outage || now.Sub(job.SubmittedAt) < recentJob {
+	if age <= maxEndsAge || outage {
 		return nil
 	}
 	p.runner.Log.Warn().Str("job", job.ID).Dur("age_ms", age).Msg("work is kept back, since ends of jobs may be unknown")
 	return &staleEndsError{Job: job.ID, Age: age}
 }
 
-// hold keeps back a job that may have ended, if the ends have not been read yet. It reports
-// whether it does.
-func (p *poolRunner) hold(job *quetzalpier.Job, now time.Time) bool {
+// hold keeps back a job from another node, which may have ended, if the ends have not been
+// read yet. It reports whether it does. The time of its submission shows nothing: clients
+// submit jobs again.
+func (p *poolRunner) hold(job *quetzalpier.Job) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.endsKnown || now.Sub(job.SubmittedAt) < recentJob {
+	if p.endsKnown {
 		return false
 	}
 	p.held[job.ID] = job
 	return true
 }
 
-// releaseHeld opens the jobs that were kept back.
-func (p *poolRunner) releaseHeld(now time.Time) {
+// releaseHeld opens the jobs that were kept back. An earlier owner may have stored results of
+// them; mayRead is set if these can be read.
+func (p *poolRunner) releaseHeld(mayRead bool, now time.Time) {
 	p.mu.Lock()
 	held := p.held
 	p.endsKnown, p.held = true, nil
 	p.mu.Unlock()
 	for _, job := range held {
 		p.runner.Log.Info().Str("job", job.ID).Dur("age_ms", now.Sub(job.SubmittedAt)).Msg("job was kept back until the ends of jobs were read")
-		p.openInBackground(job, false, now)
+		p.openInBackground(job, mayRead, now)
 	}
 }
 
@@ -133,7 +132,7 @@
 		return
 	}
 	p.runner.Log.Warn().Str("pool", p.pool).Msg("opening jobs although the ends of jobs can't be read")
-	p.releaseHeld(now)
+	p.releaseHeld(false, now)
 }
 
 // endJob ends a job and cancels its runs and reward calls.
--- a/runner/ending_test.go
+++ b/runner/ending_test.go
@@ -13,6 +13,7 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/stand"
 	"quetzalpier/vault"
 	"quetzalpier/wire"
 )
@@ -96,9 +97,9 @@
 // Guards against steps that wait for ends which can't be read in an outage, and against
 // work for ended jobs before they are read.
 func TestJobKeptBack(t *testing.T) {
-	notice := func(p *poolRunner, age time.Duration) (opened func() bool) {
-		job := &quetzalpier.Job{ID: "k", SubmittedAt: burstStart.Add(-age), ExpiresAt: burstStart.Add(time.Hour)}
-		if !p.hold(job, burstStart) {
+	notice := func(p *poolRunner) (opened func() bool) {
+		job := &quetzalpier.Job{ID: "k", SubmittedAt: burstStart, ExpiresAt: burstStart.Add(time.Hour)}
+		if !p.hold(job) {
 			p.openJob(job, false, burstStart)
 		}
 		return func() bool {
@@ -106,12 +107,14 @@
 			return p.scheduler.Jobs["k"] != nil
 		}
 	}
-	t.Run("a recent job starts at once", func(t *testing.T) {
-		require.True(t, notice(newBurst(t, 1, 1, 1).pool, recentJob-time.Millisecond)())
-	})
+	newPool := func() *poolRunner {
+		p, kv := newBurst(t, 1, 1, 1).pool, stand.NewMemoryKV()
+		p.runner.KV, p.runner.Vault = kv, &vault.Vault{KV: kv}
+		return p
+	}
 	t.Run("until the ends are read", func(t *testing.T) {
-		p := newBurst(t, 1, 1, 1).pool
-		opened := notice(p, recentJob)
+		p := newPool()
+		opened := notice(p)
 		p.failEndsRead(false, burstStart)
 		p.applyEnds(nil, false, burstStart)
 		require.False(t, opened())
@@ -119,21 +122,21 @@
 		require.True(t, opened())
 	})
 	t.Run("an ended job is never opened", func(t *testing.T) {
-		p := newBurst(t, 1, 1, 1).pool
-		opened := notice(p, recentJob)
+		p := newPool()
+		opened := notice(p)
 		p.applyEnds([]quetzalpier.Entry{{Key: vault.Ends + "k", Rev: 1}}, true, burstStart)
 		require.False(t, opened())
 	})
 	t.Run("a stand-in goes on after a failed read", func(t *testing.T) {
-		p := newBurst(t, 1, 1, 1).pool
+		p := newPool()
 		p.standInFor = &board.Owner{}
-		opened := notice(p, recentJob)
+		opened := notice(p)
 		p.failEndsRead(true, burstStart)
 		require.True(t, opened())
 	})
 	t.Run("an owner goes on about when its lease ends", func(t *testing.T) {
-		p := newBurst(t, 1, 1, 1).pool
-		opened := notice(p, recentJob)
+		p := newPool()
+		opened := notice(p)
 		p.failEndsRead(true, burstStart)
 		require.False(t, opened())
 		p.failEndsRead(false, burstStart.Add(unreadEndsWait))
--- a/runner/held_results_test.go
+++ b/runner/held_results_test.go
@@ -20,7 +20,7 @@
 	p.runner.KV, p.runner.Vault = kv, &vault.Vault{KV: kv}
 	job := &quetzalpier.Job{
 		ID: "k", Pool: "lm", Host: "h", Model: "m", MinVersion: 1, WantGroups: 1, MaxAttempts: 1,
-		SubmittedAt: burstStart.Add(-recentJob), DueAt: burstStart.Add(time.Minute), ExpiresAt: burstStart.Add(time.Hour),
+		SubmittedAt: burstStart.Add(-time.Minute), DueAt: burstStart.Add(time.Minute), ExpiresAt: burstStart.Add(time.Hour),
 	}
 	job.Tasks = []quetzalpier.Task{{ID: "k-0", Group: "g", Path: "/k"}}
 	_, err := p.runner.Vault.Put(t.Context(), job)
@@ -29,7 +29,7 @@
 	require.NoError(t, err)
 	_, err = kv.CompareAndSwap(t.Context(), "out/k/000000", page, 0, "")
 	require.NoError(t, err)
-	require.True(t, p.hold(job, burstStart))
+	require.True(t, p.hold(job))
 	stored, err := kv.Range(t.Context(), vault.Jobs, false)
 	require.NoError(t, err)
 	// The goroutine that opens the job gets its turn after the jobs have been read.
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -223,7 +223,7 @@
 		}
 	}
 	if full {
-		p.releaseHeld(now)
+		p.releaseHeld(true, now)
 	}
 }
 
--- a/runner/read.go
+++ b/runner/read.go
@@ -145,7 +145,7 @@
 	r.mu.Lock()
 	p := r.runners[job.Pool]
 	r.mu.Unlock()
-	if p == nil || p.hold(job, now) {
+	if p == nil || p.hold(job) {
 		return
 	}
 	p.openJob(job, false, now)
