--- a/entry/ends.go
+++ b/entry/ends.go
@@ -96,6 +96,10 @@
 	e.workers.Go(func() {
 		defer e.uncheckedEnds.Add(-1)
 		err := e.awaitCheck(&later, key)
+		if isUnavailable(err) {
+			e.Log.Error().Str("job", call.Job).Err(err).Msg("the end of a job is forgotten, since its client's API key could not be checked")
+			return
+		}
 		e.Log.Info().Str("job", call.Job).Str("customer", later.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
 		if err == nil {
 			e.storeEndLater(&later, call.Job, func() { e.shareEnd(&later, call.Job) })
@@ -275,12 +279,7 @@
 	e.workers.Go(func() {
 		e.stopTasks(r, job)
 		err := e.storeEnd(pending.ctx, r, job, r.start.Add(e.Retention), laterEndPause, failed)
-		line := e.Log.Info()
-		if err != nil {
-			line = e.Log.Warn()
-		}
-		line.Str("job", job).Str("customer", r.customerName()).Bool("known", pending.ctx.Err() != nil && e.ctx.Err() == nil).Bool("stopping", e.ctx.Err() != nil).
-			Dur("age_ms", time.Since(r.start)).Err(err).Msg("storing an end whose client was refused ended")
+		e.logLaterEnd(pending, r, job, err)
 		if e.ctx.Err() == nil {
 			e.dropEnd(unstoredEnd{r.customerName(), job})
 		}
@@ -288,6 +287,20 @@
 	return true
 }
 
+// logLaterEnd logs what became of an end whose client was refused.
+func (e *Entry) logLaterEnd(pending *pendingEnd, r *request, job string, err error) {
+	line, message := e.Log.Info(), "end stored after its client was refused"
+	switch {
+	case isNotFound(err):
+		line, message = e.Log.Warn(), "the end of a job, whose client was refused, was not stored"
+	case err != nil && pending.ctx.Err() != nil && e.ctx.Err() == nil:
+		err, message = nil, "another node stored the end of a job, whose client was refused"
+	case err != nil:
+		line, message = e.Log.Error(), "the end of a job, whose client was refused, could not be stored"
+	}
+	line.Str("job", job).Str("customer", r.customerName()).Bool("stopping", e.ctx.Err() != nil).Dur("age_ms", time.Since(r.start)).Err(err).Msg(message)
+}
+
 // stopTasks ends the job at this node, if it processes it for the customer.
 func (e *Entry) stopTasks(r *request, job string) {
 	if e.StopJob != nil {
--- a/entry/forgotten_end_test.go
+++ b/entry/forgotten_end_test.go
@@ -73,7 +73,10 @@
 		r.setCustomers()
 		r.storeJob(t, "alpha")
 		r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+		stopped := make(chan string, 16)
+		r.entry.StopJob = func(job, customer string, _, _ time.Time) { stopped <- job + " " + customer }
 		require.True(t, r.entry.AcceptEnd("j1", customer, time.Now(), time.Now()))
+		require.Equal(t, "j1 "+customer, <-stopped, "the tasks run until the end is stored")
 		time.Sleep(300 * time.Millisecond)
 		r.kv.SetFaults(stand.KVFaults{})
 		return r
