runner: Jobs that are open or have ended are not decoded again

A job whose ID is open, being opened, ended or dropped is now left out by its key. One that is being opened when all jobs are read may have results of an earlier owner: that is noted, where before the read of all jobs could come in between unseen.

TestHandledJobsAreNotDecoded is red without it.

--- a/runner/ending_test.go
+++ b/runner/ending_test.go
@@ -203,3 +203,16 @@
 		require.Equal(t, []sentLine{{Task: "t0", Sent: late.Format(zerolog.TimeFieldFormat), AfterEnd: 700}}, logLines[sentLine](t, log, "reward call of a closed job ended"))
 	})
 }
+
+// An owner decoded all jobs of the last minutes at each full read, for seconds on a small VM.
+func TestHandledJobsAreNotDecoded(t *testing.T) {
+	b, log := newLoggedBurst(t, 2)
+	b.place(t)
+	b.pool.applyEnds([]quetzalpier.Entry{{Key: vault.Ends + "k", Rev: 1}}, false, burstStart)
+	handled := []quetzalpier.Entry{{Key: vault.Jobs + "j", Value: []byte("odd"), Rev: 2}, {Key: vault.Jobs + "k", Value: []byte("odd"), Rev: 3}}
+	b.pool.applyJobs(handled, false, burstStart)
+	require.NotContains(t, log.String(), "failed to decode job")
+	require.Contains(t, b.pool.dropped, "k")
+	b.pool.applyJobs([]quetzalpier.Entry{{Key: vault.Jobs + "l", Value: []byte("odd"), Rev: 4}}, false, burstStart)
+	require.Contains(t, log.String(), "failed to decode job")
+}
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -247,7 +247,7 @@
 		p.readEnds()
 	}
 	for _, entry := range changed {
-		if entry.Deleted {
+		if entry.Deleted || p.handled(vault.JobID(entry), allJobs, now) {
 			continue
 		}
 		job, err := vault.DecodeJob(entry)
@@ -264,6 +264,29 @@
 	p.jobsRead = true
 }
 
+// handled reports whether a job is open here, being opened, or has ended or expired, so that it
+// need not be decoded. One that is being opened may have results if mayHaveResults is set.
+//
+// Load pattern: a new owner reads all jobs of the last minutes, nearly all of which have ended,
+// and an owner reads them again whenever the key-value service drops its history.
+func (p *poolRunner) handled(id string, mayHaveResults bool, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, opening := p.opening[id]; opening {
+		p.opening[id] = known || mayHaveResults
+		return true
+	}
+	if _, dropped := p.dropped[id]; dropped || p.scheduler.Jobs[id] != nil {
+		return true
+	}
+	_, ended := p.endedJobs[id]
+	if ended {
+		// The job was submitted earlier, so that its key is deleted late enough.
+		p.dropped[id] = now
+	}
+	return ended
+}
+
 // openInBackground opens a job unless that is in progress. A job whose stored results
 // can't be read delays no other.
 func (p *poolRunner) openInBackground(job *quetzalpier.Job, mayHaveResults bool, now time.Time) {
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -119,6 +119,9 @@
 	return job, nil
 }
 
+// JobID returns the ID of the job that an entry under Jobs holds.
+func JobID(entry quetzalpier.Entry) string { return strings.TrimPrefix(entry.Key, Jobs) }
+
 // EndedJob returns the ID of the job that an entry under Ends marks as ended.
 func EndedJob(entry quetzalpier.Entry) string { return strings.TrimPrefix(entry.Key, Ends) }
 
