soak: Requests compared on the wire, broken answers, ends sent once, odd entries

Cause: the soak checked what clients got and which IDs ran, not whether workers got what was sent. Its upstreams broke off only in the middle of an event, its trainers repeated each end until it was acknowledged, and no other writer left odd entries.

Change: - Workers keep method, path, query, body and the headers of model, tokens and prompt of each request; all runs compare them with what clients and jobs sent, by ID. An end that was answered without an acknowledgement counts after 8 s of steady state. - Answers: answers cut at a drawn byte, closed or reset, cut in chunks, paused, sent before a long body is read, or sent twice; streams that one engine breaks off and another answers with 301 to 502. A stream or a 2xx that ends as whole must be so, byte for byte, and no score is that of an answer that was cut. - Ends: ends sent once, with tasks unfinished, through fronts that are stopped, killed, paused, just started or refused by the store, also while the owner is revoked, killed or stopped. - Odd: entries under servers/ and op/version/ out of range, nested, large, many at once, or over good ones. Fronts follow a later change, every upstream gets work, and at most a tenth of the requests may fail.

The draws of earlier plans are the same: the new faults have streams of their own of the seed.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -27,6 +27,9 @@
 	Versions      bool          `long:"versions" description:"also kill all fronts at once while the software versions of the engines change, and send streams"`
 	Partitions    bool          `long:"partitions" description:"also partition nodes from all upstreams, and check that their clients are served and no request runs twice"`
 	Keys          bool          `long:"keys" description:"also configure customers, so that requests need an API key"`
+	Answers       bool          `long:"answers" description:"also make upstreams break their answers in many ways, and send streams and long requests"`
+	Ends          bool          `long:"ends" description:"also send ends of jobs once, through fronts with a fault or while the owner is lost"`
+	Odd           bool          `long:"odd" description:"also write odd entries beside those of the upstreams"`
 	Logs          string        `long:"logs" description:"parent directory of the logs; by default a temporary directory, removed if the seed passes"`
 }
 
@@ -75,7 +78,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	softwareVersions := 1
-	if c.Upstreams || c.Versions {
+	if c.Upstreams || c.Versions || c.Answers {
 		softwareVersions = 2
 	}
 	key := ""
@@ -91,6 +94,6 @@
 		return nil, dir, err
 	}
 	defer r.Close()
-	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Partitions: c.Partitions, Versions: c.Versions, Log: zerolog.New(log).With().Timestamp().Logger()}
+	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Partitions: c.Partitions, Versions: c.Versions, Answers: c.Answers, Ends: c.Ends, Odd: c.Odd, Log: zerolog.New(log).With().Timestamp().Logger()}
 	return soak.Run(ctx, r, plan), dir, nil
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -48,6 +49,7 @@
 // checkEnded checks that no task and no reward call of an ended job began later than
 // cancelTime after the end was acknowledged, sent by a node in touch.
 func (r *Rig) checkEnded(l *Ledger) {
+	r.countUnacknowledged(l, time.Now())
 	sent, err := r.sentRuns()
 	if err != nil {
 		l.recordViolation("logs not read: %v", err)
@@ -113,6 +115,8 @@
 			madeAt, made := findMade(r.Engines, lastEvent)
 			calledAt, called := findMade(r.Plains, result.Score)
 			switch {
+			case slices.ContainsFunc(r.Plains, func(w *stand.Worker) bool { return w.Cut(result.Score) }):
+				l.recordViolation("job %s: the answer with the score %s of task %s was cut", record.job.ID, result.Score, result.ID)
 			case !made || !called:
 				l.recordViolation("job %s: task %s has the last event %q and the score %q, and not both were made", record.job.ID, result.ID, lastEvent, result.Score)
 			case calledAt.Before(madeAt):
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -95,6 +95,64 @@
 	}
 }
 
+// An end without an acknowledgement counts as acknowledged after ackTime of steady state.
+func TestCheckEndWithoutAnswer(t *testing.T) {
+	ago := func(d time.Duration) time.Time { return time.Now().Add(-d) }
+	const long = ackTime + cancelTime + contactTime
+	for name, c := range map[string]struct {
+		sentAt     time.Time
+		storeFault time.Time
+		violations int
+	}{
+		"long ago":                   {sentAt: ago(long), violations: 1},
+		"not long ago":               {sentAt: ago(ackTime + cancelTime - time.Second)},
+		"long ago, before a fault":   {sentAt: ago(long), storeFault: ago(ackTime)},
+		"long before a short outage": {sentAt: ago(2 * long), storeFault: ago(long), violations: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, ledger := newCheckedRig(t), newLedger()
+			ledger.jobs["j"] = &jobRecord{job: oneTaskJob("j"), submittedAt: ago(3 * long), endSent: true, firstEndAt: c.sentAt}
+			if !c.storeFault.IsZero() {
+				r.faults.sample(storeTarget, c.storeFault, true, 0)
+			}
+			call(t, r.Engines[0], "t", "3")
+			r.checkEnded(ledger)
+			require.Len(t, ledger.Violations, c.violations)
+		})
+	}
+}
+
+func TestCheckSent(t *testing.T) {
+	sent := stand.Request{Method: http.MethodPost, URI: "/", Model: modelName, Body: "3 prompt"}
+	changed := func(change func(*stand.Request)) stand.Request {
+		request := sent
+		change(&request)
+		return request
+	}
+	for name, c := range map[string]struct {
+		id         string
+		sent       stand.Request
+		violations int
+	}{
+		"what was sent":          {"t", sent, 0},
+		"an ID that nobody sent": {"u", sent, 1},
+		"another method":         {"t", changed(func(r *stand.Request) { r.Method = http.MethodGet }), 1},
+		"another query":          {"t", changed(func(r *stand.Request) { r.URI = "/?q=1" }), 1},
+		"another body":           {"t", changed(func(r *stand.Request) { r.Body = "3 Prompt" }), 1},
+		"other token counts":     {"t", changed(func(r *stand.Request) { r.TokenCounts = "1,2" }), 1},
+		"another prompt":         {"t", changed(func(r *stand.Request) { r.PromptPrefix = "a:1" }), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, ledger := newCheckedRig(t), newLedger()
+			r.sent.add("t", c.sent)
+			call(t, r.Engines[0], c.id, "3 prompt")
+			r.checkSent(ledger)
+			require.Len(t, ledger.Violations, c.violations)
+			require.Equal(t, 1, ledger.Received)
+		})
+	}
+}
+
 func TestSenders(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	engine := &stand.Worker{WorkerOptions: stand.WorkerOptions{ID: "engine-0", Pool: poolLM}}
--- a/soak/ending.go
+++ b/soak/ending.go
@@ -90,7 +90,11 @@
 	record.endSent = true
 	t.ledger.mu.Unlock()
 	for until := time.Now().Add(endTimeout); ; {
+		sentAt := time.Now()
 		status, body := t.call(http.MethodDelete, platform.PathJobs+id, nil, nil)
+		if status != 0 {
+			t.ledger.recordEndRead(record, sentAt)
+		}
 		if status == http.StatusOK {
 			t.ledger.recordEnd(record, time.Now())
 			return
@@ -115,6 +119,15 @@
 	}
 }
 
+// recordEndRead records the first end of a job that a front has read.
+func (l *Ledger) recordEndRead(record *jobRecord, sentAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if record.firstEndAt.IsZero() {
+		record.firstEndAt = sentAt
+	}
+}
+
 // incompleteGroups returns, in half of the cases, the tasks of groups of which not all
 // results were read.
 func (t *trainer) incompleteGroups(job quetzalpier.Job) []quetzalpier.Task {
--- a/soak/partition.go
+++ b/soak/partition.go
@@ -139,6 +139,7 @@
 	req.Header.Set(platform.HeaderAttempt, s.id)
 	s.front.rig.authorize(req)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(probeTimeout.Milliseconds()))
+	s.front.rig.recordSent(req)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		// A front that is down refuses the connection.
--- a/soak/paths.go
+++ b/soak/paths.go
@@ -77,23 +77,30 @@
 // View sends a plain request through the front, once, on a new connection, and returns an
 // error unless it is served within the timeout.
 func (n *Node) View(ctx context.Context, id string, timeout time.Duration) error {
+	status, err := n.post(ctx, viewPath+id, id, timeout)
+	if err == nil && status != http.StatusOK {
+		return errors.Errorf("%s answered with status %d", n.Settings.Name, status)
+	}
+	return err
+}
+
+// post sends a request through the front, once, on a new connection.
+func (n *Node) post(ctx context.Context, path, id string, timeout time.Duration) (status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Settings.Front+viewPath+id, strings.NewReader("view"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Settings.Front+path, strings.NewReader("view"))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	req.Host, req.Close = Host, true
 	req.Header.Set(platform.HeaderAttempt, id)
 	n.rig.authorize(req)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(timeout.Milliseconds()))
+	n.rig.recordSent(req)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("%s answered with status %d", n.Settings.Name, resp.StatusCode)
-	}
-	return nil
+	return resp.StatusCode, nil
 }
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -109,11 +109,14 @@
 	config  quetzalpier.Config
 	// keys are the API keys of customers, by name, besides the clients' own.
 	keys map[string][]string
+	// routes are routes that the configuration has besides the usual ones.
+	routes []quetzalpier.Route
 	// listed are the upstreams as they were last listed, by ID.
 	listedMu  sync.Mutex
 	listed    map[string]quetzalpier.VM
 	version   atomic.Uint64
 	faults    *faultHistory
+	sent      sentRequests
 	processes conc.WaitGroup
 }
 
@@ -230,6 +233,7 @@
 			orderRoute,
 		},
 	}
+	r.config.Routes = append(r.config.Routes, r.routes...)
 	write, err := platform.EncodeConfig(r.config)
 	if err == nil && r.ClientKey != "" {
 		keys := maps.Clone(r.keys)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,15 @@
 	// streamSeed on.
 	streamClients = 3
 	streamSeed    = 100
+	// longSeed, abandonSeed and oddSeed are those of the clients with long requests, of the
+	// trainers whose ends are sent once, and of the one beside odd entries.
+	longSeed    = 200
+	abandonSeed = 300
+	oddSeed     = 400
+	// abandoners is the number of those trainers; their faults are drawn from streams of the
+	// seed from endStream on.
+	abandoners = 3
+	endStream  = 20
 )
 
 // Plan configures a run with random faults.
@@ -61,6 +70,13 @@
 	// Versions also kills all fronts at once while the software versions of the engines change,
 	// and checks the texts of streams that clients take up. It needs two versions.
 	Versions bool
+	// Answers also makes upstreams break their answers, and sends long requests.
+	Answers bool
+	// Ends also sends ends of jobs once, through fronts with a fault or while the owner is
+	// lost.
+	Ends bool
+	// Odd also writes odd entries beside those of the upstreams.
+	Odd bool
 	// NoProcessFaults leaves out the faults of processes, links, engines and the whole
 	// key-value service.
 	NoProcessFaults bool
@@ -72,9 +88,16 @@
 func Run(ctx context.Context, r *Rig, plan Plan) *Ledger {
 	ledger := newLedger()
 	f := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 2)), log: plan.Log}
-	r.runCallers(ctx, ledger, plan.Seed, plan.FaultDuration+settleTime, func() {
+	duration := plan.FaultDuration + settleTime
+	if plan.Ends {
+		duration += abandonSettle
+	} else if plan.Odd {
+		duration += oddSettle
+	}
+	r.runCallers(ctx, ledger, plan.Seed, duration, func() {
 		var injectors conc.WaitGroup
 		defer injectors.Wait()
+		r.injectMore(ctx, &injectors, ledger, plan)
 		if plan.StoreFaults {
 			storeFaults := &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, 5)), log: plan.Log}
 			injectors.Go(func() { storeFaults.runStoreFaults(ctx, plan.FaultDuration) })
@@ -107,6 +130,31 @@
 	return ledger
 }
 
+// injectMore injects the faults of upstreams' answers, ends of jobs and entries of other
+// writers.
+func (r *Rig) injectMore(ctx context.Context, injectors *conc.WaitGroup, ledger *Ledger, plan Plan) {
+	injector := func(stream uint64) *faultInjector {
+		return &faultInjector{rig: r, ledger: ledger, rnd: rand.New(rand.NewPCG(plan.Seed, stream)), log: plan.Log}
+	}
+	if plan.Answers {
+		answers := injector(13)
+		injectors.Go(func() { answers.breakAnswers(ctx, plan.FaultDuration) })
+		longCtx, stop := context.WithTimeout(ctx, plan.FaultDuration+settleTime)
+		injectors.Go(func() { defer stop(); newTrainer(r, ledger, plan.Seed+longSeed).sendLong(longCtx) })
+	}
+	if plan.Ends {
+		for i := range uint64(abandoners) {
+			ends := injector(endStream + i)
+			injectors.Go(func() { ends.abandonJobs(ctx, plan.FaultDuration, plan.Seed+abandonSeed+i) })
+		}
+	}
+	if plan.Odd {
+		odd := injector(15)
+		odd.upstreamsSound = !plan.StoreFaults && !plan.Upstreams && !plan.Answers
+		injectors.Go(func() { odd.writeOddEntries(ctx, plan.FaultDuration, plan.Seed+oddSeed) })
+	}
+}
+
 // RunWithFaults runs callers for the given time while inject injects faults.
 func RunWithFaults(ctx context.Context, r *Rig, seed uint64, duration time.Duration, inject func()) *Ledger {
 	ledger := newLedger()
@@ -178,6 +226,7 @@
 	req.Host = Host
 	req.Header.Set(platform.HeaderAttempt, "single")
 	r.authorize(req)
+	r.recordSent(req)
 	resp, err := (&http.Client{Timeout: callTimeout}).Do(req)
 	if err != nil {
 		return err
@@ -216,6 +265,7 @@
 		}
 	}
 	r.checkTexts(l)
+	r.checkSent(l)
 	r.checkEnded(l)
 	r.checkScores(l)
 	for _, n := range r.nodes() {
@@ -264,6 +314,8 @@
 	rnd     *rand.Rand
 	log     zerolog.Logger
 	pending conc.WaitGroup
+	// upstreamsSound reports whether no other injector disturbs the plain services.
+	upstreamsSound bool
 }
 
 func (f *faultInjector) run(ctx context.Context, total time.Duration) {
@@ -506,8 +558,9 @@
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d of %d tries at partitioned fronts served; %d lookups; at most %d warnings a second; %d promises broken",
-		l.Steps, l.LateSteps, l.EndedJobs, l.ExcusedRuns, l.Requests, l.FailedRequests, l.PartitionedServed, l.PartitionedTries, l.Lookups, l.PeakWarnings, len(l.Violations))
+	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d of %d tries at partitioned fronts served; %d lookups; %d of %d streams complete; %d requests compared; %d ends sent once, %d lost; %d fronts followed; at most %d warnings a second; %d promises broken",
+		l.Steps, l.LateSteps, l.EndedJobs, l.ExcusedRuns, l.Requests, l.FailedRequests, l.PartitionedServed, l.PartitionedTries, l.Lookups,
+		l.Streams.Complete, l.Streams.Begun, l.Received, l.UnrepeatedEnds, l.LostEnds, l.Followed, l.PeakWarnings, len(l.Violations))
 	if len(l.Violations) > 0 {
 		text += ":\n  " + strings.Join(l.Violations, "\n  ")
 	}
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -86,6 +86,7 @@
 	if len(s.events) > 0 {
 		req.Header.Set(platform.HeaderLastEventID, strconv.Itoa(len(s.events)))
 	}
+	t.rig.recordSent(req)
 	resp, err := t.client.Do(req)
 	if err != nil {
 		return false
@@ -95,9 +96,15 @@
 		_, _ = io.Copy(io.Discard, resp.Body)
 		return true
 	}
-	for events := platform.NewEventDecoder(bufio.NewReader(resp.Body)); ; {
+	arrivedAt := time.Now()
+	for events := platform.NewEventDecoder(bufio.NewReader(resp.Body)); ; arrivedAt = time.Now() {
 		event, err := events.Next()
 		if err != nil {
+			t.checkStreamEnd(s, id, err, time.Since(arrivedAt))
+			return true
+		}
+		if !isWholeEvent(event, id) {
+			t.ledger.recordViolation("stream %s has the event %q", id, event.Raw)
 			return true
 		}
 		if event.ID != len(s.events)+1 {
@@ -108,6 +115,25 @@
 	}
 }
 
+// maxSilence is below the time after which engines end a stream on which they were silent.
+const maxSilence = 4 * time.Second
+
+// checkStreamEnd checks that a stream that ends as if it were complete has all its events.
+func (t *trainer) checkStreamEnd(s *stream, id string, err error, silence time.Duration) {
+	if err == io.EOF && len(s.events) < streamEvents && silence < maxSilence {
+		t.ledger.recordViolation("stream %s ended as if it were complete after %d events of %d", id, len(s.events), streamEvents)
+	}
+}
+
+// isWholeEvent reports whether an event of a request has the bytes that an engine sends.
+func isWholeEvent(event platform.Event, request string) bool {
+	text := event.Raw
+	if first, rest, ok := strings.Cut(text, "\n"); ok && first+"\n" == platform.VersionLine(event.Version) {
+		text = rest
+	}
+	return text == fmt.Sprintf("id: %d\ndata: %s\n\n", event.ID, event.Data) && strings.HasPrefix(event.Data, fmt.Sprintf("%s-%d.", request, event.ID))
+}
+
 func (l *Ledger) recordStream(before, after int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -68,6 +68,13 @@
 	// CutRequests counts plain requests that were sent on an open connection, which
 	// was then closed or reset without a response.
 	CutRequests int
+	// Received counts the requests that workers got and that were compared with those sent.
+	Received int
+	// UnrepeatedEnds counts the ends that were sent once, and LostEnds those of them that
+	// reached no front for certain.
+	UnrepeatedEnds, LostEnds int
+	// Followed counts the fronts that followed the change after odd entries.
+	Followed int
 	// PeakWarnings is the largest number of warnings and errors that one process
 	// logged in a second.
 	PeakWarnings int
@@ -81,9 +88,12 @@
 	onlyRefused bool
 	results     []quetzalpier.Result
 	submittedAt time.Time
-	// endSent is set before the end is sent; endedAt is when it was acknowledged.
+	// endSent is set before the end is sent; endedAt is when it was acknowledged, or counts
+	// as acknowledged.
 	endSent bool
 	endedAt time.Time
+	// firstEndAt is when an end was first sent that a front may have read.
+	firstEndAt time.Time
 }
 
 func (l *Ledger) recordLookup() {
@@ -184,9 +194,15 @@
 }
 
 func (t *trainer) call(method, path string, header map[string]string, body []byte) (int, []byte) {
-	req, err := http.NewRequest(method, "http://"+t.randomFront()+path, bytes.NewReader(body))
+	status, data, _ := t.callAt(t.randomFront(), method, path, header, body)
+	return status, data
+}
+
+// callAt calls a front; the status is zero without a whole answer.
+func (t *trainer) callAt(front, method, path string, header map[string]string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequest(method, "http://"+front+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil
+		return 0, nil, err
 	}
 	req.Host = Host
 	for name, value := range header {
@@ -195,14 +211,14 @@
 	t.rig.authorize(req)
 	resp, err := t.client.Do(req)
 	if err != nil {
-		return 0, nil
+		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, nil
+		return 0, nil, err
 	}
-	return resp.StatusCode, data
+	return resp.StatusCode, data, nil
 }
 
 // submit retries until the job is accepted. It returns false after submitTimeout
@@ -213,6 +229,7 @@
 		t.ledger.recordViolation("job not encoded: %v", err)
 		return false
 	}
+	t.rig.recordSentJob(job)
 	record := &jobRecord{job: job, onlyRefused: true, submittedAt: time.Now()}
 	t.ledger.mu.Lock()
 	t.ledger.jobs[job.ID] = record
@@ -390,29 +407,36 @@
 		if err != nil {
 			continue
 		}
-		req.Host = Host
-		req.Header.Set(platform.HeaderAttempt, id)
-		req.Header.Set(platform.HeaderDeadline, "1500")
-		t.rig.authorize(req)
-		resp, err := client.Do(req)
-		ok := false
-		cut := err != nil && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
-		if err == nil {
-			data, readErr := io.ReadAll(resp.Body)
-			_ = resp.Body.Close()
-			ok = readErr == nil && resp.StatusCode == http.StatusOK
-			if ok && string(data) != "served "+id {
-				t.ledger.recordViolation("request %s got the answer %q", id, data)
-			}
-		}
-		t.ledger.mu.Lock()
-		t.ledger.Requests++
-		if !ok {
-			t.ledger.FailedRequests++
-		}
-		if cut {
-			t.ledger.CutRequests++
+		t.sendView(client, req, id)
+	}
+}
+
+// sendView sends a plain request, and checks that a success is the whole answer to it.
+func (t *trainer) sendView(client *http.Client, req *http.Request, id string) {
+	req.Host = Host
+	req.Header.Set(platform.HeaderAttempt, id)
+	req.Header.Set(platform.HeaderDeadline, "1500")
+	t.rig.authorize(req)
+	t.rig.recordSent(req)
+	resp, err := client.Do(req)
+	ok := false
+	cut := err != nil && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
+	if err == nil {
+		data, readErr := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		success := resp.StatusCode >= 200 && resp.StatusCode < 300
+		ok = readErr == nil && resp.StatusCode == http.StatusOK
+		if readErr == nil && success && string(data) != "served "+id {
+			t.ledger.recordViolation("request %s got the answer %q with status %d", id, data, resp.StatusCode)
 		}
-		t.ledger.mu.Unlock()
+	}
+	t.ledger.mu.Lock()
+	defer t.ledger.mu.Unlock()
+	t.ledger.Requests++
+	if !ok {
+		t.ledger.FailedRequests++
+	}
+	if cut {
+		t.ledger.CutRequests++
 	}
 }
--- a/stand/listen.go
+++ b/stand/listen.go
@@ -129,7 +129,7 @@
 
 // Serve starts a server for handler on addr and adds latency to each read of a
 // connection.
-func Serve(addr string, latency time.Duration, handler fasthttp.RequestHandler) (*Server, error) {
+func Serve(addr string, latency time.Duration, handler fasthttp.RequestHandler, options ...func(*fasthttp.Server)) (*Server, error) {
 	listener, err := Listen(addr, latency)
 	if err != nil {
 		return nil, err
@@ -146,6 +146,9 @@
 			Logger: log.New(io.Discard, "", 0),
 		},
 	}
+	for _, option := range options {
+		option(s.server)
+	}
 	s.workers.Go(func() { _ = s.server.Serve(listener) })
 	return s, nil
 }
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,6 +57,8 @@
 	// madeAt is when each tagged event was made, or the call with a tagged stamp
 	// arrived.
 	madeAt map[string]time.Time
+	// cutStamps are the stamps of the answers that were cut.
+	cutStamps map[string]bool
 	// streaming is the number of streams in progress.
 	streaming int
 	// leavingAt is when the worker began to say that it is leaving; zero if it has not.
@@ -113,6 +116,9 @@
 	// LastEvent is the event after which the run resumes; zero for a new run.
 	LastEvent int
 	StartedAt time.Time
+	// Request is what was received; its body is not whole if Partial is set.
+	Request Request
+	Partial bool
 	// Left is the time until the deadline that the request was sent with; zero for none.
 	Left time.Duration
 }
@@ -128,15 +134,17 @@
 	// SilentAfterEvent makes streams send nothing after this event; they end without
 	// the remaining ones.
 	SilentAfterEvent int
+	// Answers break the answers.
+	Answers AnswerFaults
 }
 
 // NewWorker starts a worker on addr.
 func NewWorker(addr string, options WorkerOptions) (*Worker, error) {
-	w := &Worker{WorkerOptions: options, models: map[string]quetzalpier.Version{}, madeAt: map[string]time.Time{}}
+	w := &Worker{WorkerOptions: options, models: map[string]quetzalpier.Version{}, madeAt: map[string]time.Time{}, cutStamps: map[string]bool{}}
 	for model, version := range options.Models {
 		w.models[model] = version
 	}
-	server, err := Serve(addr, 0, w.handle)
+	server, err := Serve(addr, 0, w.handle, func(s *fasthttp.Server) { s.StreamRequestBody = true })
 	if err != nil {
 		return nil, err
 	}
@@ -396,43 +404,94 @@
 	if faults.StatusCount > 0 {
 		w.faults.StatusCount--
 	}
+	w.mu.Unlock()
+	model := string(c.Request.Header.Peek(platform.HeaderModel))
 	startedAt := time.Now()
 	run := WorkerRun{ID: id, LastEvent: lastEvent, StartedAt: startedAt}
 	if ms, err := strconv.ParseInt(string(c.Request.Header.Peek(platform.HeaderDeadline)), 10, 64); err == nil {
 		run.Left = time.Duration(ms) * time.Millisecond
 	}
-	w.runs = append(w.runs, run)
-	if !w.leavingAt.IsZero() && startedAt.Sub(w.leavingAt) > drainTime {
-		w.lateRuns = append(w.lateRuns, w.runs[len(w.runs)-1])
+	if faults.Answers.Kind == AnswerEarly && model == "" && c.RequestBodyStream() != nil {
+		w.answerEarly(c, run)
+		return
 	}
-	tag := w.ID
-	if w.TagRuns {
-		tag = fmt.Sprintf("%s.%d", w.ID, len(w.runs))
+	body, err := readBody(c)
+	if err != nil {
+		_ = c.Conn().Close()
+		return
 	}
-	w.mu.Unlock()
+	run.Request = receivedRequest(c, body)
+	_, tag := w.recordRun(run)
 	if faults.StatusCount > 0 {
 		c.SetStatusCode(faults.Status)
 		return
 	}
+	if status := faults.Answers.ResumeStatus; status != 0 && lastEvent > 0 && strings.HasPrefix(run.Request.URI, faults.Answers.ResumePrefix) {
+		c.SetStatusCode(status)
+		c.SetBodyString("the stream can't be resumed")
+		return
+	}
 	stamp := tag + "." + id
 	w.recordMade(stamp, startedAt)
 	c.Response.Header.Set(platform.HeaderStamp, stamp)
-	model := string(c.Request.Header.Peek(platform.HeaderModel))
 	if model == "" {
 		time.Sleep(w.EventInterval)
-		c.SetBodyString("served " + id)
+		if !w.answerBroken(c, faults.Answers, "served "+id) {
+			c.SetBodyString("served " + id)
+		}
 		return
 	}
-	first, _, _ := strings.Cut(string(c.Request.Body()), " ")
+	first, _, _ := strings.Cut(body, " ")
 	length, _ := strconv.Atoi(first)
 	version, _ := w.Version(model)
 	if lastEvent < length {
 		c.Response.Header.Set(platform.HeaderWeightVersion, strconv.FormatUint(uint64(version), 10))
 	}
 	c.SetContentType("text/event-stream")
+	if !w.TagRuns {
+		tag = ""
+	}
+	for event := lastEvent + 1; faults.Answers.Kind != "" && event <= length; event++ {
+		w.recordMade(eventData(id, tag, event), startedAt)
+	}
+	if w.answerBroken(c, faults.Answers, eventsText(id, tag, lastEvent+1, length)) {
+		return
+	}
 	c.SetBodyStreamWriter(func(out *bufio.Writer) { w.writeStream(out, id, tag, model, lastEvent, length, faults) })
 }
 
+// readBody reads the rest of a request's body.
+func readBody(c *fasthttp.RequestCtx) (string, error) {
+	if c.RequestBodyStream() == nil {
+		return string(c.Request.Body()), nil
+	}
+	body, err := io.ReadAll(c.RequestBodyStream())
+	return string(body), err
+}
+
+// recordRun records a request, and returns the index and the tag of its run.
+func (w *Worker) recordRun(run WorkerRun) (index int, tag string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs = append(w.runs, run)
+	if !w.leavingAt.IsZero() && run.StartedAt.Sub(w.leavingAt) > drainTime {
+		w.lateRuns = append(w.lateRuns, run)
+	}
+	if w.TagRuns {
+		return len(w.runs) - 1, fmt.Sprintf("%s.%d", w.ID, len(w.runs))
+	}
+	return len(w.runs) - 1, w.ID
+}
+
+// eventData returns the data of an event; the tag is empty if runs are not tagged.
+func eventData(id, tag string, event int) string {
+	data := fmt.Sprintf("%s-%d", id, event)
+	if tag != "" {
+		data += "." + tag
+	}
+	return data
+}
+
 // writeStream writes the events lastEvent+1 to length.
 func (w *Worker) writeStream(out *bufio.Writer, id, tag, model string, lastEvent, length int, faults WorkerFaults) {
 	w.addStreaming(1)
@@ -454,10 +513,7 @@
 			w.FaultListener.CloseConns()
 			return
 		}
-		data := fmt.Sprintf("%s-%d", id, event)
-		if w.TagRuns {
-			data += "." + tag
-		}
+		data := eventData(id, tag, event)
 		w.recordMade(data, time.Now())
 		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", event, data)
 		if out.Flush() != nil {
