--- a/soak/odd.go
+++ b/soak/odd.go
@@ -129,7 +129,7 @@
 		t.end(ctx, job.ID)
 	}
 	for _, w := range workers {
-		if len(w.Runs()) == before[w] && f.rig.listsWorker(ctx, w) {
+		if len(w.Runs()) == before[w] && !w.Restricted() && f.rig.listsWorker(ctx, w) {
 			f.ledger.recordViolation("%s got no work beside odd entries, %s after a job for all was accepted", w.ID, workTime)
 		}
 	}
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -195,6 +195,13 @@
 	return !w.leavingAt.IsZero()
 }
 
+// Restricted reports whether the worker says that it is leaving, or names a limit.
+func (w *Worker) Restricted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.leavingAt.IsZero() || w.limit().Named
+}
+
 // Restart makes the worker a new incarnation, which is not leaving.
 func (w *Worker) Restart() {
 	w.mu.Lock()
