--- a/soak/paths.go
+++ b/soak/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -84,23 +85,34 @@
 	return err
 }
 
+// ViewOn sends a plain request through the front, on a connection of the client.
+func (n *Node) ViewOn(ctx context.Context, client *http.Client, id string) (status int, err error) {
+	return n.send(ctx, client, viewPath+id, id, client.Timeout)
+}
+
 // post sends a request through the front, once, on a new connection.
 func (n *Node) post(ctx context.Context, path, id string, timeout time.Duration) (status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return n.send(ctx, client, path, id, timeout)
+}
+
+func (n *Node) send(ctx context.Context, client *http.Client, path, id string, timeout time.Duration) (status int, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Settings.Front+path, strings.NewReader("view"))
 	if err != nil {
 		return 0, err
 	}
-	req.Host, req.Close = Host, true
+	req.Host = Host
 	req.Header.Set(platform.HeaderAttempt, id)
 	n.rig.authorize(req)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(timeout.Milliseconds()))
 	n.rig.recordSent(req)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, err
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode, nil
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
 }
