entry: Ends whose clients were never checked are logged at a stop

Cause: an end whose client's API key could not be checked yet was known to a goroutine and a counter only. A stop neither handed it over nor logged it.

What callers saw: 503, and work of a job that they had ended, with no line about the end after "request refused because of its API key".

Evidence: TestUncheckedEndForgottenAtStop failed before: "the end is known to no node, and no line says so". It passes now, with -race.

Change: the unchecked ends are kept in a map, and those left at a stop are logged as "node stops without having stored the end of a job", with unchecked set. They are not handed over: a node stores a pending end for the customer that the call names, and here none is known. The entry's context ends before the lines are written, so that an end whose check succeeds meanwhile is in one of the maps.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -86,23 +86,41 @@
 	if !isCall || err != nil || !call.End {
 		return
 	}
-	if e.uncheckedEnds.Add(1) > maxUncheckedEnds {
-		e.uncheckedEnds.Add(-1)
+	later, key := *r, credentials(c)
+	key.Key = bytes.Clone(key.Key)
+	if !e.addUnchecked(&later, call.Job) {
 		e.Log.Error().Str("job", call.Job).Msg("too many ends of jobs wait for a configuration; one is dropped")
 		return
 	}
-	later, key := *r, credentials(c)
-	key.Key = bytes.Clone(key.Key)
 	e.workers.Go(func() {
-		defer e.uncheckedEnds.Add(-1)
 		err := e.awaitCheck(&later, key)
 		e.Log.Info().Str("job", call.Job).Str("customer", later.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
-		if err == nil {
-			e.storeEndLater(&later, call.Job, func() { e.shareEnd(&later, call.Job) })
+		added := err == nil && e.storeEndLater(&later, call.Job, func() { e.shareEnd(&later, call.Job) })
+		if added || e.ctx.Err() == nil {
+			e.dropUnchecked(&later)
 		}
 	})
 }
 
+// addUnchecked adds an end to those whose clients are still to be checked. It returns false if
+// there are too many.
+func (e *Entry) addUnchecked(r *request, job string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.uncheckedEnds) >= maxUncheckedEnds {
+		return false
+	}
+	e.uncheckedEnds[r] = job
+	return true
+}
+
+// dropUnchecked removes an end from those whose clients are still to be checked.
+func (e *Entry) dropUnchecked(r *request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.uncheckedEnds, r)
+}
+
 // awaitCheck checks the API key of a call about a job until that gives a result, while the
 // job's results are kept. It sets the customer of the request.
 func (e *Entry) awaitCheck(r *request, key access.Credentials) error {
@@ -394,10 +412,17 @@
 	return unkept
 }
 
-// logUnstoredEnds logs the ends that are forgotten with this node.
+// logUnstoredEnds logs the ends that are forgotten with this node. Those whose clients were not
+// checked are not handed over: other nodes would store them for anyone.
 func (e *Entry) logUnstoredEnds() {
+	const message = "node stops without having stored the end of a job"
 	for key := range e.unkeptEnds() {
-		e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg("node stops without having stored the end of a job")
+		e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg(message)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for r, job := range e.uncheckedEnds {
+		e.Log.Error().Str("job", job).Bool("unchecked", true).Dur("age_ms", time.Since(r.start)).Msg(message)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,8 +95,8 @@
 	mu      sync.Mutex
 	cache   map[string]*jobResults
 	records map[string]jobRecord
-	// uncheckedEnds is the number of ends whose clients' API keys are still to be checked.
-	uncheckedEnds atomic.Int64
+	// uncheckedEnds holds the jobs of the ends whose clients' API keys are still to be checked.
+	uncheckedEnds map[*request]string
 	// unstoredEnds are the ends that are still to be stored.
 	unstoredEnds map[unstoredEnd]*pendingEnd
 	seenNodes    map[string]seenNode
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		Options: options, ctx: ctx, close: cancel,
-		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[unstoredEnd]*pendingEnd{}, seenNodes: map[string]seenNode{},
+		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[unstoredEnd]*pendingEnd{}, uncheckedEnds: map[*request]string{}, seenNodes: map[string]seenNode{},
 	}
 }
 
@@ -175,7 +175,6 @@
 // Close stops the servers after the requests in flight, or when ctx ends, and hands the ends
 // that are not stored yet to other nodes.
 func (e *Entry) Close(ctx context.Context) {
-	defer e.close()
 	var shutdowns, sweeper conc.WaitGroup
 	sweepCtx, stopSweeper := context.WithCancel(ctx)
 	sweeper.Go(func() { e.closeUnusedConns(sweepCtx) })
@@ -191,6 +190,7 @@
 	stopSweeper()
 	sweeper.Wait()
 	e.handOverEnds(ctx)
+	e.close()
 	e.logUnstoredEnds()
 }
 
