entry: Answers to notices are read before the calls begin

Cause: notifyOnce looked up in a map which nodes had answered while calls that it had begun already added their answers to the map.

What callers saw: nothing so far; the runtime may end the process with "concurrent map read and map write" when a node answers a notice of a new or ended job at once.

Evidence: TestNoticesAnsweredAtOnce failed before, with -race: "WARNING: DATA RACE", a write in notifyOnce.func1 and a read in notifyOnce. It passed ten times in a row with -race after.

Change: the nodes that have not answered are picked before the first call begins.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -245,10 +246,8 @@
 	var mu sync.Mutex
 	var calls conc.WaitGroup
 	all := true
-	for _, peer := range peers {
-		if answers[peer] != nil {
-			continue
-		}
+	unanswered := slices.DeleteFunc(slices.Clone(peers), func(peer string) bool { return answers[peer] != nil })
+	for _, peer := range unanswered {
 		calls.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, keepCallTimeout)
 			defer cancel()
--- a/entry/lost_keeper_test.go
+++ b/entry/lost_keeper_test.go
@@ -113,3 +113,32 @@
 		require.Contains(t, log.String(), "node stops without having stored", "the end is known to no node, and no line says so")
 	}
 }
+
+// A front read the answers to its notices while calls to other nodes added theirs: such an
+// access to a map may end the process.
+func TestNoticesAnsweredAtOnce(t *testing.T) {
+	r := newTestEntry(t)
+	r.setConfig()
+	nodes := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	r.setStoreNodes(nodes...)
+	r.board.Update(func(s *board.State) {
+		for _, id := range nodes {
+			s.Owners[id] = board.Owner{Node: id}
+		}
+	})
+	notified := make(chan string, len(nodes))
+	r.entry.Call = func(_ context.Context, peer string, _ *wire.Call) (*wire.Reply, error) {
+		notified <- peer
+		return &wire.Reply{}, nil
+	}
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	for range nodes {
+		select {
+		case <-notified:
+		case <-time.After(testTimeout):
+			require.Fail(t, "a node was not notified")
+		}
+	}
+}
