entry, board: Former owners of pools are notified of ends

Cause: an end went to the present owners and to the nodes that would take a pool over. A former owner may be none of these, and it goes on running tasks until it learns of a new one.

What callers saw: work of a job that had ended, from a node that had lost the pool's key while the pool had no owner.

Evidence: TestFormerOwnerNotNotified failed before: "the former owner was not notified". It passes now, with -race.

Change: the board records the last two nodes that were known to own each pool, whoever updates the owners, and notices and requests to store an end go to both while they are members. Two are needed, since the last known owner is the present one once there is one.

--- a/board/board.go
+++ b/board/board.go
@@ -228,6 +228,9 @@
 	// Owners are the owners of pools, which run their jobs and order their engines
 	// to load weights.
 	Owners map[string]Owner
+	// RecentOwners holds the IDs of the last two nodes that were known to own each pool, the
+	// latest first. A former owner may process the pool until another node takes it over.
+	RecentOwners map[string][2]string
 	// Retiring holds the IDs of the nodes that are to be retired.
 	Retiring map[string]bool
 	// Strikes and CrashedAt, the time of the last known crash of an upstream, are
@@ -301,6 +304,7 @@
 			PastSoftware:   map[string]map[string]time.Time{},
 			TargetVersions: map[string]quetzalpier.Version{},
 			Owners:         map[string]Owner{},
+			RecentOwners:   map[string][2]string{},
 			Retiring:       map[string]bool{},
 			Strikes:        map[uint64]Strike{},
 		},
@@ -320,10 +324,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f(&b.state)
+	b.state.recordOwners()
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
 
+func (s *State) recordOwners() {
+	for pool, owner := range s.Owners {
+		if recent := s.RecentOwners[pool]; recent[0] != owner.Node {
+			s.RecentOwners[pool] = [2]string{owner.Node, recent[0]}
+		}
+	}
+}
+
 // Changed returns a channel that is closed at the next Update.
 func (b *Board) Changed() <-chan struct{} {
 	b.mu.Lock()
--- a/entry/ends.go
+++ b/entry/ends.go
@@ -346,8 +346,8 @@
 	return all
 }
 
-// endPeers returns the addresses of the nodes that process the jobs of pools, or would take
-// them over. owned reports whether the owners of all pools with jobs are known.
+// endPeers returns the addresses of the nodes that process the jobs of pools, did so until
+// lately, or would take them over, with this node if it is one of them. owned reports whether the owners of all pools with jobs are known.
 func (e *Entry) endPeers() (peers []string, owned bool) {
 	pools := map[string]bool{}
 	owned = true
@@ -355,6 +355,13 @@
 		for pool := range s.Owners {
 			pools[pool] = true
 		}
+		for _, recent := range s.RecentOwners {
+			for _, id := range recent {
+				if m, listed := s.Members[id]; listed {
+					peers = append(peers, m.Peer)
+				}
+			}
+		}
 		for _, route := range s.Config.Routes {
 			for _, target := range route.Targets {
 				if route.Batch {
@@ -365,7 +372,6 @@
 			}
 		}
 	})
-	peers = e.ownerPeers()
 	for pool := range pools {
 		peers = append(peers, e.keeperPeers(pool)...)
 	}
