entry: An end counts as kept only by nodes that are still there

Answers were recorded by address, so that a node that had restarted was not asked again.

What callers saw: 503, and an end that no node knew once the front had stopped and the node that kept the end was lost.

Evidence: TestEndKeptByLostNode failed before: "no node that is alive was asked to store the end". TestEndKeptByOneNode failed before: "nodes that may store the end were not asked again", asked: [a:1]. Both pass now, with -race.

Change: answers belong to a registration of a member (its address and the revision of its entry, which changes when it restarts). Only members that answer and have not registered anew count. The functions that list nodes return members, and their comments say which contain this node.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,6 +28,9 @@
 	// endNoticeTime limits how long the nodes that process jobs are notified of an end: a pool
 	// has a new owner sooner unless the key-value service is unavailable.
 	endNoticeTime = 6 * time.Second
+	// endKeepers is how many other nodes are to know an end that a node that stops could not
+	// store: the owner and the nodes that would take its pool over.
+	endKeepers = 1 + otherKeepers
 	// maxUncheckedEnds bounds the ends that are kept of clients whose API keys are not checked.
 	maxUncheckedEnds = 1000
 )
@@ -48,12 +50,11 @@
 	cancel context.CancelFunc
 	// later is set once the end is being stored although its client was refused.
 	later bool
-	// kept is set once another node stores it as well. Only share, which holds sharing, uses
-	// the answers of the nodes that were asked and the number of rounds in which they were.
-	kept    atomic.Bool
+	// keepers are the nodes that said that they store it as well. Only share, which holds
+	// sharing, uses the answers of the nodes that were asked.
+	keepers map[registration]bool
 	sharing chan struct{}
-	answers map[string]*wire.Reply
-	rounds  int
+	answers map[registration]*wire.Reply
 }
 
 // endJob stores the end of a job. If that fails within endTimeout, the client is
@@ -198,11 +199,11 @@
 func (e *Entry) notifyEnd(job string, at time.Time) {
 	call := &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackEnd(job, at)}}
 	e.workers.Go(func() {
-		answers := map[string]*wire.Reply{}
+		answers := map[registration]*wire.Reply{}
 		until := time.Now().Add(endNoticeTime)
 		for failures := 0; failures < maxNotices && time.Now().Before(until); {
-			peers, owned := e.endPeers()
-			all := e.notifyOnce(e.ctx, peers, call, answers)
+			members, owned := e.endReceivers()
+			all := e.notifyOnce(e.ctx, members, call, answers)
 			if all && owned {
 				return
 			}
@@ -230,7 +231,7 @@
 	}
 	pending := &pendingEnd{
 		call:    &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackPendingEnd(job, r.customerName(), r.start)}},
-		answers: map[string]*wire.Reply{}, sharing: make(chan struct{}, 1),
+		keepers: map[registration]bool{}, answers: map[registration]*wire.Reply{}, sharing: make(chan struct{}, 1),
 	}
 	pending.ctx, pending.cancel = context.WithCancel(e.ctx)
 	e.unstoredEnds[key] = pending
@@ -330,26 +331,47 @@
 	}
 }
 
-// share asks other nodes to store an end. It reports whether all have answered or it has asked
-// for long enough. The caller holds the end's sharing.
+// share asks other nodes to store an end. It reports whether all have answered. The caller
+// holds the end's sharing.
 func (e *Entry) share(ctx context.Context, pending *pendingEnd) bool {
-	if pending.rounds >= maxNotices && pending.kept.Load() {
-		return true
-	}
-	pending.rounds++
-	all := e.notifyOnce(ctx, e.endKeepers(), pending.call, pending.answers)
-	for _, reply := range pending.answers {
+	all := e.notifyOnce(ctx, e.otherEndReceivers(), pending.call, pending.answers)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for node, reply := range pending.answers {
 		if reply.GetKept().GetPresent() {
-			pending.kept.Store(true)
+			pending.keepers[node] = true
 		}
 	}
 	return all
 }
 
-// endPeers returns the addresses of the nodes that process the jobs of pools, did so until
-// lately, or would take them over, with this node if it is one of them. owned reports whether the owners of all pools with jobs are known.
-func (e *Entry) endPeers() (peers []string, owned bool) {
-	pools := map[string]bool{}
+// countKeepers returns the number of nodes that store an end as well and are still there: a
+// lost one may not have stored it, and one that registered anew has forgotten it.
+func (e *Entry) countKeepers(pending *pendingEnd) int {
+	var present []registration
+	e.Board.Do(func(s *board.State) {
+		for _, m := range s.Members {
+			if s.Answers(m) {
+				present = append(present, registrationOf(m))
+			}
+		}
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, node := range present {
+		if pending.keepers[node] {
+			count++
+		}
+	}
+	return count
+}
+
+// endReceivers returns the members that process the jobs of pools, did so until lately, or
+// would take them over; this node may be one of them. owned reports whether the owners of all
+// pools with jobs are known.
+func (e *Entry) endReceivers() (members []board.Member, owned bool) {
+	pools, ids := map[string]bool{}, map[string]bool{}
 	owned = true
 	e.Board.Do(func(s *board.State) {
 		for pool := range s.Owners {
@@ -357,8 +379,8 @@
 		}
 		for _, recent := range s.RecentOwners {
 			for _, id := range recent {
-				if m, listed := s.Members[id]; listed {
-					peers = append(peers, m.Peer)
+				if m, listed := s.Members[id]; listed && !ids[id] {
+					ids[id], members = true, append(members, m)
 				}
 			}
 		}
@@ -373,24 +395,27 @@
 		}
 	})
 	for pool := range pools {
-		peers = append(peers, e.keeperPeers(pool)...)
+		for _, m := range e.keepers(pool) {
+			if !ids[m.ID] {
+				ids[m.ID], members = true, append(members, m)
+			}
+		}
 	}
-	slices.Sort(peers)
-	return slices.Compact(peers), owned
+	return members, owned
 }
 
-// endKeepers returns the endPeers that are other nodes.
-func (e *Entry) endKeepers() []string {
+// otherEndReceivers returns the endReceivers without this node.
+func (e *Entry) otherEndReceivers() []board.Member {
 	var self string
 	e.Board.Do(func(s *board.State) { self = s.Self.Peer })
-	peers, _ := e.endPeers()
-	return slices.DeleteFunc(peers, func(peer string) bool { return peer == self })
+	members, _ := e.endReceivers()
+	return slices.DeleteFunc(members, func(m board.Member) bool { return m.Peer == self })
 }
 
-// handOverEnds asks other nodes to store the ends that no other node stores yet.
+// handOverEnds asks other nodes to store the ends that too few store yet.
 func (e *Entry) handOverEnds(ctx context.Context) {
 	var calls conc.WaitGroup
-	for _, pending := range e.unkeptEnds() {
+	for _, pending := range e.allUnstoredEnds() {
 		calls.Go(func() {
 			for failures := 1; failures <= maxNotices; failures++ {
 				select {
@@ -400,7 +425,7 @@
 				}
 				all := e.share(ctx, pending)
 				<-pending.sharing
-				if all || pending.kept.Load() || pending.ctx.Err() != nil || !sleep.For(ctx, storePause(failures)) {
+				if all || e.countKeepers(pending) >= endKeepers || pending.ctx.Err() != nil || !sleep.For(ctx, storePause(failures)) {
 					return
 				}
 			}
@@ -409,21 +434,21 @@
 	calls.Wait()
 }
 
-// unkeptEnds returns the ends that are neither stored nor known to a node that stores them.
-func (e *Entry) unkeptEnds() map[unstoredEnd]*pendingEnd {
+// allUnstoredEnds returns a copy of the ends that are still to be stored.
+func (e *Entry) allUnstoredEnds() map[unstoredEnd]*pendingEnd {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	unkept := maps.Clone(e.unstoredEnds)
-	maps.DeleteFunc(unkept, func(_ unstoredEnd, pending *pendingEnd) bool { return pending.kept.Load() })
-	return unkept
+	return maps.Clone(e.unstoredEnds)
 }
 
 // logUnstoredEnds logs the ends that are forgotten with this node. Those whose clients were not
 // checked are not handed over: other nodes would store them for anyone.
 func (e *Entry) logUnstoredEnds() {
 	const message = "node stops without having stored the end of a job"
-	for key := range e.unkeptEnds() {
-		e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg(message)
+	for key, pending := range e.allUnstoredEnds() {
+		if e.countKeepers(pending) == 0 {
+			e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg(message)
+		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -187,7 +187,8 @@
 // with a disk. It reports whether it succeeded. It returns a refusal if the ID is that of
 // another customer's job.
 func (e *Entry) keepOnDisk(job *quetzalpier.Job, data []byte) (bool, error) {
-	for _, peer := range e.keeperPeers(job.Pool) {
+	for _, member := range e.keepers(job.Pool) {
+		peer := member.Peer
 		ctx, cancel := context.WithTimeout(context.Background(), keepCallTimeout)
 		reply, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: &wire.Keep{Job: data}}})
 		cancel()
@@ -203,10 +204,10 @@
 	return false, nil
 }
 
-// keeperPeers returns the addresses of the nodes that may store a job of the pool
-// on disks: its owner, then the nodes that would take the pool over.
-func (e *Entry) keeperPeers(pool string) []string {
-	var peers []string
+// keepers returns the members that may store a job of the pool on disks: its owner, then the
+// nodes that would take the pool over. This node may be one of them.
+func (e *Entry) keepers(pool string) []board.Member {
+	var members []board.Member
 	e.Board.Do(func(s *board.State) {
 		owner := s.Owners[pool].Node
 		ids := make([]string, 0, len(s.Members))
@@ -220,10 +221,10 @@
 			ids = append([]string{owner}, ids...)
 		}
 		for _, id := range ids {
-			peers = append(peers, s.Members[id].Peer)
+			members = append(members, s.Members[id])
 		}
 	})
-	return peers
+	return members
 }
 
 // notifyOwners sends a new job to the owners of pools. They also receive it through their
@@ -231,55 +232,64 @@
 // owner, or a new one, has not received it.
 func (e *Entry) notifyOwners(call *wire.Call) {
 	e.workers.Go(func() {
-		answers := map[string]*wire.Reply{}
+		answers := map[registration]*wire.Reply{}
 		for failures := 1; failures <= maxNotices; failures++ {
-			if e.notifyOnce(e.ctx, e.ownerPeers(), call, answers) || !sleep.For(e.ctx, storePause(failures)) {
+			if e.notifyOnce(e.ctx, e.owners(), call, answers) || !sleep.For(e.ctx, storePause(failures)) {
 				return
 			}
 		}
 	})
 }
 
-// notifyOnce sends a call to those peers that have not answered it yet, and adds the answers
-// that it gets. It reports whether all peers have answered.
-func (e *Entry) notifyOnce(ctx context.Context, peers []string, call *wire.Call, answers map[string]*wire.Reply) bool {
+// registration identifies a member until it registers anew, as it does after a restart, which
+// forgets the notices that it got before.
+type registration struct {
+	peer string
+	rev  uint64
+}
+
+func registrationOf(m board.Member) registration { return registration{peer: m.Peer, rev: m.Rev} }
+
+// notifyOnce sends a call to those members that have not answered it since they registered,
+// and adds the answers that it gets. It reports whether all members have answered.
+func (e *Entry) notifyOnce(ctx context.Context, members []board.Member, call *wire.Call, answers map[registration]*wire.Reply) bool {
 	var mu sync.Mutex
 	var calls conc.WaitGroup
 	all := true
-	unanswered := slices.DeleteFunc(slices.Clone(peers), func(peer string) bool { return answers[peer] != nil })
-	for _, peer := range unanswered {
+	unanswered := slices.DeleteFunc(slices.Clone(members), func(m board.Member) bool { return answers[registrationOf(m)] != nil })
+	for _, member := range unanswered {
 		calls.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, keepCallTimeout)
 			defer cancel()
-			reply, err := e.Call(callCtx, peer, call)
+			reply, err := e.Call(callCtx, member.Peer, call)
 			mu.Lock()
 			defer mu.Unlock()
 			if err == nil {
-				answers[peer] = reply
+				answers[registrationOf(member)] = reply
 				return
 			}
 			all = false
 			if ctx.Err() != nil {
 				return
 			}
-			e.Log.Warn().Str("peer", peer).Err(err).Msg("notifying a node of a new or ended job failed")
+			e.Log.Warn().Str("peer", member.Peer).Err(err).Msg("notifying a node of a new or ended job failed")
 		})
 	}
 	calls.Wait()
 	return all
 }
 
-// ownerPeers returns the addresses of all pools' owners.
-func (e *Entry) ownerPeers() []string {
-	var peers []string
+// owners returns the members that own pools; this node may be one of them.
+func (e *Entry) owners() []board.Member {
+	var members []board.Member
 	e.Board.Do(func(s *board.State) {
 		for _, owner := range s.Owners {
 			if m, ok := s.Members[owner.Node]; ok {
-				peers = append(peers, m.Peer)
+				members = append(members, m)
 			}
 		}
 	})
-	return peers
+	return members
 }
 
 // readResults responds with a job's results from a position on.
@@ -356,7 +366,8 @@
 // readFromOwners sends a read to the owners of pools, one after the other, until
 // one of them has the job. It returns nil if none does.
 func (e *Entry) readFromOwners(read *wire.Read, wait time.Duration) *wire.Results {
-	for _, peer := range e.ownerPeers() {
+	for _, owner := range e.owners() {
+		peer := owner.Peer
 		ctx, cancel := context.WithTimeout(context.Background(), wait+ownerReplyMargin)
 		reply, err := e.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Read{Read: read}})
 		cancel()
--- a/entry/lost_keeper_test.go
+++ b/entry/lost_keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,3 +143,43 @@
 		}
 	}
 }
+
+// A front stopped asking nodes to store an end once one of them did, and counted a node that
+// had forgotten the end at its restart.
+func TestEndKeptByOneNode(t *testing.T) {
+	r := newTestEntry(t)
+	r.setConfig()
+	r.setStoreNodes("a", "b", "c")
+	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: "a"} })
+	var unreachable atomic.Bool
+	unreachable.Store(true)
+	kept := make(chan string, 64)
+	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
+		if call.GetEnded().GetPending() == "" || peer != "a:1" && unreachable.Load() {
+			return nil, errors.New("no answer")
+		}
+		kept <- peer
+		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+	}
+	r.kv.SetFaults(stand.KVFaults{Unavailable: true})
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+	time.Sleep(2 * time.Second)
+	unreachable.Store(false)
+	r.board.Update(func(s *board.State) {
+		a := s.Members["a"]
+		a.Rev++
+		s.Members["a"] = a
+	})
+	var peers []string
+	for range 4 {
+		select {
+		case peer := <-kept:
+			peers = append(peers, peer)
+		case <-time.After(testTimeout):
+			require.Fail(t, "nodes that may store the end were not asked again", "asked: %v", peers)
+		}
+	}
+	require.ElementsMatch(t, []string{"a:1", "a:1", "b:1", "c:1"}, peers)
+}
