relay: A test checks the error of its watch

Cause: the test of a watch that was closed in an outage dropped the watch's error, so that a failure was seen as missing entries only. The error is required to be nil now. The test passes with -race before and after.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -290,9 +290,10 @@
 		a, _, directA, _ := relayPair(service)
 		closed := make(chan struct{})
 		directA.cutWatches, directA.cutAfter = 1, closed
-		watched := make(chan quetzalpier.Changes, 1)
+		watched, failed := make(chan quetzalpier.Changes, 1), make(chan error, 1)
 		go func() {
-			found, _ := a.WatchPrefix(t.Context(), "k/", 0, time.Second)
+			found, err := a.WatchPrefix(t.Context(), "k/", 0, time.Second)
+			failed <- err
 			watched <- found
 		}()
 		require.Eventually(t, func() bool { return directA.waitingWatches() == 1 }, time.Second, time.Millisecond)
@@ -302,6 +303,7 @@
 		_, err := service.CompareAndSwap(t.Context(), "k/1", nil, 0, "")
 		require.NoError(t, err)
 		close(closed)
+		require.NoError(t, <-failed)
 		require.Len(t, (<-watched).Entries, 1, "another node answers the watch")
 		require.True(t, a.DirectFailed(), "only an answer of the service ends an outage")
 	})
