report: Ends stored after a refusal are read from their present line

Cause: entry now writes "storing an end whose client was refused ended", with an error if the end was not stored; report looked for an earlier line.

What callers saw: a report without the ends that a front stored late, which are the ones that come closest to their bound.

Evidence: TestEnds failed before with the present line: "OverOne: (int) 1", two jobs in place of three.

Change: report reads the line and skips it if it has an error.

--- a/report/ends.go
+++ b/report/ends.go
@@ -87,7 +87,9 @@
 	}
 	switch l.Message {
 	case messageEndStored, messageEndStoredLater:
-		setFirst(&j.storedAt, l.Time)
+		if l.Error == "" {
+			setFirst(&j.storedAt, l.Time)
+		}
 	case messageEnded:
 		j.known.add(l.Time, l.Node)
 	case messageRun:
