entry: Fewer terms for the ends that are not stored

Ends were called unstored, pending, unchecked, unkept and stored later. There are two kinds: an end whose client is still to be checked is unchecked, and one that is to be stored is unstored. endKey identifies the latter. Only names and comments change; log lines and messages between nodes stay.

--- a/entry/ends.go
+++ b/entry/ends.go
@@ -23,8 +23,8 @@
 const (
 	// endTimeout limits how long a client waits for an end to be stored.
 	endTimeout = 3 * time.Second
-	// laterEndRetryMax bounds the pause between two attempts if nobody waits for the end.
-	laterEndRetryMax = time.Second
+	// backgroundRetryMax bounds the pause between two attempts if nobody waits for the end.
+	backgroundRetryMax = time.Second
 	// endNoticeTime limits how long the nodes that process jobs are notified of an end: a pool
 	// has a new owner sooner unless the key-value service is unavailable.
 	endNoticeTime = 6 * time.Second
@@ -35,23 +35,23 @@
 	maxUncheckedEnds = 1000
 )
 
-// unstoredEnd is the end of a job that a customer requested; its name is empty if there are
-// no customers.
-type unstoredEnd struct {
+// endKey identifies the end of a job that a customer requested; customer is empty if there
+// are no customers.
+type endKey struct {
 	customer string
 	job      string
 }
 
-// pendingEnd is what a node knows of an end that it is to store. ctx ends once the end is
+// unstoredEnd is what a node knows of an end that it is to store. ctx ends once the end is
 // stored or the node is closed.
-type pendingEnd struct {
+type unstoredEnd struct {
 	call   *wire.Call
 	ctx    context.Context
 	cancel context.CancelFunc
-	// later is set once the end is being stored although its client was refused.
-	later bool
-	// keepers are the nodes that said that they store it as well. Only share, which holds
-	// sharing, uses the answers of the nodes that were asked.
+	// inBackground is set once the end is being stored although its client was refused.
+	inBackground bool
+	// keepers are the nodes that said that they store it as well, guarded by Entry.mu. Only
+	// share, which holds sharing, uses the answers of the nodes that were asked.
 	keepers map[registration]bool
 	sharing chan struct{}
 	answers map[registration]*wire.Reply
@@ -77,7 +77,7 @@
 		return
 	}
 	e.refuse(c, r, quetzalpier.Unavailable("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
-	e.storeEndLater(r, call.Job, share)
+	e.storeInBackground(r, call.Job, share)
 }
 
 // endUnchecked keeps the end of a job whose client was refused because this node could not
@@ -87,18 +87,18 @@
 	if !isCall || err != nil || !call.End {
 		return
 	}
-	later, key := *r, credentials(c)
+	copied, key := *r, credentials(c)
 	key.Key = bytes.Clone(key.Key)
-	if !e.addUnchecked(&later, call.Job) {
+	if !e.addUnchecked(&copied, call.Job) {
 		e.Log.Error().Str("job", call.Job).Msg("too many ends of jobs wait for a configuration; one is dropped")
 		return
 	}
 	e.workers.Go(func() {
-		err := e.awaitCheck(&later, key)
-		e.Log.Info().Str("job", call.Job).Str("customer", later.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
-		added := err == nil && e.storeEndLater(&later, call.Job, func() { e.shareEnd(&later, call.Job) })
+		err := e.awaitCheck(&copied, key)
+		e.Log.Info().Str("job", call.Job).Str("customer", copied.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
+		added := err == nil && e.storeInBackground(&copied, call.Job, func() { e.shareEnd(&copied, call.Job) })
 		if added || e.ctx.Err() == nil {
-			e.dropUnchecked(&later)
+			e.dropUnchecked(&copied)
 		}
 	})
 }
@@ -165,7 +165,7 @@
 	for failures := 1; ; failures++ {
 		err := e.findJob(r, job)
 		if isNotFound(err) {
-			e.dropEnd(unstoredEnd{r.customerName(), job})
+			e.dropUnstored(endKey{r.customerName(), job})
 			return err
 		}
 		now := time.Now()
@@ -177,7 +177,7 @@
 		if err == nil {
 			e.record(job, jobRecord{ended: true, updatedAt: time.Now()})
 			e.notifyEnd(job, now)
-			e.dropEnd(unstoredEnd{r.customerName(), job})
+			e.dropUnstored(endKey{r.customerName(), job})
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -217,34 +217,34 @@
 	})
 }
 
-// pend adds an end to those that are to be stored. It returns the end that was added before,
-// if there is one, and nil if the node is closed.
-func (e *Entry) pend(r *request, job string) *pendingEnd {
+// addUnstored adds an end to those that are to be stored. It returns the end that was added
+// before, if there is one, and nil if the node is closed.
+func (e *Entry) addUnstored(r *request, job string) *unstoredEnd {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	key := unstoredEnd{r.customerName(), job}
-	if pending := e.unstoredEnds[key]; pending != nil {
-		return pending
+	key := endKey{r.customerName(), job}
+	if end := e.unstoredEnds[key]; end != nil {
+		return end
 	}
 	if e.ctx.Err() != nil {
 		return nil
 	}
-	pending := &pendingEnd{
+	end := &unstoredEnd{
 		call:    &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackPendingEnd(job, r.customerName(), r.start)}},
 		keepers: map[registration]bool{}, answers: map[registration]*wire.Reply{}, sharing: make(chan struct{}, 1),
 	}
-	pending.ctx, pending.cancel = context.WithCancel(e.ctx)
-	e.unstoredEnds[key] = pending
+	end.ctx, end.cancel = context.WithCancel(e.ctx)
+	e.unstoredEnds[key] = end
 	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
-	return pending
+	return end
 }
 
-// dropEnd removes an end from those that are to be stored.
-func (e *Entry) dropEnd(key unstoredEnd) {
+// dropUnstored removes an end from those that are to be stored.
+func (e *Entry) dropUnstored(key endKey) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if pending := e.unstoredEnds[key]; pending != nil {
-		pending.cancel()
+	if end := e.unstoredEnds[key]; end != nil {
+		end.cancel()
 		delete(e.unstoredEnds, key)
 		e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
 	}
@@ -254,9 +254,9 @@
 func (e *Entry) EndStored(job string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for key, pending := range e.unstoredEnds {
+	for key, end := range e.unstoredEnds {
 		if key.job == job {
-			pending.cancel()
+			end.cancel()
 			delete(e.unstoredEnds, key)
 		}
 	}
@@ -274,34 +274,34 @@
 		r.customer = &quetzalpier.Customer{Name: customer}
 	}
 	e.Board.Do(func(s *board.State) { r.index = s.Access })
-	return e.storeEndLater(r, job, func() {})
+	return e.storeInBackground(r, job, func() {})
 }
 
-// storeEndLater stores an end whose client was refused, unless another node does so
+// storeInBackground stores an end whose client was refused, unless another node does so
 // first, while the job's results are kept. It calls failed after each failure, and returns
 // false if this node is closed.
-func (e *Entry) storeEndLater(r *request, job string, failed func()) bool {
-	pending := e.pend(r, job)
-	if pending == nil {
+func (e *Entry) storeInBackground(r *request, job string, failed func()) bool {
+	end := e.addUnstored(r, job)
+	if end == nil {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if pending.later {
+	if end.inBackground {
 		return true
 	}
-	pending.later = true
+	end.inBackground = true
 	e.workers.Go(func() {
 		e.stopTasks(r, job)
-		err := e.storeEnd(pending.ctx, r, job, r.start.Add(e.Retention), laterEndPause, failed)
+		err := e.storeEnd(end.ctx, r, job, r.start.Add(e.Retention), backgroundPause, failed)
 		line := e.Log.Info()
 		if err != nil {
 			line = e.Log.Warn()
 		}
-		line.Str("job", job).Str("customer", r.customerName()).Bool("known", pending.ctx.Err() != nil && e.ctx.Err() == nil).Bool("stopping", e.ctx.Err() != nil).
+		line.Str("job", job).Str("customer", r.customerName()).Bool("known", end.ctx.Err() != nil && e.ctx.Err() == nil).Bool("stopping", e.ctx.Err() != nil).
 			Dur("age_ms", time.Since(r.start)).Err(err).Msg("storing an end whose client was refused ended")
 		if e.ctx.Err() == nil {
-			e.dropEnd(unstoredEnd{r.customerName(), job})
+			e.dropUnstored(endKey{r.customerName(), job})
 		}
 	})
 	return true
@@ -317,15 +317,15 @@
 // shareEnd tells the nodes that run the job's tasks, or would take them over, of an end that
 // this node could not store, so that they stop the tasks and store the end as well.
 func (e *Entry) shareEnd(r *request, job string) {
-	pending := e.pend(r, job)
-	if pending == nil {
+	end := e.addUnstored(r, job)
+	if end == nil {
 		return
 	}
 	select {
-	case pending.sharing <- struct{}{}:
+	case end.sharing <- struct{}{}:
 		e.workers.Go(func() {
-			defer func() { <-pending.sharing }()
-			e.share(pending.ctx, pending)
+			defer func() { <-end.sharing }()
+			e.share(end.ctx, end)
 		})
 	default:
 	}
@@ -333,13 +333,13 @@
 
 // share asks other nodes to store an end. It reports whether all have answered. The caller
 // holds the end's sharing.
-func (e *Entry) share(ctx context.Context, pending *pendingEnd) bool {
-	all := e.notifyOnce(ctx, e.otherEndReceivers(), pending.call, pending.answers)
+func (e *Entry) share(ctx context.Context, end *unstoredEnd) bool {
+	all := e.notifyOnce(ctx, e.otherEndReceivers(), end.call, end.answers)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for node, reply := range pending.answers {
+	for node, reply := range end.answers {
 		if reply.GetKept().GetPresent() {
-			pending.keepers[node] = true
+			end.keepers[node] = true
 		}
 	}
 	return all
@@ -347,7 +347,7 @@
 
 // countKeepers returns the number of nodes that store an end as well and are still there: a
 // lost one may not have stored it, and one that registered anew has forgotten it.
-func (e *Entry) countKeepers(pending *pendingEnd) int {
+func (e *Entry) countKeepers(end *unstoredEnd) int {
 	var present []registration
 	e.Board.Do(func(s *board.State) {
 		for _, m := range s.Members {
@@ -360,7 +360,7 @@
 	defer e.mu.Unlock()
 	count := 0
 	for _, node := range present {
-		if pending.keepers[node] {
+		if end.keepers[node] {
 			count++
 		}
 	}
@@ -415,17 +415,17 @@
 // handOverEnds asks other nodes to store the ends that too few store yet.
 func (e *Entry) handOverEnds(ctx context.Context) {
 	var calls conc.WaitGroup
-	for _, pending := range e.allUnstoredEnds() {
+	for _, end := range e.copyUnstored() {
 		calls.Go(func() {
 			for failures := 1; failures <= maxNotices; failures++ {
 				select {
-				case pending.sharing <- struct{}{}:
+				case end.sharing <- struct{}{}:
 				case <-ctx.Done():
 					return
 				}
-				all := e.share(ctx, pending)
-				<-pending.sharing
-				if all || e.countKeepers(pending) >= endKeepers || pending.ctx.Err() != nil || !sleep.For(ctx, storePause(failures)) {
+				all := e.share(ctx, end)
+				<-end.sharing
+				if all || e.countKeepers(end) >= endKeepers || end.ctx.Err() != nil || !sleep.For(ctx, storePause(failures)) {
 					return
 				}
 			}
@@ -434,8 +434,8 @@
 	calls.Wait()
 }
 
-// allUnstoredEnds returns a copy of the ends that are still to be stored.
-func (e *Entry) allUnstoredEnds() map[unstoredEnd]*pendingEnd {
+// copyUnstored returns a copy of the ends that are still to be stored.
+func (e *Entry) copyUnstored() map[endKey]*unstoredEnd {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return maps.Clone(e.unstoredEnds)
@@ -445,8 +445,8 @@
 // checked are not handed over: other nodes would store them for anyone.
 func (e *Entry) logUnstoredEnds() {
 	const message = "node stops without having stored the end of a job"
-	for key, pending := range e.allUnstoredEnds() {
-		if e.countKeepers(pending) == 0 {
+	for key, end := range e.copyUnstored() {
+		if e.countKeepers(end) == 0 {
 			e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg(message)
 		}
 	}
@@ -457,6 +457,6 @@
 	}
 }
 
-func laterEndPause(failures int) time.Duration {
-	return sleep.Backoff(failures, storeRetryMax, laterEndRetryMax, rand.Float64())
+func backgroundPause(failures int) time.Duration {
+	return sleep.Backoff(failures, storeRetryMax, backgroundRetryMax, rand.Float64())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,7 +98,7 @@
 	// uncheckedEnds holds the jobs of the ends whose clients' API keys are still to be checked.
 	uncheckedEnds map[*request]string
 	// unstoredEnds are the ends that are still to be stored.
-	unstoredEnds map[unstoredEnd]*pendingEnd
+	unstoredEnds map[endKey]*unstoredEnd
 	seenNodes    map[string]seenNode
 	// named holds the addresses of the last lookup answer by node.
 	named map[string]string
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		Options: options, ctx: ctx, close: cancel,
-		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[unstoredEnd]*pendingEnd{}, uncheckedEnds: map[*request]string{}, seenNodes: map[string]seenNode{},
+		cache: map[string]*jobResults{}, records: map[string]jobRecord{}, unstoredEnds: map[endKey]*unstoredEnd{}, uncheckedEnds: map[*request]string{}, seenNodes: map[string]seenNode{},
 	}
 }
 
