--- a/entry/forgotten_end_test.go
+++ b/entry/forgotten_end_test.go
@@ -37,9 +37,7 @@
 		return &wire.Reply{}, nil
 	}
 	r.kv.SetFaults(stand.KVFaults{Unavailable: true})
-	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
-	require.NoError(t, err)
-	require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+	require.GreaterOrEqual(t, r.endJob(t), http.StatusInternalServerError)
 	r.entry.Close(t.Context())
 	r.kv.SetFaults(stand.KVFaults{})
 	time.Sleep(2 * time.Second)
@@ -191,9 +189,7 @@
 		}
 		return &wire.Reply{}, nil
 	}
-	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, http.StatusOK, r.endJob(t))
 	time.Sleep(50 * time.Millisecond)
 	r.board.Update(func(s *board.State) {
 		s.Owners["p"] = board.Owner{Node: "o"}
--- a/entry/lost_keeper_test.go
+++ b/entry/lost_keeper_test.go
@@ -28,6 +28,23 @@
 	})
 }
 
+// endJob ends the job j1 as a client without a key and returns the status.
+func (r *testEntry) endJob(t *testing.T) int {
+	t.Helper()
+	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
+	require.NoError(t, err)
+	return resp.StatusCode
+}
+
+// keepPending answers a request to store an end, and names the node in asked.
+func keepPending(asked chan<- string, peer string, call *wire.Call) (*wire.Reply, error) {
+	if call.GetEnded().GetPending() == "" {
+		return nil, errors.New("no answer")
+	}
+	asked <- peer
+	return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+}
+
 // A front that stopped handed an end over to no other node since one had accepted it before
 // and was lost before it could store it.
 func TestEndKeptByLostNode(t *testing.T) {
@@ -37,16 +54,10 @@
 	r.board.Update(func(s *board.State) { s.Owners["p"] = board.Owner{Node: "a"} })
 	asked := make(chan string, 64)
 	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
-		if call.GetEnded().GetPending() == "" {
-			return nil, errors.New("no answer")
-		}
-		asked <- peer
-		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+		return keepPending(asked, peer, call)
 	}
 	r.kv.SetFaults(stand.KVFaults{Unavailable: true})
-	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
-	require.NoError(t, err)
-	require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+	require.GreaterOrEqual(t, r.endJob(t), http.StatusInternalServerError)
 	require.Equal(t, "a:1", <-asked)
 	r.board.Update(func(s *board.State) {
 		delete(s.Members, "a")
@@ -73,9 +84,7 @@
 		notified <- peer
 		return &wire.Reply{}, nil
 	}
-	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, http.StatusOK, r.endJob(t))
 	for deadline := time.After(3 * time.Second); ; {
 		select {
 		case peer := <-notified:
@@ -132,9 +141,7 @@
 		notified <- peer
 		return &wire.Reply{}, nil
 	}
-	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, http.StatusOK, r.endJob(t))
 	for range nodes {
 		select {
 		case <-notified:
@@ -155,16 +162,13 @@
 	unreachable.Store(true)
 	kept := make(chan string, 64)
 	r.entry.Call = func(_ context.Context, peer string, call *wire.Call) (*wire.Reply, error) {
-		if call.GetEnded().GetPending() == "" || peer != "a:1" && unreachable.Load() {
+		if peer != "a:1" && unreachable.Load() {
 			return nil, errors.New("no answer")
 		}
-		kept <- peer
-		return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Present: true}}}, nil
+		return keepPending(kept, peer, call)
 	}
 	r.kv.SetFaults(stand.KVFaults{Unavailable: true})
-	resp, _, err := r.send(t, http.MethodDelete, platform.PathJobs+"j1", "", nil)
-	require.NoError(t, err)
-	require.GreaterOrEqual(t, resp.StatusCode, http.StatusInternalServerError)
+	require.GreaterOrEqual(t, r.endJob(t), http.StatusInternalServerError)
 	time.Sleep(2 * time.Second)
 	unreachable.Store(false)
 	r.board.Update(func(s *board.State) {
