--- a/report/ends.go
+++ b/report/ends.go
@@ -87,9 +87,7 @@
 	}
 	switch l.Message {
 	case messageEndStored, messageEndStoredLater:
-		if l.Error == "" {
-			setFirst(&j.storedAt, l.Time)
-		}
+		setFirst(&j.storedAt, l.Time)
 	case messageEnded:
 		j.known.add(l.Time, l.Node)
 	case messageRun:
--- a/report/lines.go
+++ b/report/lines.go
@@ -68,9 +68,8 @@
 	messageFound     = "found stored results"
 	messageEnded     = "job ended"
 	messageEndStored = "job end stored"
-	// The end of a job whose client was refused may be stored later; the line has an error if
-	// it was not.
-	messageEndStoredLater = "storing an end whose client was refused ended"
+	// The end of a job whose client was refused may be stored later.
+	messageEndStoredLater = "end stored after its client was refused"
 	messageRewardFailed   = "reward call failed"
 	messageRewardClosed   = "reward call of a closed job ended"
 	messageStarted        = "node started"
