--- a/entry/ends.go
+++ b/entry/ends.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,36 +23,38 @@
 const (
 	// endTimeout limits how long a client waits for an end to be stored.
 	endTimeout = 3 * time.Second
-	// laterEndRetryMax bounds the pause between two attempts if nobody waits for the end.
-	laterEndRetryMax = time.Second
+	// backgroundRetryMax bounds the pause between two attempts if nobody waits for the end.
+	backgroundRetryMax = time.Second
 	// endNoticeTime limits how long the nodes that process jobs are notified of an end: a pool
 	// has a new owner sooner unless the key-value service is unavailable.
 	endNoticeTime = 6 * time.Second
+	// endKeepers is how many other nodes are to know an end that a node that stops could not
+	// store: the owner and the nodes that would take its pool over.
+	endKeepers = 1 + otherKeepers
 	// maxUncheckedEnds bounds the ends that are kept of clients whose API keys are not checked.
 	maxUncheckedEnds = 1000
 )
 
-// unstoredEnd is the end of a job that a customer requested; its name is empty if there are
-// no customers.
-type unstoredEnd struct {
+// endKey identifies the end of a job that a customer requested; customer is empty if there
+// are no customers.
+type endKey struct {
 	customer string
 	job      string
 }
 
-// pendingEnd is what a node knows of an end that it is to store. ctx ends once the end is
+// unstoredEnd is what a node knows of an end that it is to store. ctx ends once the end is
 // stored or the node is closed.
-type pendingEnd struct {
+type unstoredEnd struct {
 	call   *wire.Call
 	ctx    context.Context
 	cancel context.CancelFunc
-	// later is set once the end is being stored although its client was refused.
-	later bool
-	// kept is set once another node stores it as well. Only share, which holds sharing, uses
-	// the answers of the nodes that were asked and the number of rounds in which they were.
-	kept    atomic.Bool
+	// inBackground is set once the end is being stored although its client was refused.
+	inBackground bool
+	// keepers are the nodes that said that they store it as well, guarded by Entry.mu. Only
+	// share, which holds sharing, uses the answers of the nodes that were asked.
+	keepers map[registration]bool
 	sharing chan struct{}
-	answers map[string]*wire.Reply
-	rounds  int
+	answers map[registration]*wire.Reply
 }
 
 // endJob stores the end of a job. If that fails within endTimeout, the client is
@@ -76,7 +77,7 @@
 		return
 	}
 	e.refuse(c, r, quetzalpier.Unavailable("store", "the end could not be stored: "+err.Error(), quetzalpier.RanUnknown, 0))
-	e.storeEndLater(r, call.Job, share)
+	e.storeInBackground(r, call.Job, share)
 }
 
 // endUnchecked keeps the end of a job whose client was refused because this node could not
@@ -86,27 +87,44 @@
 	if !isCall || err != nil || !call.End {
 		return
 	}
-	if e.uncheckedEnds.Add(1) > maxUncheckedEnds {
-		e.uncheckedEnds.Add(-1)
+	copied, key := *r, credentials(c)
+	key.Key = bytes.Clone(key.Key)
+	if !e.addUnchecked(&copied, call.Job) {
 		e.Log.Error().Str("job", call.Job).Msg("too many ends of jobs wait for a configuration; one is dropped")
 		return
 	}
-	later, key := *r, credentials(c)
-	key.Key = bytes.Clone(key.Key)
 	e.workers.Go(func() {
-		defer e.uncheckedEnds.Add(-1)
-		err := e.awaitCheck(&later, key)
-		if isUnavailable(err) {
+		err := e.awaitCheck(&copied, key)
+		if isUnavailable(err) && e.ctx.Err() == nil {
 			e.Log.Error().Str("job", call.Job).Err(err).Msg("the end of a job is forgotten, since its client's API key could not be checked")
-			return
 		}
-		e.Log.Info().Str("job", call.Job).Str("customer", later.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
-		if err == nil {
-			e.storeEndLater(&later, call.Job, func() { e.shareEnd(&later, call.Job) })
+		e.Log.Info().Str("job", call.Job).Str("customer", copied.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
+		added := err == nil && e.storeInBackground(&copied, call.Job, func() { e.shareEnd(&copied, call.Job) })
+		if added || e.ctx.Err() == nil {
+			e.dropUnchecked(&copied)
 		}
 	})
 }
 
+// addUnchecked adds an end to those whose clients are still to be checked. It returns false if
+// there are too many.
+func (e *Entry) addUnchecked(r *request, job string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.uncheckedEnds) >= maxUncheckedEnds {
+		return false
+	}
+	e.uncheckedEnds[r] = job
+	return true
+}
+
+// dropUnchecked removes an end from those whose clients are still to be checked.
+func (e *Entry) dropUnchecked(r *request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.uncheckedEnds, r)
+}
+
 // awaitCheck checks the API key of a call about a job until that gives a result, while the
 // job's results are kept. It sets the customer of the request.
 func (e *Entry) awaitCheck(r *request, key access.Credentials) error {
@@ -150,7 +168,7 @@
 	for failures := 1; ; failures++ {
 		err := e.findJob(r, job)
 		if isNotFound(err) {
-			e.dropEnd(unstoredEnd{r.customerName(), job})
+			e.dropUnstored(endKey{r.customerName(), job})
 			return err
 		}
 		now := time.Now()
@@ -162,7 +180,7 @@
 		if err == nil {
 			e.record(job, jobRecord{ended: true, updatedAt: time.Now()})
 			e.notifyEnd(job, now)
-			e.dropEnd(unstoredEnd{r.customerName(), job})
+			e.dropUnstored(endKey{r.customerName(), job})
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -184,11 +202,11 @@
 func (e *Entry) notifyEnd(job string, at time.Time) {
 	call := &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackEnd(job, at)}}
 	e.workers.Go(func() {
-		answers := map[string]*wire.Reply{}
+		answers := map[registration]*wire.Reply{}
 		until := time.Now().Add(endNoticeTime)
 		for failures := 0; failures < maxNotices && time.Now().Before(until); {
-			peers, owned := e.endPeers()
-			all := e.notifyOnce(e.ctx, peers, call, answers)
+			members, owned := e.endReceivers()
+			all := e.notifyOnce(e.ctx, members, call, answers)
 			if all && owned {
 				return
 			}
@@ -202,34 +220,34 @@
 	})
 }
 
-// pend adds an end to those that are to be stored. It returns the end that was added before,
-// if there is one, and nil if the node is closed.
-func (e *Entry) pend(r *request, job string) *pendingEnd {
+// addUnstored adds an end to those that are to be stored. It returns the end that was added
+// before, if there is one, and nil if the node is closed.
+func (e *Entry) addUnstored(r *request, job string) *unstoredEnd {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	key := unstoredEnd{r.customerName(), job}
-	if pending := e.unstoredEnds[key]; pending != nil {
-		return pending
+	key := endKey{r.customerName(), job}
+	if end := e.unstoredEnds[key]; end != nil {
+		return end
 	}
 	if e.ctx.Err() != nil {
 		return nil
 	}
-	pending := &pendingEnd{
+	end := &unstoredEnd{
 		call:    &wire.Call{Kind: &wire.Call_Ended{Ended: wire.PackPendingEnd(job, r.customerName(), r.start)}},
-		answers: map[string]*wire.Reply{}, sharing: make(chan struct{}, 1),
+		keepers: map[registration]bool{}, answers: map[registration]*wire.Reply{}, sharing: make(chan struct{}, 1),
 	}
-	pending.ctx, pending.cancel = context.WithCancel(e.ctx)
-	e.unstoredEnds[key] = pending
+	end.ctx, end.cancel = context.WithCancel(e.ctx)
+	e.unstoredEnds[key] = end
 	e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
-	return pending
+	return end
 }
 
-// dropEnd removes an end from those that are to be stored.
-func (e *Entry) dropEnd(key unstoredEnd) {
+// dropUnstored removes an end from those that are to be stored.
+func (e *Entry) dropUnstored(key endKey) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if pending := e.unstoredEnds[key]; pending != nil {
-		pending.cancel()
+	if end := e.unstoredEnds[key]; end != nil {
+		end.cancel()
 		delete(e.unstoredEnds, key)
 		e.Meter.UnstoredEnds.Set(float64(len(e.unstoredEnds)))
 	}
@@ -239,9 +257,9 @@
 func (e *Entry) EndStored(job string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for key, pending := range e.unstoredEnds {
+	for key, end := range e.unstoredEnds {
 		if key.job == job {
-			pending.cancel()
+			end.cancel()
 			delete(e.unstoredEnds, key)
 		}
 	}
@@ -259,41 +277,41 @@
 		r.customer = &quetzalpier.Customer{Name: customer}
 	}
 	e.Board.Do(func(s *board.State) { r.index = s.Access })
-	return e.storeEndLater(r, job, func() {})
+	return e.storeInBackground(r, job, func() {})
 }
 
-// storeEndLater stores an end whose client was refused, unless another node does so
+// storeInBackground stores an end whose client was refused, unless another node does so
 // first, while the job's results are kept. It calls failed after each failure, and returns
 // false if this node is closed.
-func (e *Entry) storeEndLater(r *request, job string, failed func()) bool {
-	pending := e.pend(r, job)
-	if pending == nil {
+func (e *Entry) storeInBackground(r *request, job string, failed func()) bool {
+	end := e.addUnstored(r, job)
+	if end == nil {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if pending.later {
+	if end.inBackground {
 		return true
 	}
-	pending.later = true
+	end.inBackground = true
 	e.workers.Go(func() {
 		e.stopTasks(r, job)
-		err := e.storeEnd(pending.ctx, r, job, r.start.Add(e.Retention), laterEndPause, failed)
-		e.logLaterEnd(pending, r, job, err)
+		err := e.storeEnd(end.ctx, r, job, r.start.Add(e.Retention), backgroundPause, failed)
+		e.logLaterEnd(end, r, job, err)
 		if e.ctx.Err() == nil {
-			e.dropEnd(unstoredEnd{r.customerName(), job})
+			e.dropUnstored(endKey{r.customerName(), job})
 		}
 	})
 	return true
 }
 
 // logLaterEnd logs what became of an end whose client was refused.
-func (e *Entry) logLaterEnd(pending *pendingEnd, r *request, job string, err error) {
+func (e *Entry) logLaterEnd(end *unstoredEnd, r *request, job string, err error) {
 	line, message := e.Log.Info(), "end stored after its client was refused"
 	switch {
 	case isNotFound(err):
 		line, message = e.Log.Warn(), "the end of a job, whose client was refused, was not stored"
-	case err != nil && pending.ctx.Err() != nil && e.ctx.Err() == nil:
+	case err != nil && end.ctx.Err() != nil && e.ctx.Err() == nil:
 		err, message = nil, "another node stored the end of a job, whose client was refused"
 	case err != nil:
 		line, message = e.Log.Error(), "the end of a job, whose client was refused, could not be stored"
@@ -311,45 +329,73 @@
 // shareEnd tells the nodes that run the job's tasks, or would take them over, of an end that
 // this node could not store, so that they stop the tasks and store the end as well.
 func (e *Entry) shareEnd(r *request, job string) {
-	pending := e.pend(r, job)
-	if pending == nil {
+	end := e.addUnstored(r, job)
+	if end == nil {
 		return
 	}
 	select {
-	case pending.sharing <- struct{}{}:
+	case end.sharing <- struct{}{}:
 		e.workers.Go(func() {
-			defer func() { <-pending.sharing }()
-			e.share(pending.ctx, pending)
+			defer func() { <-end.sharing }()
+			e.share(end.ctx, end)
 		})
 	default:
 	}
 }
 
-// share asks other nodes to store an end. It reports whether all have answered or it has asked
-// for long enough. The caller holds the end's sharing.
-func (e *Entry) share(ctx context.Context, pending *pendingEnd) bool {
-	if pending.rounds >= maxNotices && pending.kept.Load() {
-		return true
-	}
-	pending.rounds++
-	all := e.notifyOnce(ctx, e.endKeepers(), pending.call, pending.answers)
-	for _, reply := range pending.answers {
+// share asks other nodes to store an end. It reports whether all have answered. The caller
+// holds the end's sharing.
+func (e *Entry) share(ctx context.Context, end *unstoredEnd) bool {
+	all := e.notifyOnce(ctx, e.otherEndReceivers(), end.call, end.answers)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for node, reply := range end.answers {
 		if reply.GetKept().GetPresent() {
-			pending.kept.Store(true)
+			end.keepers[node] = true
 		}
 	}
 	return all
 }
 
-// endPeers returns the addresses of the nodes that process the jobs of pools, or would take
-// them over. owned reports whether the owners of all pools with jobs are known.
-func (e *Entry) endPeers() (peers []string, owned bool) {
-	pools := map[string]bool{}
+// countKeepers returns the number of nodes that store an end as well and are still there: a
+// lost one may not have stored it, and one that registered anew has forgotten it.
+func (e *Entry) countKeepers(end *unstoredEnd) int {
+	var present []registration
+	e.Board.Do(func(s *board.State) {
+		for _, m := range s.Members {
+			if s.Answers(m) {
+				present = append(present, registrationOf(m))
+			}
+		}
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, node := range present {
+		if end.keepers[node] {
+			count++
+		}
+	}
+	return count
+}
+
+// endReceivers returns the members that process the jobs of pools, did so until lately, or
+// would take them over; this node may be one of them. owned reports whether the owners of all
+// pools with jobs are known.
+func (e *Entry) endReceivers() (members []board.Member, owned bool) {
+	pools, ids := map[string]bool{}, map[string]bool{}
 	owned = true
 	e.Board.Do(func(s *board.State) {
 		for pool := range s.Owners {
 			pools[pool] = true
 		}
+		for _, recent := range s.RecentOwners {
+			for _, id := range recent {
+				if m, listed := s.Members[id]; listed && !ids[id] {
+					ids[id], members = true, append(members, m)
+				}
+			}
+		}
 		for _, route := range s.Config.Routes {
 			for _, target := range route.Targets {
 				if route.Batch {
@@ -360,36 +406,38 @@
 			}
 		}
 	})
-	peers = e.ownerPeers()
 	for pool := range pools {
-		peers = append(peers, e.keeperPeers(pool)...)
+		for _, m := range e.keepers(pool) {
+			if !ids[m.ID] {
+				ids[m.ID], members = true, append(members, m)
+			}
+		}
 	}
-	slices.Sort(peers)
-	return slices.Compact(peers), owned
+	return members, owned
 }
 
-// endKeepers returns the endPeers that are other nodes.
-func (e *Entry) endKeepers() []string {
+// otherEndReceivers returns the endReceivers without this node.
+func (e *Entry) otherEndReceivers() []board.Member {
 	var self string
 	e.Board.Do(func(s *board.State) { self = s.Self.Peer })
-	peers, _ := e.endPeers()
-	return slices.DeleteFunc(peers, func(peer string) bool { return peer == self })
+	members, _ := e.endReceivers()
+	return slices.DeleteFunc(members, func(m board.Member) bool { return m.Peer == self })
 }
 
-// handOverEnds asks other nodes to store the ends that no other node stores yet.
+// handOverEnds asks other nodes to store the ends that too few store yet.
 func (e *Entry) handOverEnds(ctx context.Context) {
 	var calls conc.WaitGroup
-	for _, pending := range e.unkeptEnds() {
+	for _, end := range e.copyUnstored() {
 		calls.Go(func() {
 			for failures := 1; failures <= maxNotices; failures++ {
 				select {
-				case pending.sharing <- struct{}{}:
+				case end.sharing <- struct{}{}:
 				case <-ctx.Done():
 					return
 				}
-				all := e.share(ctx, pending)
-				<-pending.sharing
-				if all || pending.kept.Load() || pending.ctx.Err() != nil || !sleep.For(ctx, storePause(failures)) {
+				all := e.share(ctx, end)
+				<-end.sharing
+				if all || e.countKeepers(end) >= endKeepers || end.ctx.Err() != nil || !sleep.For(ctx, storePause(failures)) {
 					return
 				}
 			}
@@ -398,22 +446,29 @@
 	calls.Wait()
 }
 
-// unkeptEnds returns the ends that are neither stored nor known to a node that stores them.
-func (e *Entry) unkeptEnds() map[unstoredEnd]*pendingEnd {
+// copyUnstored returns a copy of the ends that are still to be stored.
+func (e *Entry) copyUnstored() map[endKey]*unstoredEnd {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	unkept := maps.Clone(e.unstoredEnds)
-	maps.DeleteFunc(unkept, func(_ unstoredEnd, pending *pendingEnd) bool { return pending.kept.Load() })
-	return unkept
+	return maps.Clone(e.unstoredEnds)
 }
 
-// logUnstoredEnds logs the ends that are forgotten with this node.
+// logUnstoredEnds logs the ends that are forgotten with this node. Those whose clients were not
+// checked are not handed over: other nodes would store them for anyone.
 func (e *Entry) logUnstoredEnds() {
-	for key := range e.unkeptEnds() {
-		e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg("node stops without having stored the end of a job")
+	const message = "node stops without having stored the end of a job"
+	for key, end := range e.copyUnstored() {
+		if e.countKeepers(end) == 0 {
+			e.Log.Error().Str("job", key.job).Str("customer", key.customer).Msg(message)
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for r, job := range e.uncheckedEnds {
+		e.Log.Error().Str("job", job).Bool("unchecked", true).Dur("age_ms", time.Since(r.start)).Msg(message)
 	}
 }
 
-func laterEndPause(failures int) time.Duration {
-	return sleep.Backoff(failures, storeRetryMax, laterEndRetryMax, rand.Float64())
+func backgroundPause(failures int) time.Duration {
+	return sleep.Backoff(failures, storeRetryMax, backgroundRetryMax, rand.Float64())
 }
