--- a/entry/ends.go
+++ b/entry/ends.go
@@ -95,8 +95,14 @@
 	}
 	e.workers.Go(func() {
 		err := e.awaitCheck(&copied, key)
-		e.Log.Info().Str("job", call.Job).Str("customer", copied.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
-		added := err == nil && e.storeInBackground(&copied, call.Job, func() { e.shareEnd(&copied, call.Job) })
+		added := false
+		if isUnavailable(err) {
+			e.Log.Error().Str("job", call.Job).Err(err).Msg("the end of a job is forgotten, since its client's API key could not be checked")
+		} else {
+			e.Log.Info().Str("job", call.Job).Str("customer", copied.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
+			added = err == nil && e.storeInBackground(&copied, call.Job, func() { e.shareEnd(&copied, call.Job) })
+		}
+		// Close logs those that are left at a stop.
 		if added || e.ctx.Err() == nil {
 			e.dropUnchecked(&copied)
 		}
@@ -294,12 +300,7 @@
 	e.workers.Go(func() {
 		e.stopTasks(r, job)
 		err := e.storeEnd(end.ctx, r, job, r.start.Add(e.Retention), backgroundPause, failed)
-		line := e.Log.Info()
-		if err != nil {
-			line = e.Log.Warn()
-		}
-		line.Str("job", job).Str("customer", r.customerName()).Bool("known", end.ctx.Err() != nil && e.ctx.Err() == nil).Bool("stopping", e.ctx.Err() != nil).
-			Dur("age_ms", time.Since(r.start)).Err(err).Msg("storing an end whose client was refused ended")
+		e.logBackgroundEnd(end, r, job, err)
 		if e.ctx.Err() == nil {
 			e.dropUnstored(endKey{r.customerName(), job})
 		}
@@ -307,6 +308,20 @@
 	return true
 }
 
+// logBackgroundEnd logs what became of an end whose client was refused.
+func (e *Entry) logBackgroundEnd(end *unstoredEnd, r *request, job string, err error) {
+	line, message := e.Log.Info(), "end stored after its client was refused"
+	switch {
+	case isNotFound(err):
+		line, message = e.Log.Warn(), "the end of a job, whose client was refused, was not stored"
+	case err != nil && end.ctx.Err() != nil && e.ctx.Err() == nil:
+		err, message = nil, "another node stored the end of a job, whose client was refused"
+	case err != nil:
+		line, message = e.Log.Error(), "the end of a job, whose client was refused, could not be stored"
+	}
+	line.Str("job", job).Str("customer", r.customerName()).Bool("stopping", e.ctx.Err() != nil).Dur("age_ms", time.Since(r.start)).Err(err).Msg(message)
+}
+
 // stopTasks ends the job at this node, if it processes it for the customer.
 func (e *Entry) stopTasks(r *request, job string) {
 	if e.StopJob != nil {
