--- a/entry/ends.go
+++ b/entry/ends.go
@@ -95,11 +95,17 @@
 	}
 	e.workers.Go(func() {
 		err := e.awaitCheck(&copied, key)
-		if isUnavailable(err) && e.ctx.Err() == nil {
+		added := false
+		switch {
+		case err == nil:
+			e.Log.Info().Str("job", call.Job).Str("customer", copied.customerName()).Dur("age_ms", time.Since(r.start)).Msg("client of a job's end was checked after it had been refused")
+			added = e.storeInBackground(&copied, call.Job, func() { e.shareEnd(&copied, call.Job) })
+		case isUnavailable(err):
 			e.Log.Error().Str("job", call.Job).Err(err).Msg("the end of a job is forgotten, since its client's API key could not be checked")
+		default:
+			e.Log.Info().Str("job", call.Job).Err(err).Msg("the end of a job is dropped, since its client may not end it")
 		}
-		e.Log.Info().Str("job", call.Job).Str("customer", copied.customerName()).Dur("age_ms", time.Since(r.start)).Err(err).Msg("client of a job's end was checked after it had been refused")
-		added := err == nil && e.storeInBackground(&copied, call.Job, func() { e.shareEnd(&copied, call.Job) })
+		// Close logs those that are left at a stop.
 		if added || e.ctx.Err() == nil {
 			e.dropUnchecked(&copied)
 		}
@@ -297,7 +303,7 @@
 	e.workers.Go(func() {
 		e.stopTasks(r, job)
 		err := e.storeEnd(end.ctx, r, job, r.start.Add(e.Retention), backgroundPause, failed)
-		e.logLaterEnd(end, r, job, err)
+		e.logBackgroundEnd(end, r, job, err)
 		if e.ctx.Err() == nil {
 			e.dropUnstored(endKey{r.customerName(), job})
 		}
@@ -305,8 +311,8 @@
 	return true
 }
 
-// logLaterEnd logs what became of an end whose client was refused.
-func (e *Entry) logLaterEnd(end *unstoredEnd, r *request, job string, err error) {
+// logBackgroundEnd logs what became of an end whose client was refused.
+func (e *Entry) logBackgroundEnd(end *unstoredEnd, r *request, job string, err error) {
 	line, message := e.Log.Info(), "end stored after its client was refused"
 	switch {
 	case isNotFound(err):
