--- a/runner/ending.go
+++ b/runner/ending.go
@@ -96,7 +96,7 @@
 func (p *poolRunner) hold(job *quetzalpier.Job) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.endsKnown {
+	if p.released {
 		return false
 	}
 	p.held[job.ID] = job
@@ -108,7 +108,7 @@
 func (p *poolRunner) releaseHeld(mayRead bool, now time.Time) {
 	p.mu.Lock()
 	held := p.held
-	p.endsKnown, p.held = true, nil
+	p.released, p.held = true, nil
 	p.mu.Unlock()
 	for _, job := range held {
 		p.runner.Log.Info().Str("job", job.ID).Dur("age_ms", now.Sub(job.SubmittedAt)).Msg("job was kept back until the ends of jobs were read")
@@ -126,7 +126,7 @@
 	} else if p.endsFailedAt.IsZero() {
 		p.endsFailedAt = now
 	}
-	release := kvFailed && !p.endsKnown && (p.standInFor != nil || now.Sub(p.endsFailedAt) >= unreadEndsWait)
+	release := kvFailed && !p.released && (p.standInFor != nil || now.Sub(p.endsFailedAt) >= unreadEndsWait)
 	p.mu.Unlock()
 	if !release {
 		return
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -81,10 +81,10 @@
 	fence         uint64
 	// ends follows the ends of jobs.
 	ends *mirror.Mirror
-	// endsKnown is set once the ends of jobs have been read, or can't be for now. Until then
+	// released is set once the ends of jobs have been read, or can't be for now. Until then
 	// held keeps back the jobs that may have ended, and endsFailedAt is when the first read
 	// of the present outage failed; zero for none.
-	endsKnown    bool
+	released     bool
 	endsFailedAt time.Time
 	held         map[string]*quetzalpier.Job
 	// jobsRead is set once the jobs in the key-value service have been read. A job
