link: An answer that begins in the middle of a request is seen there

A large request is written in pieces of 256 KB under one deadline, as before, and bytes of a response are looked for between two of them.

--- a/link/anomaly.go
+++ b/link/anomaly.go
@@ -54,5 +54,5 @@
 // answeredEarly reports whether bytes of a response have come while some of the request have
 // not reached the upstream's VM. It does not see a request that waits in the buffers there.
 func (c *conn) answeredEarly() bool {
-	return c.sent > minEarlyBytes && !client.Quiet(c.Conn) && client.Unacknowledged(c.Conn) > 0
+	return c.early || c.sent > minEarlyBytes && !client.Quiet(c.Conn) && client.Unacknowledged(c.Conn) > 0
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"quetzalpier"
+	"quetzalpier/client"
 )
 
 const (
@@ -24,7 +25,10 @@
 	keepAliveMargin = 500 * time.Millisecond
 	maxIdleConns    = 64
 	readBufferSize  = 16 << 10
-	probeDelay      = 20 * time.Millisecond
+	// pieceBytes is the size of the pieces of a request between which bytes of a response are
+	// looked for.
+	pieceBytes = 256 << 10
+	probeDelay = 20 * time.Millisecond
 )
 
 // conn is a connection that counts the bytes written to it and sets a new
@@ -34,8 +38,10 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// last describes the latest call on the connection, of which sent bytes were written.
-	last        Sighting
-	sent        int
+	last Sighting
+	sent int
+	// early is set once bytes of a response came while the request was being written.
+	early       bool
 	readTimeout time.Duration
 	releasedAt  time.Time
 	// idleTimeout is how long the connection may be idle and still be reused.
@@ -90,10 +96,17 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(b)
-	c.sent += n
-	c.recordFailure(err)
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(b[written:min(len(b), written+pieceBytes)])
+		written += n
+		c.sent += n
+		c.recordFailure(err)
+		if err != nil || written == len(b) {
+			return written, err
+		}
+		c.early = c.early || !c.tunneled() && !client.Quiet(c.Conn)
+	}
 }
 
 // recordFailure records why a read or write failed. That is recorded here because the
--- a/link/link.go
+++ b/link/link.go
@@ -117,7 +117,7 @@
 		c.abort()
 		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: true, Err: ctx.Err()}
 	}
-	c.sent, c.last = 0, Sighting{Request: call.ID, Upstream: call.Upstream, Addr: call.Addr, Purpose: call.Purpose}
+	c.sent, c.early, c.last = 0, false, Sighting{Request: call.ID, Upstream: call.Upstream, Addr: call.Addr, Purpose: call.Purpose}
 	stopCancel := context.AfterFunc(ctx, c.abort)
 	if call.OnConnected != nil {
 		call.OnConnected()
