--- a/runner/ending.go
+++ b/runner/ending.go
@@ -19,6 +19,8 @@
 	// sent: more than a watch takes, and less than the users' three seconds by the way to the
 	// upstream.
 	maxEndsAge = 2200 * time.Millisecond
+	// keptBackLogInterval is the time between two lines about work that is kept back.
+	keptBackLogInterval = time.Second
 	// endsRetryDelay is the delay before a task is started again that was kept back.
 	endsRetryDelay = 50 * time.Millisecond
 )
@@ -86,7 +88,9 @@
 	if age <= maxEndsAge || outage {
 		return nil
 	}
-	p.runner.Log.Warn().Str("job", job.ID).Dur("age_ms", age).Msg("work is kept back, since ends of jobs may be unknown")
+	if last := p.keptBackLoggedAt.Load(); now.UnixNano()-last >= int64(keptBackLogInterval) && p.keptBackLoggedAt.CompareAndSwap(last, now.UnixNano()) {
+		p.runner.Log.Warn().Str("pool", p.pool).Str("job", job.ID).Time("current", ends.LastContact).Msg("work is kept back, since ends of jobs may be unknown")
+	}
 	return &staleEndsError{Job: job.ID, Age: age}
 }
 
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -79,8 +80,10 @@
 	standInFor    *board.Owner
 	kvRecoveredAt time.Time
 	fence         uint64
-	// ends follows the ends of jobs.
-	ends *mirror.Mirror
+	// ends follows the ends of jobs, and keptBackLoggedAt is when a line last said that work
+	// waits for it, in Unix nanoseconds.
+	ends             *mirror.Mirror
+	keptBackLoggedAt atomic.Int64
 	// released is set once the ends of jobs have been read, or can't be for now. Until then
 	// held keeps back the jobs that may have ended, and endsFailedAt is when the first read
 	// of the present outage failed; zero for none.
