review: Streams that crash workers are sent on without end

Claim: a request on a streaming route that crashes each worker which runs it is never refused (BUDGET), since streams are sent without a fingerprint.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -10,6 +10,7 @@
 
 var cases = map[string]func(record string) (int, error){
 	"copies": playCopies,
+	"crash":  playCrash,
 	"turns":  playTurns,
 }
 
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -54,6 +54,7 @@
 	seq    uint64
 	fence  uint64
 	busy   bool
+	down   bool
 	orders []Order
 }
 
@@ -82,16 +83,16 @@
 	if err != nil {
 		return nil, err
 	}
-	go w.accept()
+	go w.accept(listener)
 	return w, d.Store.Write(write)
 }
 
 // Close ends the worker.
 func (w *Worker) Close() {
 	w.closed.Store(true)
-	_ = w.listener.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	_ = w.listener.Close()
 	for conn := range w.conns {
 		_ = conn.Close()
 	}
@@ -111,9 +112,43 @@
 	return w.models[model]
 }
 
-func (w *Worker) accept() {
+// Crash ends the worker's process: its channels break and its port is closed. It is back
+// after a while, with the same ID and address.
+func (w *Worker) Crash(down time.Duration) {
+	w.mu.Lock()
+	if w.down {
+		w.mu.Unlock()
+		return
+	}
+	w.down = true
+	_ = w.listener.Close()
+	for conn := range w.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	w.mu.Unlock()
+	time.AfterFunc(down, func() {
+		listener, err := net.Listen("tcp", w.Addr)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if err != nil || w.closed.Load() {
+			return
+		}
+		w.down, w.listener, w.VM.Incarnation = false, listener, time.Now().UnixMilli()
+		write, err := platform.EncodeVM(w.VM)
+		if err == nil {
+			err = w.d.Store.Write(write)
+		}
+		w.d.Printf("worker %s is back %v", w.ID, err)
+		go w.accept(listener)
+	})
+}
+
+func (w *Worker) accept(listener net.Listener) {
 	for {
-		conn, err := w.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
