review: Answers without end make the owner of a pool run out of memory

Claim: up to 32 MiB are read of each answer and nothing bounds their sum, so that one worker whose answers have no end makes processes exceed memoryMb (Fault).

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -9,9 +9,11 @@
 )
 
 var cases = map[string]func(record string) (int, error){
-	"copies": playCopies,
-	"crash":  playCrash,
-	"turns":  playTurns,
+	"copies":  playCopies,
+	"drain":   playDrain,
+	"endless": playEndless,
+	"crash":   playCrash,
+	"turns":   playTurns,
 }
 
 func main() {
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,6 +36,9 @@
 	callTimeout  = 15 * time.Second
 	// lostTime is how long a channel stays open on which an answer was lost.
 	lostTime = 5 * time.Second
+	// guardInterval is the time between two looks at a process's memory.
+	guardInterval = 5 * time.Millisecond
+	restartDelay  = 500 * time.Millisecond
 )
 
 // Exit statuses of a case.
@@ -63,6 +67,8 @@
 	Fronts, Stores int
 	// Fenced is set if the workers check fences.
 	Fenced bool
+	// OneZone puts all fronts into one zone. Otherwise they are dealt to three, as stores are.
+	OneZone bool
 }
 
 // Deployment is a small deployment.
@@ -81,7 +87,7 @@
 
 // Node is a node of the system in a process of its own.
 type Node struct {
-	Name                 string
+	Name, Zone           string
 	Front, Ready, Lookup string
 
 	d       *Deployment
@@ -175,8 +181,12 @@
 			return nil, err
 		}
 	}
+	n.Zone = fmt.Sprintf("zone-%d", i%3)
+	if class == "front" && d.options.OneZone {
+		n.Zone = "zone-0"
+	}
 	n.file = filepath.Join(d.dir, n.Name+".toml")
-	text := fmt.Sprintf(settings, n.Name, class, fmt.Sprintf("zone-%d", i%3), ip, n.Front, n.Ready, n.Lookup, ip, d.Store.Addr(), d.options.Fenced, data)
+	text := fmt.Sprintf(settings, n.Name, class, n.Zone, ip, n.Front, n.Ready, n.Lookup, ip, d.Store.Addr(), d.options.Fenced, data)
 	if err := os.WriteFile(n.file, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
@@ -213,7 +223,11 @@
 func (n *Node) LogFile() string { return filepath.Join(n.d.dir, n.Name+".log") }
 
 // PID returns the ID of the node's process.
-func (n *Node) PID() int { return n.command.Process.Pid }
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.command.Process.Pid
+}
 
 // Signal sends a signal to the node's process.
 func (n *Node) Signal(signal syscall.Signal) {
@@ -221,6 +235,37 @@
 	_ = n.command.Process.Signal(signal)
 }
 
+// Guard ends the node's process, as the platform does, whenever it uses more than the memory
+// of its machine, and starts it again after a short delay, until ctx ends. It calls onEnd
+// with the memory that was used.
+func (n *Node) Guard(ctx context.Context, limitMiB int, onEnd func(n *Node, usedMiB int)) {
+	for ctx.Err() == nil {
+		time.Sleep(guardInterval)
+		used := n.ResidentMiB()
+		if used <= limitMiB {
+			continue
+		}
+		_ = n.command.Process.Kill()
+		n.Wait(readyTimeout)
+		onEnd(n, used)
+		time.Sleep(restartDelay)
+		if ctx.Err() == nil && n.Start() != nil {
+			return
+		}
+	}
+}
+
+// ResidentMiB returns the memory that the node's process uses.
+func (n *Node) ResidentMiB() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.PID()))
+	fields := strings.Fields(string(data))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(fields[1])
+	return pages * os.Getpagesize() >> 20
+}
+
 // Exited reports whether the node's process has ended.
 func (n *Node) Exited() bool {
 	select {
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -112,6 +112,19 @@
 	return w.models[model]
 }
 
+// Drain writes to the store that the worker is draining, and returns when that was accepted.
+func (w *Worker) Drain() (time.Time, error) {
+	w.mu.Lock()
+	w.VM.State = quetzalpier.VMLeaving
+	write, err := platform.EncodeVM(w.VM)
+	w.mu.Unlock()
+	if err == nil {
+		err = w.d.Store.Write(write)
+	}
+	w.d.Printf("worker %s: reports draining %v", w.ID, err)
+	return time.Now(), err
+}
+
 // Crash ends the worker's process: its channels break and its port is closed. It is back
 // after a while, with the same ID and address.
 func (w *Worker) Crash(down time.Duration) {
