review: A batch submission on a split route has two owners after an outage

Claim: a batch submission that is sent again while the store is down runs in two services, whose owners show different results at its positions (LOST).

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -12,6 +12,7 @@
 	"copies":  playCopies,
 	"drain":   playDrain,
 	"endless": playEndless,
+	"split":   playSplit,
 	"crash":   playCrash,
 	"turns":   playTurns,
 }
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -448,6 +448,7 @@
 	server *stand.Server
 	record *Record
 	mu     sync.Mutex
+	down   bool
 }
 
 func openStore(record *Record) (*Store, error) {
@@ -473,7 +474,28 @@
 	s.LoseAnswer = lose
 }
 
+// SetDown makes the store turn away all calls, or serve them again.
+func (s *Store) SetDown(down bool) {
+	s.record.Printf("store: down %t", down)
+	s.mu.Lock()
+	s.down = down
+	s.mu.Unlock()
+	if down {
+		s.kv.CutWatches()
+	}
+}
+
+func (s *Store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func (s *Store) handle(c *fasthttp.RequestCtx) {
+	if s.isDown() {
+		c.SetStatusCode(http.StatusServiceUnavailable)
+		return
+	}
 	platform.HandleKV(s.kv, c)
 	if c.IsGet() || c.Response.StatusCode() != http.StatusOK {
 		return
