--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -13,6 +13,7 @@
 	"drain":   playDrain,
 	"endless": playEndless,
 	"split":   playSplit,
+	"watch":   playWatch,
 	"crash":   playCrash,
 	"turns":   playTurns,
 }
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -185,8 +185,12 @@
 	if class == "front" && d.options.OneZone {
 		n.Zone = "zone-0"
 	}
+	store, err := d.Store.open(n.Name)
+	if err != nil {
+		return nil, err
+	}
 	n.file = filepath.Join(d.dir, n.Name+".toml")
-	text := fmt.Sprintf(settings, n.Name, class, n.Zone, ip, n.Front, n.Ready, n.Lookup, ip, d.Store.Addr(), d.options.Fenced, data)
+	text := fmt.Sprintf(settings, n.Name, class, n.Zone, ip, n.Front, n.Ready, n.Lookup, ip, store, d.options.Fenced, data)
 	if err := os.WriteFile(n.file, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
@@ -323,7 +327,7 @@
 	for _, w := range d.workers {
 		w.Close()
 	}
-	d.Store.server.Close()
+	d.Store.close()
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		for _, n := range append(append([]*Node(nil), d.Fronts...), d.Stores...) {
 			if data, err := os.ReadFile(n.LogFile()); err == nil {
@@ -447,17 +451,74 @@
 	kv     *stand.MemoryKV
 	server *stand.Server
 	record *Record
+	closed chan struct{}
 	mu     sync.Mutex
 	down   bool
+	// silent are the machines that get no response, and servers their addresses of the store.
+	silent  map[string]bool
+	servers []*stand.Server
+	// calls are when each machine last renewed a lease or began a watch, by the call.
+	calls map[string]time.Time
 }
 
 func openStore(record *Record) (*Store, error) {
-	s := &Store{kv: stand.NewMemoryKV(), record: record}
+	s := &Store{kv: stand.NewMemoryKV(), record: record, closed: make(chan struct{}), silent: map[string]bool{}, calls: map[string]time.Time{}}
 	var err error
 	s.server, err = stand.Serve("127.0.0.1:0", 0, s.handle)
 	return s, err
 }
 
+// open returns an address of the store for one machine.
+func (s *Store) open(machine string) (string, error) {
+	server, err := stand.Serve("127.0.0.1:0", 0, func(c *fasthttp.RequestCtx) {
+		s.mu.Lock()
+		silent := s.silent[machine]
+		switch {
+		case strings.HasPrefix(string(c.Path()), "/kv-keep/"):
+			s.calls[machine+" renews"] = time.Now()
+		case string(c.Path()) == "/kv-watch":
+			s.calls[machine+" watches "+string(c.QueryArgs().Peek("prefix"))] = time.Now()
+		}
+		s.mu.Unlock()
+		if !silent {
+			s.handle(c)
+			return
+		}
+		s.record.Printf("store: gives %s no response to %s %s", machine, c.Method(), c.RequestURI())
+		// The channel returns nothing further.
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(net.Conn) { <-s.closed })
+	})
+	if err != nil {
+		return "", err
+	}
+	s.servers = append(s.servers, server)
+	return server.Addr, nil
+}
+
+// SetSilent makes the store give a machine no response to its calls, or serve it again.
+func (s *Store) SetSilent(machine string, silent bool) {
+	s.record.Printf("store: silent for %s %t", machine, silent)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[machine] = silent
+}
+
+// Since returns how long ago a machine last made a call.
+func (s *Store) Since(machine, call string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.calls[machine+" "+call])
+}
+
+func (s *Store) close() {
+	close(s.closed)
+	for _, server := range s.servers {
+		server.Close()
+	}
+	s.server.Close()
+}
+
 // Addr returns the store's address.
 func (s *Store) Addr() string { return s.server.Addr }
 
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -17,6 +17,9 @@
 	"quetzalpier/platform"
 )
 
+// reportInterval is heartbeatMs of the small deployments.
+const reportInterval = 1200 * time.Millisecond
+
 // Request is a request that a worker has read.
 type Request struct {
 	*http.Request
@@ -84,9 +87,26 @@
 		return nil, err
 	}
 	go w.accept(listener)
+	go w.sendReports()
 	return w, d.Store.Write(write)
 }
 
+// sendReports writes the worker's entry once in a while, as long as it runs.
+func (w *Worker) sendReports() {
+	for !w.closed.Load() {
+		time.Sleep(reportInterval)
+		w.mu.Lock()
+		write, err := platform.EncodeVM(w.VM)
+		if err == nil && !w.down && !w.closed.Load() {
+			err = w.d.Store.Write(write)
+		}
+		w.mu.Unlock()
+		if err != nil {
+			w.d.Printf("worker %s: its entry could not be written: %v", w.ID, err)
+		}
+	}
+}
+
 // Close ends the worker.
 func (w *Worker) Close() {
 	w.closed.Store(true)
