runner: Keep the nodes whose orders may be in progress in the record of orders

The repeated call read the node's own name as that of the node before, and the wait was left out.

Cause: the wait was derived from the value that the write had replaced, which only the lost answer told. The record now holds the nodes whose last orders may still be in progress beside the one that orders; a repeated takeover finds them again, and they are removed once the node has waited. That also covers a node that was lost before it had waited, which hid the node before it. The wait is counted from the first attempt under the fencing token, so that a lost answer makes no takeover later.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	"quetzalpier/sleep"
 	"quetzalpier/swap"
 	"quetzalpier/tasks"
+	"quetzalpier/vault"
 )
 
 const (
@@ -51,14 +53,19 @@
 }
 
 // takeOverOrders records in the key-value service, once for each fencing token,
-// that this node sends the orders from now on. If another node did so before,
-// its last orders must have ended first. Where engines check fencing tokens,
+// that this node sends the orders from now on. If other nodes did so before,
+// their last orders must have ended first. Where engines check fencing tokens,
 // they have ended once that node is gone.
 func (p *poolRunner) takeOverOrders(ctx context.Context, fence uint64, now time.Time) bool {
 	if p.ordersFence == fence {
 		return true
 	}
-	last, err := p.runner.Vault.SetOrderingNode(ctx, p.pool, p.runner.Lease.Node)
+	if p.claimedFence != fence {
+		p.claimedFence, p.claimedAt = fence, now
+	}
+	taken, err := p.runner.Vault.TakeOverOrders(ctx, p.pool, p.runner.Lease.Node, fence, func(node string) bool {
+		return !p.runner.EnginesFenced || p.maySendOrders(node)
+	})
 	if err != nil {
 		p.orderFailures++
 		p.runner.Log.Warn().Str("pool", p.pool).Err(err).Msg("failed to take over engine orders")
@@ -68,13 +75,34 @@
 	p.orderFailures = 0
 	p.ordersFence = fence
 	p.ordersFrom = now
-	if last != "" && last != p.runner.Lease.Node && (!p.runner.EnginesFenced || p.maySendOrders(last)) {
-		p.ordersFrom = now.Add(p.runner.MinOrderInterval)
+	if len(taken.Before) > 0 {
+		// No other node has owned the pool since this one holds the fencing token.
+		p.ordersFrom = p.claimedAt.Add(p.runner.MinOrderInterval)
+		p.goroutines.Go(func() { p.awaitOrdersEnd(ctx, fence, taken, p.runner.MinOrderInterval) })
 	}
-	p.runner.Log.Info().Str("pool", p.pool).Uint64("fence", fence).Str("before", last).Msg("took over engine orders")
+	p.runner.Log.Info().Str("pool", p.pool).Uint64("fence", fence).Strs("before", taken.Before).Dur("wait_ms", max(0, p.ordersFrom.Sub(now))).
+		Msg("took over engine orders")
 	return true
 }
 
+// awaitOrdersEnd waits until the last orders of other nodes have ended, and records it while
+// this node owns the pool under the fencing token. Without the record the next takeover waits
+// for these nodes again.
+func (p *poolRunner) awaitOrdersEnd(ctx context.Context, fence uint64, taken vault.Ordering, wait time.Duration) {
+	for failures := 1; sleep.For(ctx, wait); failures++ {
+		if held, ok := p.validFence(time.Now()); !ok || held != fence {
+			return
+		}
+		err := p.runner.Vault.OrdersEnded(ctx, p.pool, fence, taken)
+		var changed *quetzalpier.RevisionError
+		if err == nil || errors.As(err, &changed) {
+			return
+		}
+		p.runner.Log.Warn().Str("pool", p.pool).Err(err).Msg("failed to record that the orders of other nodes have ended")
+		wait = sleep.Backoff(failures, kvRetryBase, kvRetryMax, rand.Float64())
+	}
+}
+
 // rotateModels rotates each model on the engines that are assigned to it.
 func (p *poolRunner) rotateModels(ctx context.Context, fence uint64, now time.Time) {
 	targets := p.targetVersions()
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -121,9 +121,12 @@
 	// from the key-value service, with the time of their submission.
 	dropped map[string]time.Time
 	// ordersFence is the fencing token under which this node sends orders,
-	// starting at ordersFrom. Only rotationLoop uses these three.
-	ordersFence uint64
-	ordersFrom  time.Time
+	// starting at ordersFrom. claimedFence is the one under which it last tried to take
+	// them over, first at claimedAt. Only rotationLoop uses these five.
+	ordersFence  uint64
+	ordersFrom   time.Time
+	claimedFence uint64
+	claimedAt    time.Time
 	// orderFailures counts the consecutive failures to take over the orders.
 	orderFailures int
 	// intervals are the times between two versions of each model, which only
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -21,11 +21,10 @@
 const (
 	// Jobs is the prefix of the keys of jobs, and Ends of those of their ends. Ends are
 	// small; a read of all jobs takes seconds.
-	Jobs           = "in/job/"
-	Ends           = "in/end/"
-	prefixResults  = "out/"
-	prefixPart     = "part/"
-	prefixOrdering = "last/"
+	Jobs          = "in/job/"
+	Ends          = "in/end/"
+	prefixResults = "out/"
+	prefixPart    = "part/"
 	// System is the prefix of the keys of owners and nodes, Owners of those of
 	// pool owners, and Nodes of those of nodes.
 	System = "sys/"
@@ -238,18 +237,6 @@
 	return nil
 }
 
-// SetOrderingNode records that the node sends orders to a pool's engines from
-// now on. It returns the node that did so before, or an empty string if there
-// was none.
-func (v *Vault) SetOrderingNode(ctx context.Context, pool, node string) (string, error) {
-	last, err := v.KV.Get(ctx, prefixOrdering+pool)
-	if err != nil || string(last.Value) == node {
-		return string(last.Value), err
-	}
-	_, err = v.KV.CompareAndSwap(ctx, prefixOrdering+pool, []byte(node), last.Rev, "")
-	return string(last.Value), err
-}
-
 // DeleteJob deletes a job whose results are no longer needed.
 func (v *Vault) DeleteJob(ctx context.Context, id string) error {
 	list, err := v.KV.Range(ctx, prefixResults+id+"/", true)
--- a/vault/vault_test.go
+++ b/vault/vault_test.go
@@ -114,14 +114,6 @@
 		require.NoError(t, err)
 		require.Empty(t, parts)
 	})
-	t.Run("setting the ordering node returns the previous one", func(t *testing.T) {
-		v, _ := newVault(t)
-		for _, step := range []struct{ node, before string }{{"a", ""}, {"a", "a"}, {"b", "a"}, {"a", "b"}} {
-			before, err := v.SetOrderingNode(t.Context(), "p", step.node)
-			require.NoError(t, err)
-			require.Equal(t, step.before, before)
-		}
-	})
 	t.Run("deleting a job deletes its end and results", func(t *testing.T) {
 		v, fence := newVault(t)
 		_, err := v.Put(t.Context(), job)
