fleet, relay: Give up a watch without an answer while a change can be in force in time

Cause: a lost answer and a quiet prefix look the same to a watch, which was given up after 17.7 s, unless another call found the service silent. Watches now wait for 3.7 s at most (contact and apply time of the deployment, two new settings, less 1.3 s). A watch that is 0.35 s late makes the node read a key: if that is answered, only the answer was lost, and the keys are read again at once without counting the service as unavailable and without other nodes.

TestHungWatch failed before for all eight prefixes that nodes watch: not read within 5 s of the end of the fault. It also failed with shorter watches alone, since a node then read through another one, which did not answer.

Tests replaced: TestWatchTimeout required watches of 17 s, which is the fault. The test of a watch without an answer had a service that answered reads; it now answers nothing, as its name says, and the case with answered reads is a test of its own.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -290,8 +290,8 @@
 func (n *Node) followsUpstreams() bool { return len(n.upstreamLeaders()) > 0 }
 
 // configLeaders returns the addresses of the nodes to read the configuration from. There
-// is none in a small failure domain, where the short watches of its leader would be more
-// calls than the long ones of all nodes.
+// is none in a small failure domain, whose leader would save few calls with its short
+// watches, and could delay the others when it is lost.
 func (n *Node) configLeaders() []string {
 	if n.ownsPool() || n.domainNodes() < n.minFollowedNodes() {
 		return nil
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,8 +50,10 @@
 	idleLeaseTTL      = 8 * time.Second
 	idleRenewInterval = 3600 * time.Millisecond
 	// maxWatchTimeout limits how long one watch waits; the platform allows 30 s.
-	// Broken connections are detected by the renewals of the lease.
 	maxWatchTimeout = 25 * time.Second
+	// watchReserve is the time to notice that the answer of a watch was lost, and to read what
+	// it missed.
+	watchReserve = 1300 * time.Millisecond
 	// watchHistoryShare is the share of the service's history after which an idle
 	// watch ends. One that waits for longer than the history can't be continued, and
 	// all keys must be read again.
@@ -222,7 +224,7 @@
 	engines.Notices = n.limits
 	n.runner = &runner.Runner{
 		Board: n.Board, KV: n.kv, Vault: jobVault, Lease: n.lease, Upstreams: upstreams, Sender: n.sender,
-		KVFailed: n.kv.DirectFailed, KVStableFor: n.kv.StableFor, Engines: engines, Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings.KVHistory.D()),
+		KVFailed: n.kv.DirectFailed, KVStableFor: n.kv.StableFor, Engines: engines, Meter: n.Meter, Log: n.Log, Call: n.callPeer, MinOrderInterval: n.Settings.OrderInterval.D(), EnginesFenced: n.Settings.FencingEnforced, Retention: n.Settings.Retention.D(), WatchTimeout: watchTimeout(n.Settings),
 	}
 	n.runner.Paths = n.dialer
 	n.runner.PlaceByNoise = n.Settings.PlaceByNoise
@@ -279,13 +281,16 @@
 }
 
 func (n *Node) mirror(prefix string, apply func([]quetzalpier.Entry, bool, time.Time)) *mirror.Mirror {
-	return &mirror.Mirror{KV: n.kv, Prefix: prefix, WatchTimeout: watchTimeout(n.Settings.KVHistory.D()), Log: n.Log, Apply: apply}
+	return &mirror.Mirror{KV: n.kv, Prefix: prefix, WatchTimeout: watchTimeout(n.Settings), Log: n.Log, Apply: apply}
 }
 
-// watchTimeout returns how long one watch waits, given how long the service keeps
-// past changes.
-func watchTimeout(history time.Duration) time.Duration {
-	return min(maxWatchTimeout, time.Duration(watchHistoryShare*float64(history)))
+// watchTimeout returns how long one watch waits. Nothing distinguishes a watch whose answer was
+// lost from one of a prefix without changes, so that it must be given up while a change of later,
+// when the node is in contact again, can still be in force in time.
+func watchTimeout(settings setup.Serve) time.Duration {
+	history := time.Duration(watchHistoryShare * float64(settings.KVHistory.D()))
+	noticed := settings.ContactTime.D() + settings.ApplyTime.D() - watchReserve
+	return min(maxWatchTimeout, history, max(leaderConfigWatch, noticed))
 }
 
 func (n *Node) serve() error {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 	probeInterval       = 300 * time.Millisecond
 	maxProbeInterval    = 1200 * time.Millisecond
 	urgentProbeInterval = 200 * time.Millisecond
+	// watchGrace is how long after its end a watch may be answered before the service is asked
+	// whether it answers at all.
+	watchGrace = 350 * time.Millisecond
 	// maxRelayedWatch bounds a relayed watch, so that this node soon returns to
 	// direct watches.
 	maxRelayedWatch = time.Second
@@ -134,9 +138,9 @@
 	return found, err
 }
 
-// watchDirect makes a direct watch. A healthy service may close a waiting watch; the
-// caller then has to read the changes that the watch may have missed. One that was not
-// answered in time shows that the service is silent. A watch ends at once when other direct
+// watchDirect makes a direct watch. A healthy service may close a waiting watch, or its answer
+// may be lost; the caller then has to read the changes that the watch may have missed. If the
+// service answers nothing else either, it is silent. A watch ends at once when other direct
 // calls begin to fail: it may get no answer, or only one of before.
 func (k *KV) watchDirect(ctx context.Context, prefix string, rev uint64, wait time.Duration) (quetzalpier.Changes, error) {
 	start := time.Now()
@@ -144,12 +148,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(access, cancel)()
+	var answerLost atomic.Bool
+	check := time.AfterFunc(wait+watchGrace, func() {
+		if _, err := k.Direct.Get(ctx, probeKey); err == nil {
+			answerLost.Store(true)
+			cancel()
+		}
+	})
+	defer check.Stop()
 	found, err := k.Direct.WatchPrefix(ctx, prefix, rev, wait)
 	if err != nil && access.Err() != nil {
 		return found, &lostWatchError{Prefix: prefix}
 	}
 	unanswered := time.Since(start) >= wait+directTimeout-timeoutSlack
-	if isOutcomeUnknown(err) && ctx.Err() == nil && !unanswered {
+	if err != nil && answerLost.Load() || isOutcomeUnknown(err) && ctx.Err() == nil && !unanswered {
 		err = &quetzalpier.CompactedError{Prefix: prefix, Rev: rev, Cut: true}
 	}
 	return found, err
--- a/setup/serve.go
+++ b/setup/serve.go
@@ -45,6 +45,11 @@
 	// KVHistory is the time for which the key-value service keeps past changes, which
 	// a watch needs to continue.
 	KVHistory Duration `toml:"window" validate:"min=1000000000,max=86400000000000"`
+	// ContactTime is how long the key-value service must have answered a node before the node
+	// counts as in contact with it, and ApplyTime how long a change may then take to be in
+	// force.
+	ContactTime Duration `toml:"contact" validate:"min=0,max=600000000000"`
+	ApplyTime   Duration `toml:"apply" validate:"min=100000000,max=600000000000"`
 	// SettleTime is the time after the key-value service's recovery within which
 	// entries that expired during the outage may still be missing.
 	SettleTime Duration `toml:"settle" validate:"min=0,max=60000000000"`
@@ -109,7 +114,8 @@
 	return Serve{
 		Log: "info", MemoryMiB: 256, LongPrompt: 4096,
 		LookupTTL: Duration(time.Second), StopTimeout: Duration(8 * time.Second), OrderInterval: Duration(3 * time.Second),
-		Retention: Duration(2 * time.Minute), KVHistory: Duration(20 * time.Second), SettleTime: Duration(2 * time.Second), RevokeTime: Duration(5 * time.Second),
+		Retention: Duration(2 * time.Minute), KVHistory: Duration(20 * time.Second),
+		ContactTime: Duration(3 * time.Second), ApplyTime: Duration(2 * time.Second), SettleTime: Duration(2 * time.Second), RevokeTime: Duration(5 * time.Second),
 		Duty: Duty{Rate: 50, Window: Duration(5 * time.Second), Late: Duration(10 * time.Second)},
 	}
 }
--- a/stand/kv.go
+++ b/stand/kv.go
@@ -30,6 +30,9 @@
 	// an answer, both without any effect.
 	Reset  bool `json:"reset"`
 	Silent bool `json:"silent"`
+	// Hang is a prefix of keys: watches of it that begin now never get an answer, and their
+	// connections stay open, also once the fault is removed.
+	Hang string `json:"hang"`
 }
 
 // maxSilentTime is how long a call may wait for the end of Silent.
@@ -48,8 +51,9 @@
 	shared *KV
 	mu     sync.Mutex
 	faults KVFaults
-	// faultChanges counts the calls to SetFaults.
+	// faultChanges counts the calls to SetFaults, and hung the watches that hang.
 	faultChanges int
+	hung         int
 }
 
 // NewKV starts an empty key-value service on addr.
@@ -90,6 +94,13 @@
 	return k.faults, k.faultChanges
 }
 
+// Hung returns the number of watches that were left without an answer because of Hang.
+func (k *KV) Hung() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hung
+}
+
 func (k *KV) handle(c *fasthttp.RequestCtx) {
 	switch string(c.Path()) {
 	case "/faults":
@@ -132,6 +143,11 @@
 		c.Error("the caller is refused", faults.RefusalStatus)
 	case faults.Reset:
 		_ = c.Conn().Close()
+	case faults.Hang != "" && platform.IsWatch(c, faults.Hang):
+		k.mu.Lock()
+		k.hung++
+		k.mu.Unlock()
+		k.Server.FaultListener.SilenceConn(c.RemoteAddr())
 	case faults.Silent:
 		k.waitSilent()
 		_ = c.Conn().Close()
--- a/stand/listen.go
+++ b/stand/listen.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// SilenceConn makes the open connection with a remote address silent until it closes.
+func (l *Listener) SilenceConn(remote net.Addr) {
+	for _, conn := range l.openConns() {
+		if conn.RemoteAddr().String() == remote.String() {
+			conn.silent.Store(true)
+		}
+	}
+}
+
 func (l *Listener) openConns() []*faultyConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
