link: Send no call on a connection that carried one with the same ID

Cause: answers are matched by the ID of their request, which the next attempt of the same request bears too. A connection now remembers the IDs of its last 32 calls; a call takes an idle connection that has not carried its ID, or a new one. Since this is in link, it holds for runs, requests, streams and reward calls, also through other nodes.

--- a/link/cause.go
+++ b/link/cause.go
@@ -27,4 +27,6 @@
 	CauseClosed Cause = "closed"
 	// CauseFresh is required by the call, for instance for a repeated attempt.
 	CauseFresh Cause = "fresh"
+	// CauseRepeat is a call whose ID all idle connections have carried.
+	CauseRepeat Cause = "repeat"
 )
--- a/link/conn.go
+++ b/link/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"quetzalpier"
 	"quetzalpier/client"
+	"quetzalpier/hash"
 )
 
 const (
@@ -29,6 +31,9 @@
 	// looked for.
 	pieceBytes = 256 << 10
 	probeDelay = 20 * time.Millisecond
+	// maxCarried is how many of the latest calls on a connection are remembered. A second copy
+	// of an answer comes in place of the next one or of one soon after it.
+	maxCarried = 32
 )
 
 // conn is a connection that counts the bytes written to it and sets a new
@@ -40,6 +45,8 @@
 	// last describes the latest call on the connection, of which sent bytes were written.
 	last Sighting
 	sent int
+	// carried are the hashes of the IDs of the latest calls, the oldest first.
+	carried []uint64
 	// early is set once bytes of a response came while the request was being written.
 	early       bool
 	readTimeout time.Duration
@@ -67,6 +74,23 @@
 	return c
 }
 
+// carry records the ID of a call that the connection is to carry.
+func (c *conn) carry(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.carried) == maxCarried {
+		c.carried = append(c.carried[:0], c.carried[1:]...)
+	}
+	c.carried = append(c.carried, hash.Text(id))
+}
+
+// hasCarried reports whether the connection has carried a call with the same ID lately. A second
+// copy of its answer could then be taken for the answer to a new call.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, hash.Text(id))
+}
+
 // abort resets the connection, so that bytes of the request that have not reached the
 // upstream's VM, for example in a partition, are not delivered later.
 func (c *conn) abort() {
--- a/link/link.go
+++ b/link/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,7 +39,9 @@
 	Addr string
 	// Upstream is the ID of the upstream; empty if it has none.
 	Upstream string
-	// ID names the request in reports of anomalies.
+	// ID tells the request's answer from those to other requests, and names it in reports of
+	// anomalies. A request with the ID of an earlier one, such as the next attempt of it, gets a
+	// connection that has not carried that one. It may be empty.
 	ID      string
 	Request *fasthttp.Request
 	// Foreign reports, by the header of a response, that it belongs to an earlier request.
@@ -117,6 +120,7 @@
 		c.abort()
 		return nil, &Error{Addr: call.Addr, Stage: StageConnect, Canceled: true, Err: ctx.Err()}
 	}
+	c.carry(call.ID)
 	c.sent, c.early, c.last = 0, false, Sighting{Request: call.ID, Upstream: call.Upstream, Addr: call.Addr, Purpose: call.Purpose}
 	stopCancel := context.AfterFunc(ctx, c.abort)
 	if call.OnConnected != nil {
@@ -349,7 +353,7 @@
 	cause := CauseFresh
 	if !call.Fresh {
 		var c *conn
-		if c, cause = l.takeIdle(call.Addr, call.Direct, time.Now()); c != nil {
+		if c, cause = l.takeIdle(call, time.Now()); c != nil {
 			return c, nil
 		}
 	}
@@ -405,25 +409,33 @@
 
 // takeIdle returns an idle connection to the upstream, or the cause for which a new
 // one is needed.
-func (l *Links) takeIdle(addr string, direct bool, now time.Time) (*conn, Cause) {
+func (l *Links) takeIdle(call Call, now time.Time) (*conn, Cause) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	cause := CauseMore
-	if !l.known[addr] {
-		l.known[addr] = true
+	if !l.known[call.Addr] {
+		l.known[call.Addr] = true
 		cause = CauseFirst
 	}
-	for conns := l.idle[addr]; len(conns) > 0; conns = l.idle[addr] {
-		c := conns[len(conns)-1]
-		l.idle[addr] = conns[:len(conns)-1]
+	for i := len(l.idle[call.Addr]) - 1; i >= 0; i-- {
+		c := l.idle[call.Addr][i]
+		usable := false
 		switch {
 		case now.Sub(c.releasedAt) >= c.idleTimeout:
 			cause = CauseIdle
 		case !c.reusable():
 			cause = CauseClosed
-		case direct && c.tunneled():
+		case call.Direct && c.tunneled():
 			cause = CauseFresh
+		case c.hasCarried(call.ID):
+			// Calls with other IDs can use it.
+			cause = CauseRepeat
+			continue
 		default:
+			usable = true
+		}
+		l.idle[call.Addr] = slices.Delete(l.idle[call.Addr], i, i+1)
+		if usable {
 			return c, ""
 		}
 		if c.hasUnread() {
