runner, keep, entry: The stored record of a job decides which pool runs it

Cause: the pool was drawn for each submission. It is now a function of the job's ID and the targets. Two copies can still differ, when nodes have different configurations in an outage: a disk then keeps the copy that came first, and an owner stores, saves and returns nothing of a job before it has seen that the stored record names its pool. The watch of jobs shows it; else the owner reads the record, or writes it for a job that is on disks only. An owner whose pool it does not name cancels the job's runs and drops its texts.

TestHandledJobsAreNotDecoded first shows the owner the record of its open job: such a job is decoded once, and then no more.

--- a/config.go
+++ b/config.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 	"unicode"
+
+	"quetzalpier/hash"
 )
 
 // MaxPatchIDs is the number of recent patch IDs kept in the configuration
@@ -111,6 +113,21 @@
 	return r.Targets[len(r.Targets)-1].Pool
 }
 
+// PoolOf returns the pool for a job, by its ID: all nodes with the same targets agree on it. If
+// the targets change, a job keeps its pool unless another one gained weight. Over many IDs, the
+// pools are chosen in proportion to the weights.
+func (r Route) PoolOf(id string) string {
+	best, pool := math.Inf(1), ""
+	for _, target := range r.Targets {
+		// The least of exponentially distributed numbers with the weights as rates.
+		draw := (float64(hash.Pair(hash.Text(id), target.Pool)>>11) + 0.5) / (1 << 53)
+		if wait := -math.Log(draw) / target.Weight; pool == "" || wait < best {
+			best, pool = wait, target.Pool
+		}
+	}
+	return pool
+}
+
 // MatchRoute returns the host's route with the longest prefix that matches the
 // path, or false if no route matches.
 func (c *Config) MatchRoute(host, path string) (Route, bool) {
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -100,7 +100,7 @@
 func (n *Node) acceptJob(ctx context.Context, message *wire.Keep) *wire.Reply {
 	job, err := wire.DecodeJob(message.GetJob())
 	if err == nil && !message.GetStored() {
-		err = n.storeJob(ctx, job, message)
+		job, err = n.storeJob(ctx, job, message)
 	}
 	var foreign *quetzalpier.ForeignJobError
 	if errors.As(err, &foreign) {
@@ -135,10 +135,11 @@
 }
 
 // storeJob writes a job to the key-value service, or keeps it on disks if this
-// node can't reach the service either.
-func (n *Node) storeJob(ctx context.Context, job *quetzalpier.Job, message *wire.Keep) error {
+// node can't reach the service either. It returns the job that is to be opened: on
+// a disk, one that was submitted before has precedence.
+func (n *Node) storeJob(ctx context.Context, job *quetzalpier.Job, message *wire.Keep) (*quetzalpier.Job, error) {
 	if customer, known := n.runner.JobCustomer(job.ID); known && customer != "" && customer != job.Customer {
-		return &quetzalpier.ForeignJobError{Job: job.ID}
+		return job, &quetzalpier.ForeignJobError{Job: job.ID}
 	}
 	if !message.GetCopy() && !n.kv.DirectFailed() {
 		putCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -146,17 +147,21 @@
 		cancel()
 		if err == nil {
 			n.Log.Info().Str("job", job.ID).Bool("again", existed).Msg("job stored for another node")
-			return nil
+			return job, nil
 		}
 		var foreign *quetzalpier.ForeignJobError
 		if errors.As(err, &foreign) {
-			return err
+			return job, err
 		}
 	}
 	if n.keeper == nil {
-		return errors.New("no data directory is configured on this node")
+		return job, errors.New("no data directory is configured on this node")
 	}
-	return n.keeper.Keep(ctx, job, message.GetJob(), message.GetCopy())
+	kept, err := n.keeper.Keep(ctx, job, message.GetJob(), message.GetCopy())
+	if err != nil {
+		return job, err
+	}
+	return kept, nil
 }
 
 // diskPeers returns the addresses of the other nodes with a disk, those in other
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -66,21 +66,26 @@
 }
 
 // Keep writes a job to this disk and, unless it is a copy already, to as many
-// others that one copy survives the worst configured loss of disks. After an
+// others that one copy survives the worst configured loss of disks. It returns the job
+// that the disk keeps: one that was submitted before has precedence. After an
 // error the job may still come to exist, since some copies may have been
 // written. The error is a ForeignJobError if a disk keeps another customer's job
 // with the same ID.
-func (k *Keeper) Keep(ctx context.Context, job *quetzalpier.Job, data []byte, isCopy bool) error {
-	created, err := k.write(job, data)
+func (k *Keeper) Keep(ctx context.Context, job *quetzalpier.Job, data []byte, isCopy bool) (*quetzalpier.Job, error) {
+	earlier, err := k.write(job, data)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	created := earlier.job == nil
+	if !created {
+		job, data = earlier.job, earlier.data
 	}
 	if isCopy || k.MaxLostDisks == 0 {
-		return nil
+		return job, nil
 	}
 	peers := k.Peers()
 	if len(peers) < k.MaxLostDisks {
-		return &TooFewCopiesError{job.ID, 1, k.MaxLostDisks + 1}
+		return nil, &TooFewCopiesError{job.ID, 1, k.MaxLostDisks + 1}
 	}
 	copies := pool.New().WithErrors().WithFirstError()
 	for _, peer := range peers[:k.MaxLostDisks] {
@@ -100,7 +105,7 @@
 		// Submitted before the other customer's job, this one would take its ID.
 		k.remove(job.ID)
 	}
-	return err
+	return job, err
 }
 
 // remove removes the file of a job.
@@ -130,22 +135,31 @@
 	return err == nil, errors.Wrap(err, "look up kept job")
 }
 
-// write writes the file and syncs it to disk under its final name, unless it holds another
-// customer's job. It reports whether there was none before.
-func (k *Keeper) write(job *quetzalpier.Job, data []byte) (created bool, err error) {
+// keptJob is a job on the disk and its encoding; the zero value is none.
+type keptJob struct {
+	job  *quetzalpier.Job
+	data []byte
+}
+
+// write writes the file and syncs it to disk under its final name, unless it holds a job with
+// the same ID already. It returns that job, or a ForeignJobError if it is another customer's.
+func (k *Keeper) write(job *quetzalpier.Job, data []byte) (earlier keptJob, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	name, err := k.path(job.ID)
 	if err != nil {
-		return false, err
+		return keptJob{}, err
 	}
-	earlier, readErr := os.ReadFile(name)
-	if readErr == nil {
-		if kept, err := wire.DecodeJob(earlier); err == nil && !kept.OwnedBy(job.Customer) {
-			return false, &quetzalpier.ForeignJobError{Job: job.ID}
+	if earlier.data, err = os.ReadFile(name); err == nil {
+		if earlier.job, err = wire.DecodeJob(earlier.data); err == nil && !earlier.job.OwnedBy(job.Customer) {
+			return keptJob{}, &quetzalpier.ForeignJobError{Job: job.ID}
+		}
+		if err == nil {
+			return earlier, nil
 		}
+		k.Log.Error().Str("job", job.ID).Err(err).Msg("failed to decode kept job; replacing its file")
 	}
-	return readErr != nil, errors.Wrap(disk.Replace(name, data), "keep job")
+	return keptJob{}, errors.Wrap(disk.Replace(name, data), "keep job")
 }
 
 func (k *Keeper) path(id string) (string, error) {
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -43,7 +43,7 @@
 		}
 		job, err := wire.DecodeJob(message.GetKeep().GetJob())
 		require.NoError(t, err)
-		err = k.Keep(ctx, job, message.GetKeep().GetJob(), message.GetKeep().GetCopy())
+		_, err = k.Keep(ctx, job, message.GetKeep().GetJob(), message.GetKeep().GetCopy())
 		var foreign *quetzalpier.ForeignJobError
 		if errors.As(err, &foreign) {
 			return wire.ForeignReply(), nil
@@ -66,6 +66,15 @@
 	return list[0], list[1:], service
 }
 
+func keepJob(t *testing.T, k *keep.Keeper, job *quetzalpier.Job, data []byte, isCopy bool) error {
+	t.Helper()
+	kept, err := k.Keep(t.Context(), job, data, isCopy)
+	if err == nil {
+		require.Equal(t, job, kept)
+	}
+	return err
+}
+
 func countFiles(t *testing.T, k *keep.Keeper) int {
 	t.Helper()
 	names, err := filepath.Glob(filepath.Join(k.Dir, "*.job"))
@@ -77,25 +86,25 @@
 	t.Run("a job has one copy more than disks may be lost", func(t *testing.T) {
 		first, others, _ := newKeepers(t, 4, 0, 2)
 		job, data := newJob(t)
-		require.NoError(t, first.Keep(t.Context(), job, data, false))
+		require.NoError(t, keepJob(t, first, job, data, false))
 		require.Equal(t, []int{1, 1, 1, 0}, []int{countFiles(t, first), countFiles(t, others[0]), countFiles(t, others[1]), countFiles(t, others[2])})
 	})
 	t.Run("too few nodes for the copies is an error", func(t *testing.T) {
 		first, _, _ := newKeepers(t, 1, 0, 1)
 		job, data := newJob(t)
 		var tooFew *keep.TooFewCopiesError
-		require.True(t, errors.As(first.Keep(t.Context(), job, data, false), &tooFew))
+		require.True(t, errors.As(keepJob(t, first, job, data, false), &tooFew))
 		require.Equal(t, keep.TooFewCopiesError{Job: "j1", Copies: 1, Wanted: 2}, *tooFew)
 	})
 	t.Run("a failed copy is an error", func(t *testing.T) {
 		first, _, _ := newKeepers(t, 2, 1, 1)
 		job, data := newJob(t)
-		require.Error(t, first.Keep(t.Context(), job, data, false))
+		require.Error(t, keepJob(t, first, job, data, false))
 	})
 	t.Run("all nodes with a copy submit the job and it exists once", func(t *testing.T) {
 		first, others, service := newKeepers(t, 2, 0, 1)
 		job, data := newJob(t)
-		require.NoError(t, first.Keep(t.Context(), job, data, false))
+		require.NoError(t, keepJob(t, first, job, data, false))
 		require.True(t, others[0].SubmitAll(t.Context(), time.Now()))
 		require.True(t, first.SubmitAll(t.Context(), time.Now()))
 		require.Zero(t, countFiles(t, first)+countFiles(t, others[0]))
@@ -106,7 +115,7 @@
 	t.Run("a job older than the retention time is not submitted", func(t *testing.T) {
 		first, _, service := newKeepers(t, 1, 0, 0)
 		job, data := newJob(t)
-		require.NoError(t, first.Keep(t.Context(), job, data, false))
+		require.NoError(t, keepJob(t, first, job, data, false))
 		require.True(t, first.SubmitAll(t.Context(), time.Now().Add(2*time.Minute)))
 		stored, err := (&vault.Vault{KV: service}).Get(t.Context(), "j1")
 		require.NoError(t, err)
@@ -122,18 +131,37 @@
 		job, data := newJob(t)
 		job.ID = "../j1"
 		var field *quetzalpier.FieldError
-		require.True(t, errors.As(first.Keep(t.Context(), job, data, false), &field))
+		require.True(t, errors.As(keepJob(t, first, job, data, false), &field))
+	})
+	// Guards against two owners of a job that is submitted again, with other targets of its route.
+	t.Run("a job that is submitted again does not replace its first copy", func(t *testing.T) {
+		first, others, service := newKeepers(t, 2, 0, 1)
+		job, data := newJob(t)
+		require.NoError(t, keepJob(t, first, job, data, false))
+		again := *job
+		again.Pool = "q"
+		againData, err := wire.EncodeJob(&again)
+		require.NoError(t, err)
+		for _, k := range []*keep.Keeper{first, others[0]} {
+			kept, err := k.Keep(t.Context(), &again, againData, k != first)
+			require.NoError(t, err)
+			require.Equal(t, "p", kept.Pool)
+		}
+		require.True(t, others[0].SubmitAll(t.Context(), time.Now()))
+		stored, err := (&vault.Vault{KV: service}).Get(t.Context(), "j1")
+		require.NoError(t, err)
+		require.Equal(t, "p", stored.Pool)
 	})
 	t.Run("a job does not replace another customer's with the same ID on any disk", func(t *testing.T) {
 		first, others, _ := newKeepers(t, 2, 0, 1)
 		job, data := newJobOf(t, "alpha")
 		foreign, foreignData := newJobOf(t, "beta")
-		require.NoError(t, others[0].Keep(t.Context(), job, data, true))
+		require.NoError(t, keepJob(t, others[0], job, data, true))
 		var foreignErr *quetzalpier.ForeignJobError
-		require.True(t, errors.As(first.Keep(t.Context(), foreign, foreignData, false), &foreignErr))
+		require.True(t, errors.As(keepJob(t, first, foreign, foreignData, false), &foreignErr))
 		require.Zero(t, countFiles(t, first), "the refused job must not be submitted later")
-		require.NoError(t, first.Keep(t.Context(), job, data, false))
-		require.True(t, errors.As(first.Keep(t.Context(), foreign, foreignData, false), &foreignErr))
+		require.NoError(t, keepJob(t, first, job, data, false))
+		require.True(t, errors.As(keepJob(t, first, foreign, foreignData, false), &foreignErr))
 		kept, err := os.ReadFile(filepath.Join(first.Dir, "j1.job"))
 		require.NoError(t, err)
 		require.Equal(t, data, kept)
@@ -144,7 +172,7 @@
 		_, err := (&vault.Vault{KV: service}).Put(t.Context(), job)
 		require.NoError(t, err)
 		foreign, data := newJobOf(t, "beta")
-		require.NoError(t, first.Keep(t.Context(), foreign, data, false))
+		require.NoError(t, keepJob(t, first, foreign, data, false))
 		require.True(t, first.SubmitAll(t.Context(), time.Now()))
 		stored, err := (&vault.Vault{KV: service}).Get(t.Context(), "j1")
 		require.NoError(t, err)
--- a/runner/commit.go
+++ b/runner/commit.go
@@ -60,6 +60,7 @@
 	var pages []vault.Page
 	if due <= 0 {
 		pages = p.pendingPages()
+		p.checkRecords(ctx)
 	}
 	p.mu.Unlock()
 	if len(pages) == 0 {
@@ -82,7 +83,7 @@
 		job := p.scheduler.Jobs[id]
 		// A job whose stored results are uncertain could make the transaction
 		// fail for all jobs.
-		if len(job.Pending) == 0 || p.uncertain[id] || len(pages) == maxPagesPerTxn {
+		if len(job.Pending) == 0 || p.uncertain[id] || !p.recorded[id] || len(pages) == maxPagesPerTxn {
 			continue
 		}
 		pages = append(pages, vault.Page{Job: id, From: len(job.Listed), Results: limitBytes(job.Pending, maxPageBytes)})
--- a/runner/ending_test.go
+++ b/runner/ending_test.go
@@ -208,6 +208,9 @@
 func TestHandledJobsAreNotDecoded(t *testing.T) {
 	b, log := newLoggedBurst(t, 2)
 	b.place(t)
+	// A job that a front sent is decoded once, to see that it is stored for this pool.
+	require.True(t, b.pool.mayBeForeign("j"))
+	require.True(t, b.pool.applyRecord("j", b.pool.pool, burstStart))
 	b.pool.applyEnds([]quetzalpier.Entry{{Key: vault.Ends + "k", Rev: 1}}, false, burstStart)
 	handled := []quetzalpier.Entry{{Key: vault.Jobs + "j", Value: []byte("odd"), Rev: 2}, {Key: vault.Jobs + "k", Value: []byte("odd"), Rev: 3}}
 	b.pool.applyJobs(handled, false, burstStart)
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -106,6 +106,12 @@
 	// arrive before the job itself.
 	// The value is when its front stored it; zero if that is not known.
 	endedJobs map[string]time.Time
+	// recorded are the jobs whose record in the key-value service names this pool, foreign those
+	// whose record names another one and when that was seen, and checking those whose record is
+	// being read.
+	recorded map[string]bool
+	foreign  map[string]time.Time
+	checking map[string]bool
 	// sent holds when the calls of open jobs were sent.
 	sent map[string]sentTimes
 	// uncertain are the jobs of which the key-value service may hold more
@@ -143,7 +149,9 @@
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
 		scheduler: scheduler, engines: map[string]*engine{},
-		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, held: map[string]*quetzalpier.Job{}, readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, sent: map[string]sentTimes{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
+		cancels: map[*tasks.Task]context.CancelFunc{}, opening: map[string]bool{}, held: map[string]*quetzalpier.Job{},
+		recorded: map[string]bool{}, foreign: map[string]time.Time{}, checking: map[string]bool{},
+		readSlots: make(chan struct{}, maxConcurrentReads), endedJobs: map[string]time.Time{}, sent: map[string]sentTimes{}, dropped: map[string]time.Time{}, uncertain: map[string]bool{}, unread: map[string]bool{}, reads: map[string]*storedRead{},
 	}
 	p.ends = p.newMirror(vault.Ends, min(r.WatchTimeout, maxEndsWatch), p.applyEnds)
 	p.ends.KV = endsSource{p}
@@ -253,7 +261,8 @@
 		p.readEnds()
 	}
 	for _, entry := range changed {
-		if entry.Deleted || p.handled(vault.JobID(entry), allJobs, now) {
+		id := vault.JobID(entry)
+		if entry.Deleted || p.handled(id, allJobs, now) && !p.mayBeForeign(id) {
 			continue
 		}
 		job, err := vault.DecodeJob(entry)
@@ -261,7 +270,7 @@
 			p.runner.Log.Error().Err(err).Msg("failed to decode job")
 			continue
 		}
-		if job.Pool == p.pool {
+		if p.applyRecord(id, job.Pool, now) {
 			p.openInBackground(job, allJobs, now)
 		}
 	}
@@ -270,8 +279,8 @@
 	p.jobsRead = true
 }
 
-// handled reports whether a job is open here, being opened, or has ended or expired, so that it
-// need not be decoded. One that is being opened may have results if mayHaveResults is set.
+// handled reports whether a job is open here, being opened, or has ended or expired, or is one of
+// another pool, so that it need not be decoded. One that is being opened may have results if mayHaveResults is set.
 //
 // Load pattern: a new owner reads all jobs of the last minutes, nearly all of which have ended,
 // and an owner reads them again whenever the key-value service drops its history.
@@ -282,7 +291,8 @@
 		p.opening[id] = known || mayHaveResults
 		return true
 	}
-	if _, dropped := p.dropped[id]; dropped || p.scheduler.Jobs[id] != nil {
+	_, foreign := p.foreign[id]
+	if _, dropped := p.dropped[id]; dropped || foreign || p.scheduler.Jobs[id] != nil {
 		return true
 	}
 	_, ended := p.endedJobs[id]
@@ -359,15 +369,17 @@
 		Int("tasks", len(job.Tasks)).Dur("objective_ms", job.DueAt.Sub(job.SubmittedAt)).Int("listed", len(stored)).Int("whole", opened.CompleteGroups).Int("resumed", len(parts)).Dur("age_ms", now.Sub(job.SubmittedAt)).Msg("job opened")
 }
 
-// knownJob reports whether a job is open here, or has ended or expired. The caller
-// holds the lock.
+// knownJob reports whether a job is open here, has ended or expired, or is one of another pool.
+// The caller holds the lock.
 func (p *poolRunner) knownJob(job *quetzalpier.Job) bool {
 	if _, ended := p.endedJobs[job.ID]; ended {
+		delete(p.recorded, job.ID)
 		p.dropped[job.ID] = job.SubmittedAt
 		return true
 	}
 	_, dropped := p.dropped[job.ID]
-	return dropped || p.scheduler.Jobs[job.ID] != nil
+	_, foreign := p.foreign[job.ID]
+	return dropped || foreign || p.scheduler.Jobs[job.ID] != nil
 }
 
 // readStored reads the results and partial texts that earlier owners stored for
@@ -417,7 +429,9 @@
 	for _, job := range p.scheduler.DropEnded(endedRetention, now) {
 		p.dropped[job.Spec.ID] = job.Spec.SubmittedAt
 		delete(p.sent, job.Spec.ID)
+		delete(p.recorded, job.Spec.ID)
 	}
+	p.dropForeign(now)
 	for id, submittedAt := range p.dropped {
 		if now.Sub(submittedAt) > p.runner.Retention+historyMargin {
 			delete(p.dropped, id)
--- a/runner/read.go
+++ b/runner/read.go
@@ -92,6 +92,10 @@
 	if job == nil || fence != p.fence || p.uncertain[read.GetJob()] || p.unread[read.GetJob()] {
 		return &wire.Results{}, nil
 	}
+	if !p.recorded[read.GetJob()] {
+		p.checkRecord(p.ctx, job.Spec, recordWait)
+		return &wire.Results{}, job.Changed
+	}
 	reply := &wire.Results{Known: true, Total: uint64(len(job.Tasks)), Open: !job.Ended, Customer: job.Spec.Customer}
 	if id := read.GetTask(); id != "" {
 		if body, ok := unstoredBody(job, id); ok {
--- a/runner/save.go
+++ b/runner/save.go
@@ -42,6 +42,9 @@
 	saved := map[*tasks.Task]tasks.Text{}
 	size := 0
 	for _, task := range p.scheduler.Unsaved(minEvents, maxSaveTasks, now) {
+		if !p.recorded[task.Job.Spec.ID] {
+			continue
+		}
 		if size += textSize(task.Text); size > maxSaveBytes && len(parts) > 0 {
 			break
 		}
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -377,7 +377,22 @@
 		s.retain(task, now)
 		task.Text = Text{}
 	}
-	job.notifyReaders()
+	job.NotifyReaders()
+	return active
+}
+
+// Withdraw removes a job that another owner runs, and returns its tasks in progress, whose runs
+// and reward calls are to be canceled. Its texts are not kept for later jobs.
+func (s *Scheduler) Withdraw(id string, now time.Time) []*Task {
+	job := s.Jobs[id]
+	if job == nil {
+		return nil
+	}
+	for _, task := range job.Tasks {
+		task.DropText()
+	}
+	active := s.End(id, now)
+	delete(s.Jobs, id)
 	return active
 }
 
@@ -507,11 +522,11 @@
 	j.Listed = append(j.Listed, results...)
 	j.Pending = append([]quetzalpier.Result(nil), j.Pending[min(len(results), len(j.Pending)):]...)
 	j.PendingAt = now
-	j.notifyReaders()
+	j.NotifyReaders()
 }
 
-// notifyReaders wakes up the reads that wait for results of the job.
-func (j *Job) notifyReaders() {
+// NotifyReaders wakes up the reads that wait for results of the job.
+func (j *Job) NotifyReaders() {
 	close(j.Changed)
 	j.Changed = make(chan struct{})
 }
@@ -673,6 +688,6 @@
 	job.Listed = listed
 	job.Pending = pending
 	job.PendingAt = now
-	job.notifyReaders()
+	job.NotifyReaders()
 	return active
 }
