origin, entry: A node that does not answer may know the origin of a stream

Cause: a missing answer counted as "not known". An origin is now taken from other streams of the request only once nodes that were told have answered, and never over an attempt that the client names. Until then the front asks again, for 3 s or half of the request's time, and then refuses as not run. Origins that nobody has acknowledged are told again for 5 s, attempts that take a stream up are recorded under their own ID too, and the assumption by the list of upstreams needs one that was complete.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -83,7 +83,7 @@
 				if a.Units++; a.Units == 1 {
 					e.continueAt(job, a.VM)
 					made = append(made, origin.Origin{Pool: a.VM.Pool, Software: a.VM.Software, Upstream: a.VM.ID})
-					e.recordOrigin(ctx, began.stream(r), made)
+					e.recordOrigin(ctx, began.streams(r), made)
 					firstToken.Do(func() {
 						e.Meter.FirstToken.WithLabelValues(job.Pool, class).Observe(meter.SecondsBetween(r.start, time.Now()))
 					})
@@ -135,12 +135,14 @@
 	resumes string
 }
 
-// stream identifies the stream for the attempts of the client that take it up.
-func (o streamOrigin) stream(r *request) origin.Stream {
-	if o.resumes != "" {
-		return origin.Stream{Attempt: o.resumes, Request: o.request}
+// streams identifies the stream for the attempts of the client that take it up, which may name
+// the attempt that began it or a later one.
+func (o streamOrigin) streams(r *request) []origin.Stream {
+	own := origin.Stream{Attempt: r.id, Request: o.request}
+	if o.resumes != "" && o.resumes != r.id {
+		return []origin.Stream{{Attempt: o.resumes, Request: o.request}, own}
 	}
-	return origin.Stream{Attempt: r.id, Request: o.request}
+	return []origin.Stream{own}
 }
 
 // findOrigin returns the pool of a new stream, or the origin of one that the client takes
@@ -152,6 +154,9 @@
 		return streamOrigin{Origin: origin.Origin{Pool: route.PickPool(rand.Float64())}, request: stream.Request}, nil
 	}
 	stream.Attempt = string(c.Request.Header.Peek(platform.HeaderResumes))
+	// The other half of the time is for the stream, or for another front.
+	ctx, cancel := context.WithDeadline(ctx, now.Add(r.deadline.Sub(now)/2))
+	defer cancel()
 	began, known := e.Origins.Find(ctx, stream, route.Targets, now)
 	switch {
 	case !known:
@@ -166,17 +171,25 @@
 // another node knows it, for maxTellWait at most.
 //
 // Load pattern: all fronts are killed, and clients come back within 100 ms.
-func (e *Entry) recordOrigin(ctx context.Context, stream origin.Stream, made []origin.Origin) {
+func (e *Entry) recordOrigin(ctx context.Context, streams []origin.Stream, made []origin.Origin) {
 	began := made[0]
 	if began.Software == "" || began.Upstream == "" {
 		began = made[1]
 	}
 	timer := time.NewTimer(maxTellWait)
 	defer timer.Stop()
-	select {
-	case <-e.Origins.Record(stream, began, time.Now()):
-	case <-timer.C:
-	case <-ctx.Done():
+	told := make([]<-chan struct{}, 0, len(streams))
+	for _, stream := range streams {
+		told = append(told, e.Origins.Record(stream, began, time.Now()))
+	}
+	for _, done := range told {
+		select {
+		case <-done:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -213,7 +213,7 @@
 	n.limits.Call, n.limits.Peers = n.callPeer, n.memberAddrs
 	n.origins = origin.New(n.Board, n.Log)
 	n.origins.Call = n.callPeer
-	n.origins.ListedUntil = func() time.Time { return n.workers.State().LastContact }
+	n.origins.ListedUntil = func() time.Time { return n.workers.State().CurrentAt }
 	upstreams := &platform.Upstreams{Links: n.links, Notices: n.limits}
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log, quiet: n.followsUpstreams}
 	n.openMirrors()
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,13 @@
 	listLatency  = time.Second
 	maxListWait  = 3 * time.Second
 	listInterval = 50 * time.Millisecond
+	// maxAskWait is how long a request waits for an answer of the nodes that may hold an origin,
+	// and askInterval the pause between two questions.
+	maxAskWait  = 3 * time.Second
+	askInterval = 50 * time.Millisecond
+	// tellPeriod is how long other nodes are told an origin until one of them has answered.
+	tellPeriod   = 5 * time.Second
+	tellInterval = 200 * time.Millisecond
 )
 
 // Origin is the pool and the software version that began a stream, and its upstream.
@@ -79,8 +87,8 @@
 	Board *board.Board
 	// Call makes a call to another node.
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
-	// ListedUntil returns when the list of upstreams was last confirmed; nil means that it
-	// always is.
+	// ListedUntil returns when the list of upstreams was last known to be complete; nil means
+	// that it always is.
 	ListedUntil func() time.Time
 	Log         zerolog.Logger
 
@@ -140,7 +148,6 @@
 		finish()
 		return done
 	}
-	addrs, _ := s.holders(stream)
 	select {
 	case s.telling <- struct{}{}:
 	default:
@@ -151,23 +158,39 @@
 	s.calls.Go(func() {
 		defer func() { <-s.telling }()
 		defer finish()
-		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), tellPeriod)
 		defer cancel()
-		var calls conc.WaitGroup
-		for _, addr := range addrs {
-			calls.Go(func() {
-				if _, err := s.Call(ctx, addr, message(stream, began)); err != nil {
-					s.Log.Info().Str("request", stream.Attempt).Str("peer", addr).Err(err).Msg("origin of a stream could not be told to another node")
-					return
-				}
-				finish()
-			})
+		for !s.tell(ctx, stream, began, finish) {
+			if !sleep.For(ctx, tellInterval) {
+				return
+			}
 		}
-		calls.Wait()
 	})
 	return done
 }
 
+// tell tells other nodes an origin, and calls onAnswer for each that has answered. It reports
+// whether one has, or there is none to tell.
+func (s *Store) tell(ctx context.Context, stream Stream, began Origin, onAnswer func()) bool {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	h := s.holders(stream)
+	var answered atomic.Bool
+	var calls conc.WaitGroup
+	for _, addr := range h.told {
+		calls.Go(func() {
+			if _, err := s.Call(ctx, addr, message(stream, began)); err != nil {
+				s.Log.Info().Str("request", stream.Attempt).Str("peer", addr).Err(err).Msg("origin of a stream could not be told to another node")
+				return
+			}
+			answered.Store(true)
+			onAnswer()
+		})
+	}
+	calls.Wait()
+	return answered.Load() || h.alone
+}
+
 // newName returns a name for an attempt of a client that sends none.
 func (s *Store) newName() string {
 	s.mu.Lock()
@@ -233,17 +256,22 @@
 	return found
 }
 
-// Find returns the origin of a stream that a client takes up. A client that does not name
-// its first attempt is known by its request, unless the same request began streams of
-// several origins. If no node that is asked knows it, the origin is that of all upstreams
-// to which the targets have led for as long as origins are kept.
+// Find returns the origin of a stream that a client takes up. The attempt that a client names
+// decides alone. A client that names none is known by its request, unless the same request began
+// streams of several origins. If no node that is asked knows it, the origin is that of all
+// upstreams to which the targets have led for as long as origins are kept.
+//
+// A node that does not answer may know the origin: Find waits for an answer, and returns false if
+// none comes in time.
 func (s *Store) Find(ctx context.Context, stream Stream, targets []quetzalpier.Target, now time.Time) (Origin, bool) {
-	found := s.get(stream)
-	if !found.named {
-		found.add(s.ask(ctx, stream))
-	}
+	found, complete := s.search(ctx, stream, now)
 	line := s.Log.Info().Str("request", stream.Attempt).Uint64("hash", stream.Request)
 	switch {
+	case !found.named && !complete:
+		line.Msg("the nodes that may know the origin of a stream do not answer")
+		return Origin{}, false
+	case !found.named && stream.Attempt != "":
+		// Other streams of the same request say nothing about the one that the client names.
 	case found.several && !found.named:
 		line.Msg("the same request began streams of several origins")
 		return Origin{}, false
@@ -263,6 +291,23 @@
 	return began, known
 }
 
+// search asks other nodes for an origin until enough of them have answered. complete is false if
+// they have not within maxAskWait, so that one of them may know more.
+func (s *Store) search(ctx context.Context, stream Stream, now time.Time) (found answer, complete bool) {
+	for end := now.Add(maxAskWait); ; {
+		found = s.get(stream)
+		if found.named {
+			return found, true
+		}
+		var others answer
+		others, complete = s.ask(ctx, stream)
+		found.add(others)
+		if found.named || complete || !time.Now().Before(end) || !sleep.For(ctx, askInterval) {
+			return found, complete
+		}
+	}
+}
+
 // sole returns the only origin that a stream of the targets can have by this node's list.
 func (s *Store) sole(targets []quetzalpier.Target, now time.Time) (began Origin, known bool) {
 	s.Board.Do(func(st *board.State) { began.Pool, began.Software, known = st.SoleOrigin(targets, Retention, now) })
@@ -299,44 +344,71 @@
 }
 
 // ask asks the nodes that may hold an origin, all at once. It waits for all of them unless
-// one knows the named attempt.
-func (s *Store) ask(ctx context.Context, stream Stream) (found answer) {
-	_, addrs := s.holders(stream)
+// one knows the named attempt. complete reports whether those have answered that were told, as
+// far as this node can tell: all of them if the client names an attempt, which then is unknown,
+// and else one, since each is told all streams of the request.
+func (s *Store) ask(ctx context.Context, stream Stream) (found answer, complete bool) {
+	h := s.holders(stream)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	replies := make(chan answer, len(addrs))
-	for _, addr := range addrs {
+	type reply struct {
+		answer
+		addr     string
+		answered bool
+	}
+	replies := make(chan reply, len(h.asked))
+	for _, addr := range h.asked {
 		s.calls.Go(func() {
-			reply, err := s.Call(ctx, addr, message(stream, Origin{}))
+			response, err := s.Call(ctx, addr, message(stream, Origin{}))
 			if err != nil {
 				s.Log.Info().Str("request", stream.Attempt).Str("peer", addr).Err(err).Msg("another node could not be asked for the origin of a stream")
 			}
-			began := reply.GetBegan()
-			replies <- answer{
+			began := response.GetBegan()
+			replies <- reply{answer{
 				Origin: Origin{Pool: began.GetPool(), Software: began.GetSoftware(), Upstream: began.GetUpstream()},
 				known:  began.GetSoftware() != "", named: began.GetNamed(), several: began.GetSeveral(),
-			}
+			}, addr, err == nil}
 		})
 	}
-	for range addrs {
-		if found.add(<-replies); found.named {
+	told := 0
+	for range h.asked {
+		r := <-replies
+		if r.answered && slices.Contains(h.told, r.addr) {
+			told++
+		}
+		if found.add(r.answer); found.named {
 			break
 		}
 	}
-	return found
+	needed := min(1, len(h.told))
+	if stream.Attempt != "" {
+		needed = len(h.told)
+	}
+	return found, h.alone || told > 0 && told >= needed
+}
+
+// holders are the addresses of the other nodes that are told the origin of a stream, and of
+// those that are asked for it. alone is set if no other node is listed.
+type holders struct {
+	told, asked []string
+	alone       bool
 }
 
-// holders returns the addresses of the other nodes that are told the origin of a stream, and
-// of those that are asked for it. All nodes choose them alike.
-func (s *Store) holders(stream Stream) (told, asked []string) {
+// holders returns the holders of a stream. All nodes choose them alike.
+func (s *Store) holders(stream Stream) (h holders) {
 	key := "origin/" + strconv.FormatUint(stream.Request, 16)
 	if stream.Request == 0 {
 		key = "origin/" + stream.Attempt
 	}
 	s.Board.Do(func(st *board.State) {
 		var ids, keeperIDs []string
+		h.alone = true
 		for id, m := range st.Members {
-			if id == st.Self.ID || !st.Answers(m) {
+			if id == st.Self.ID {
+				continue
+			}
+			h.alone = false
+			if !st.Answers(m) {
 				continue
 			}
 			ids = append(ids, id)
@@ -357,9 +429,9 @@
 				all = append(all, id)
 			}
 		}
-		told, asked = addrsOf(st, chosen), addrsOf(st, all)
+		h.told, h.asked = addrsOf(st, chosen), addrsOf(st, all)
 	})
-	return told, asked
+	return h
 }
 
 func addrsOf(st *board.State, ids []string) (addrs []string) {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -117,6 +117,81 @@
 	})
 }
 
+// TestFindOutOfStep guards against a front to which no other node answers, and which takes the
+// origin of another stream of the same request for that of the stream that a client takes up.
+func TestFindOutOfStep(t *testing.T) {
+	v2 := origin.Origin{Pool: "p", Software: "v2"}
+	const request = 7
+	open := func(t *testing.T) (front *origin.Store, lose, restore func()) {
+		t.Helper()
+		stores, lost := newStores(t)
+		now := time.Now()
+		<-stores["n0"].Record(origin.Stream{Attempt: "old", Request: request}, v1, now)
+		lost.Store("n0", true)
+		<-stores["n1"].Record(origin.Stream{Attempt: "new", Request: request}, v2, now)
+		lost.Delete("n0")
+		lose = func() {
+			for i := 1; i < nodes; i++ {
+				lost.Store(fmt.Sprint("n", i), true)
+			}
+		}
+		return stores["n0"], lose, lost.Clear
+	}
+	named, unnamed := origin.Stream{Attempt: "new", Request: request}, origin.Stream{Request: request}
+	t.Run("it waits until a node answers that knows the attempt", func(t *testing.T) {
+		front, lose, restore := open(t)
+		lose()
+		time.AfterFunc(300*time.Millisecond, restore)
+		found, known := front.Find(t.Context(), named, toPool, time.Now())
+		require.True(t, known)
+		require.Equal(t, v2, found)
+	})
+	for name, stream := range map[string]origin.Stream{"named": named, "not named": unnamed} {
+		t.Run("no node answers, the attempt is "+name, func(t *testing.T) {
+			front, lose, _ := open(t)
+			lose()
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			_, known := front.Find(ctx, stream, toPool, time.Now())
+			require.False(t, known)
+		})
+	}
+	t.Run("the front's own attempts need no other node", func(t *testing.T) {
+		front, lose, _ := open(t)
+		lose()
+		requireOrigin(t, front, origin.Stream{Attempt: "old", Request: request}, v1)
+	})
+	t.Run("no node knows the attempt that the client names", func(t *testing.T) {
+		front, _, _ := open(t)
+		requireUnknown(t, front, origin.Stream{Attempt: "other", Request: request}, time.Now())
+	})
+	t.Run("the front finds all others unreachable", func(t *testing.T) {
+		front, lose, _ := open(t)
+		lose()
+		front.Board.Update(func(s *board.State) {
+			for i := 1; i < nodes; i++ {
+				s.Unreachable[fmt.Sprint("n", i)] = time.Now()
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, known := front.Find(ctx, unnamed, toPool, time.Now())
+		require.False(t, known)
+	})
+	t.Run("what no other node knew when a stream began is told once they answer", func(t *testing.T) {
+		stores, lost := newStores(t)
+		for i := 1; i < nodes; i++ {
+			lost.Store(fmt.Sprint("n", i), true)
+		}
+		stores["n0"].Record(origin.Stream{Attempt: "a", Request: 9}, v1, time.Now())
+		time.AfterFunc(300*time.Millisecond, lost.Clear)
+		require.Eventually(t, func() bool {
+			found, known := stores["n1"].Find(t.Context(), origin.Stream{Attempt: "a", Request: 9}, toPool, time.Now())
+			return known && found == v1
+		}, 5*time.Second, 20*time.Millisecond)
+	})
+}
+
 // Load pattern: a client takes up a stream of which no node knows the origin, for instance
 // since the nodes that knew it are gone.
 func TestSoleVersion(t *testing.T) {
