origin: Let a test's front be told nothing at all

TestFindOutOfStep failed in about one of twenty runs under the race detector: the front was told the origin by a call that was still in progress when the test let calls reach it again. Calls to it now fail until the end. 80 runs under the race detector, eight at a time, pass.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -127,9 +127,9 @@
 		stores, lost := newStores(t)
 		now := time.Now()
 		<-stores["n0"].Record(origin.Stream{Attempt: "old", Request: request}, v1, now)
+		// The front is told nothing, also if it is one of the nodes that are to be.
 		lost.Store("n0", true)
 		<-stores["n1"].Record(origin.Stream{Attempt: "new", Request: request}, v2, now)
-		lost.Delete("n0")
 		lose = func() {
 			for i := 1; i < nodes; i++ {
 				lost.Store(fmt.Sprint("n", i), true)
