soak: Planned stops under open connections, and watches without an answer

--stops stops fronts as planned, one after the other or two overlapping, while twelve clients send work of up to 3 s over connections that they keep until the process is gone, and leaves watches of the configuration of random nodes without an answer beside changes of it. A request that an upstream has begun and that is cut off in a planned stop breaks a promise, as does one that was refused and has run.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -30,6 +30,7 @@
 	Answers       bool          `long:"answers" description:"also make upstreams break their answers in many ways, and send streams and long requests"`
 	Ends          bool          `long:"ends" description:"also send ends of jobs once, through fronts with a fault or while the owner is lost"`
 	Odd           bool          `long:"odd" description:"also write odd entries beside those of the upstreams"`
+	Stops         bool          `long:"stops" description:"also stop fronts as planned while clients use their open connections, and leave watches without an answer"`
 	Logs          string        `long:"logs" description:"parent directory of the logs; by default a temporary directory, removed if the seed passes"`
 }
 
@@ -94,6 +95,6 @@
 		return nil, dir, err
 	}
 	defer r.Close()
-	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Partitions: c.Partitions, Versions: c.Versions, Answers: c.Answers, Ends: c.Ends, Odd: c.Odd, Log: zerolog.New(log).With().Timestamp().Logger()}
+	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Partitions: c.Partitions, Versions: c.Versions, Answers: c.Answers, Ends: c.Ends, Odd: c.Odd, Stops: c.Stops, Log: zerolog.New(log).With().Timestamp().Logger()}
 	return soak.Run(ctx, r, plan), dir, nil
 }
--- a/soak/odd.go
+++ b/soak/odd.go
@@ -105,10 +105,10 @@
 		before[w] = len(w.Runs())
 	}
 	sleep.For(ctx, maxFaultTime+contactTime-changeTime)
-	f.rig.routes = append(f.rig.routes, quetzalpier.Route{
+	err := f.rig.AddRoutes(quetzalpier.Route{
 		Name: "late", Host: Host, Prefix: latePath, Idempotent: true, MaxAttempts: 2, Timeout: time.Second, Targets: []quetzalpier.Target{{Pool: poolApp, Weight: 1}},
 	})
-	if err := f.rig.WriteConfig(); err != nil {
+	if err != nil {
 		f.ledger.recordViolation("configuration not written: %v", err)
 		return
 	}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -106,7 +106,9 @@
 	Plains  []*stand.Worker
 	Fronts  []*Node
 	Stores  []*Node
-	config  quetzalpier.Config
+	// configMu guards config, keys and routes.
+	configMu sync.Mutex
+	config   quetzalpier.Config
 	// keys are the API keys of customers, by name, besides the clients' own.
 	keys map[string][]string
 	// routes are routes that the configuration has besides the usual ones.
@@ -215,6 +217,13 @@
 // WriteConfig writes the configuration to the key-value service, under a higher
 // number than the last one.
 func (r *Rig) WriteConfig() error {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
+	return r.writeConfig()
+}
+
+// writeConfig does what WriteConfig does; the caller holds the lock.
+func (r *Rig) writeConfig() error {
 	r.config = quetzalpier.Config{
 		Number: r.config.Number + 3,
 		Pools: map[string]quetzalpier.Pool{
@@ -258,8 +267,10 @@
 
 // AddRoutes writes a configuration with further routes. Unknown pools are plain ones.
 func (r *Rig) AddRoutes(routes ...quetzalpier.Route) error {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
 	r.routes = append(r.routes, routes...)
-	return r.WriteConfig()
+	return r.writeConfig()
 }
 
 // clientName is the name of the clients' customer.
@@ -267,8 +278,10 @@
 
 // SetKeys writes a configuration with the API keys of customers besides the clients' own.
 func (r *Rig) SetKeys(keys map[string][]string) error {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
 	r.keys = keys
-	return r.WriteConfig()
+	return r.writeConfig()
 }
 
 // authorize adds the clients' API key to a request.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -77,6 +77,9 @@
 	Ends bool
 	// Odd also writes odd entries beside those of the upstreams.
 	Odd bool
+	// Stops also stops fronts as planned, one after the other or overlapping, while clients use
+	// their open connections, and leaves watches of the configuration without an answer.
+	Stops bool
 	// NoProcessFaults leaves out the faults of processes, links, engines and the whole
 	// key-value service.
 	NoProcessFaults bool
@@ -148,6 +151,10 @@
 			injectors.Go(func() { ends.abandonJobs(ctx, plan.FaultDuration, plan.Seed+abandonSeed+i) })
 		}
 	}
+	if plan.Stops {
+		planned := injector(17)
+		injectors.Go(func() { planned.playStops(ctx, plan.FaultDuration) })
+	}
 	if plan.Odd {
 		odd := injector(15)
 		odd.upstreamsSound = !plan.StoreFaults && !plan.Upstreams && !plan.Answers
@@ -558,9 +565,9 @@
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d of %d tries at partitioned fronts served; %d lookups; %d of %d streams complete; %d requests compared; %d ends sent once, %d lost; %d fronts followed; at most %d warnings a second; %d promises broken",
+	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d of %d tries at partitioned fronts served; %d lookups; %d of %d streams complete; %d requests compared; %d ends sent once, %d lost; %d fronts followed; %d requests over kept connections served; at most %d warnings a second; %d promises broken",
 		l.Steps, l.LateSteps, l.EndedJobs, l.ExcusedRuns, l.Requests, l.FailedRequests, l.PartitionedServed, l.PartitionedTries, l.Lookups,
-		l.Streams.Complete, l.Streams.Begun, l.Received, l.UnrepeatedEnds, l.LostEnds, l.Followed, l.PeakWarnings, len(l.Violations))
+		l.Streams.Complete, l.Streams.Begun, l.Received, l.UnrepeatedEnds, l.LostEnds, l.Followed, l.KeptServed, l.PeakWarnings, len(l.Violations))
 	if len(l.Violations) > 0 {
 		text += ":\n  " + strings.Join(l.Violations, "\n  ")
 	}
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -75,6 +75,8 @@
 	UnrepeatedEnds, LostEnds int
 	// Followed counts the fronts that followed the change after odd entries.
 	Followed int
+	// KeptServed counts the requests over kept connections that were served around planned stops.
+	KeptServed int
 	// PeakWarnings is the largest number of warnings and errors that one process
 	// logged in a second.
 	PeakWarnings int
--- a/soak/unasked_test.go
+++ b/soak/unasked_test.go
@@ -22,6 +22,7 @@
 		"broken answers": {soak.Plan{Seed: 5502, Answers: true}, func(l *soak.Ledger) int { return l.Streams.Complete }},
 		"ends sent once": {soak.Plan{Seed: 5503, Ends: true}, func(l *soak.Ledger) int { return l.UnrepeatedEnds - l.LostEnds }},
 		"odd entries":    {soak.Plan{Seed: 5502, Odd: true}, func(l *soak.Ledger) int { return l.Followed }},
+		"planned stops":  {soak.Plan{Seed: 6101, Stops: true}, func(l *soak.Ledger) int { return l.KeptServed }},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
