--- a/runner/pool.go
+++ b/runner/pool.go
@@ -341,6 +341,10 @@
 		p.runner.Log.Warn().Str("job", job.ID).Err(err).Msg("failed to read stored results")
 		pauseKV(p.ctx, failures)
 	}
+	// The caller may open the same job again.
+	opening := *job
+	job = &opening
+	job.Tasks = slices.Clone(job.Tasks)
 	job.ExpiresAt = job.ExpiresAt.Add(expireMargin)
 	for i := range job.Tasks {
 		job.Tasks[i].Prompt = platform.DecodePrompt(job.Tasks[i].Headers)
--- a/runner/pool_test.go
+++ b/runner/pool_test.go
@@ -30,6 +30,21 @@
 	require.Equal(t, []quetzalpier.PromptPart{{ID: "9f", Tokens: 260}}, p.scheduler.Jobs["j"].Tasks[0].Spec.Prompt)
 }
 
+// TestOpenJobTwice guards against a job that its sender shares being changed while it is opened:
+// one that is kept back and sent again is opened by two goroutines.
+func TestOpenJobTwice(t *testing.T) {
+	job := &quetzalpier.Job{ID: "j", Model: "m", ExpiresAt: burstStart.Add(time.Hour), Tasks: []quetzalpier.Task{
+		{ID: "t", Path: "/t", Headers: map[string]string{platform.HeaderPromptPrefix: "9f:260"}},
+	}}
+	for range 2 {
+		p := newPoolRunner(t.Context(), &Runner{Meter: meter.New(), Log: zerolog.Nop()}, "lm", 1)
+		p.openJob(job, false, burstStart)
+		require.Equal(t, burstStart.Add(time.Hour+expireMargin), p.scheduler.Jobs["j"].Spec.ExpiresAt)
+		require.Equal(t, burstStart.Add(time.Hour), job.ExpiresAt)
+		require.Empty(t, job.Tasks[0].Prompt)
+	}
+}
+
 // Guards against priorities that come from the job's submission: the configuration decides.
 func TestPriorities(t *testing.T) {
 	b := board.New(board.Member{ID: "n"})
