--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -22,7 +22,7 @@
 // stopPlan are the times of a planned stop; the zero value is none.
 type stopPlan struct {
 	requestedAt time.Time
-	// answerBy is when the last answers must be written.
+	// answerBy is when the last answers begin to be written.
 	answerBy time.Time
 }
 
@@ -30,7 +30,7 @@
 type work struct {
 	// bound is the time until its deadline.
 	bound time.Duration
-	// longest is the longest duration of late requests of its route; zero if there were none.
+	// longest is the longest duration of the last requests of its route; zero if there were none.
 	longest time.Duration
 	// streamed is set if the answer is broken off at the end, and not replaced by an error.
 	streamed bool
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	workPath = "/work/"
+	workPath = "/kept/"
 	poolWork = "work"
 	// workTimeout is the timeout of the requests for work, and maxWork how long the upstream
 	// works on one.
