--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -255,7 +255,8 @@
 }
 
 func isReady(addr string) bool {
-	answer, err := http.Get("http://" + addr + "/ready")
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Get("http://" + addr + "/ready")
 	if err != nil {
 		return false
 	}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -18,7 +18,9 @@
 type play func(r *rig, trouble bool) (broken []string, err error)
 
 var plays = map[string]play{
-	"moved": playMoved,
+	"crash":   playCrash,
+	"moved":   playMoved,
+	"release": playRelease,
 }
 
 func main() {
