--- a/review/second/crash.go
+++ b/review/second/crash.go
@@ -40,7 +40,7 @@
 	); err != nil {
 		return nil, err
 	}
-	fronts, _, err := r.addNodes()
+	fronts, _, err := r.addNodes("hall-a", "hall-b", "hall-c")
 	if err != nil {
 		return nil, err
 	}
--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -155,9 +155,9 @@
 	return n, n.start()
 }
 
-// addNodes starts fronts and stores, one of each in each of three zones.
-func (r *rig) addNodes() (fronts, stores []*node, err error) {
-	for _, zone := range []string{"hall-a", "hall-b", "hall-c"} {
+// addNodes starts fronts and stores, one of each in each zone.
+func (r *rig) addNodes(zones ...string) (fronts, stores []*node, err error) {
+	for _, zone := range zones {
 		for _, class := range []string{"store", "front"} {
 			n, err := r.addNode(class+"-"+zone+"-1", class, zone)
 			if err != nil {
@@ -319,6 +319,15 @@
 	Body    string            `json:"body"`
 	Tokens  int               `json:"tokens"`
 	Group   string            `json:"group"`
+	Scorer  *scorer           `json:"scorerUrl,omitempty"`
+}
+
+// scorer is the call that scores the text of an item.
+type scorer struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body string `json:"body"`
 }
 
 // batch is a batch submission.
@@ -344,6 +353,16 @@
 	return b
 }
 
+// scored adds a call that scores the text to each item, unless the prefix of its path is empty.
+func (b batch) scored(prefix string) batch {
+	for i := range b.Items {
+		if it := &b.Items[i]; prefix != "" {
+			it.Scorer = &scorer{ID: "r" + it.ID, Host: host, Path: prefix + it.ID, Body: base64.StdEncoding.EncodeToString([]byte(it.ID))}
+		}
+	}
+	return b
+}
+
 // submit submits a batch submission at one node.
 func (r *rig) submit(n *node, id, prefix string, b batch) reply {
 	data, err := json.Marshal(b)
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -19,6 +19,8 @@
 
 var plays = map[string]play{
 	"crash":   playCrash,
+	"flood":   playFlood,
+	"body":    playBody,
 	"moved":   playMoved,
 	"release": playRelease,
 }
--- a/review/second/moved.go
+++ b/review/second/moved.go
@@ -48,7 +48,7 @@
 	if err := r.configure(batchRoute("lm-a")); err != nil {
 		return nil, err
 	}
-	fronts, _, err := r.addNodes()
+	fronts, _, err := r.addNodes("hall-a", "hall-b", "hall-c")
 	if err != nil {
 		return nil, err
 	}
--- a/review/second/release.go
+++ b/review/second/release.go
@@ -33,10 +33,10 @@
 	replaceGap = 760 * time.Millisecond
 	drainPause = 2500 * time.Millisecond
 	// releaseTime limits how long workers are replaced, and calmTime is the pause after that.
-	releaseTime = 95 * time.Second
+	releaseTime = 90 * time.Second
 	calmTime    = 4 * time.Second
 	// clientsPerFront send a request each clientPause at a front.
-	clientsPerFront = 7
+	clientsPerFront = 12
 	clientPause     = 100 * time.Millisecond
 	onceTimeout     = 1500 * time.Millisecond
 	// answerSlack is how long after the route's timeout a request has no answer for the rule.
@@ -171,7 +171,7 @@
 	}); err != nil {
 		return nil, err
 	}
-	fronts, _, err := r.addNodes()
+	fronts, _, err := r.addNodes("hall-a", "hall-b")
 	if err != nil {
 		return nil, err
 	}
@@ -181,7 +181,7 @@
 		}
 	}
 	stop, counts := r.startClients(fronts)
-	for n, end := count, time.Now().Add(releaseTime); time.Now().Before(end) && !isHung(fronts); n++ {
+	for n, end := count, time.Now().Add(releaseTime); time.Now().Before(end) && !isHung(counts(), len(fronts)); n++ {
 		time.Sleep(replaceGap)
 		if trouble {
 			next, err := r.startReplaced(n)
@@ -193,7 +193,7 @@
 			go old.leave()
 		}
 		if n%count == 0 {
-			r.note("descriptors of the fronts: %d, %d, %d after %d workers; requests by status: %v", fronts[0].files(), fronts[1].files(), fronts[2].files(), n, counts())
+			r.note("descriptors of the fronts: %d, %d after %d workers; requests by status: %v", fronts[0].files(), fronts[1].files(), n, counts())
 		}
 	}
 	stop()
@@ -201,15 +201,8 @@
 	return r.checkAnswers(fronts), nil
 }
 
-// isHung reports whether a front does not answer the platform any more.
-func isHung(fronts []*node) bool {
-	for _, n := range fronts {
-		if !isReady(n.Ready) {
-			return true
-		}
-	}
-	return false
-}
+// isHung reports whether as many requests have got no answer as all clients send at a time.
+func isHung(counts map[int]int, fronts int) bool { return counts[0] >= clientsPerFront*fronts }
 
 // startClients starts the clients of all fronts.
 func (r *rig) startClients(fronts []*node) (stop func(), counts func() map[int]int) {
