--- a/review/second/main.go
+++ b/review/second/main.go
@@ -18,9 +18,9 @@
 type play func(r *rig, trouble bool) (broken []string, err error)
 
 var plays = map[string]play{
-	"crash":   playCrash,
 	"flood":   playFlood,
 	"body":    playBody,
+	"jobs":    playJobs,
 	"moved":   playMoved,
 	"release": playRelease,
 }
--- a/review/second/release.go
+++ b/review/second/release.go
@@ -26,7 +26,9 @@
 	// maxFiles is the number of descriptors of a front, and maxConns that of the channels of a worker.
 	maxFiles = 4100
 	maxConns = 140
-	// idleTime is how long a worker keeps an idle channel.
+	// workTime is how long a worker takes for a request, and workerIdle how long it keeps an idle
+	// channel.
+	workTime   = 25 * time.Millisecond
 	workerIdle = 10 * time.Second
 	// replaceGap is the time between two workers that are replaced, and drainPause how long the old
 	// one serves after the store has accepted that it is draining.
@@ -113,7 +115,7 @@
 	w.mu.Lock()
 	w.runs++
 	w.mu.Unlock()
-	time.Sleep(appWork)
+	time.Sleep(workTime)
 	header.Set(platform.HeaderAttempt, id)
 	header.Set(platform.HeaderStamp, fmt.Sprintf("%s.%d.%s", w.id, w.born, id))
 	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(workerIdle.Seconds())))
