client: Read responses in one place, and refuse invalid status lines

Cause: the HTTP library's ResponseHeader.StatusCode returns 200 for a status of 0, so that the check of that value in link saw a sound one. The library also skips empty lines before a status line, and takes several blanks before the status and control bytes in the reason.

Evidence: stand.AnswerVariants makes answers that differ from a plain one in one place, malformed ones beside valid ones.

Fix: client.ReadHeader looks at the received bytes of the status line before the library parses them, and client.NewBody reads the body; link uses both. A refused answer is a link.Error at its header, after which it is not known whether the request ran: it is repeated only if it is idempotent. The check comes before the rest of the header, so that the refusal is not delayed by an upstream that sends no more. Valid neighbours (no reason, an odd one, the statuses 200 to 599) are still taken; the tests hold them beside the malformed ones.

--- a/client/client.go
+++ b/client/client.go
@@ -1,6 +1,7 @@
-// Package client provides TCP connections and HTTP clients that send each request
-// once. The HTTP library's own retries could run a request more than once, and
-// would invalidate the report that a request did not run.
+// Package client provides TCP connections, the reader of HTTP responses that all clients of
+// the service share, and HTTP clients that send each request once. The HTTP library's own
+// retries could run a request more than once, and would invalidate the report that a request
+// did not run.
 package client
 
 import (
--- a/link/anomaly_test.go
+++ b/link/anomaly_test.go
@@ -16,6 +16,9 @@
 	"quetzalpier/link"
 )
 
+// isForeign reports whether a response names another request.
+func isForeign(header *fasthttp.ResponseHeader) bool { return len(header.Peek("Id")) > 0 }
+
 // Guards against connections that mix the bytes of two requests or responses unseen.
 func TestAnomalies(t *testing.T) {
 	foreign := strings.Replace(fullResponse, "OK\r\n", "OK\r\nId: other\r\n", 1)
@@ -78,7 +81,7 @@
 				call.Fresh, call.ID = false, "r1"
 				call.HeaderTimeout = 5 * time.Second
 				call.Request.SetBody(make([]byte, c.body))
-				call.Foreign = func(header *fasthttp.ResponseHeader) bool { return len(header.Peek("Id")) > 0 }
+				call.Foreign = isForeign
 				_, err := attempt(context.Background(), links, call)
 				require.True(t, err == nil || len(c.want) > 0, err)
 				if i < c.calls-1 {
--- a/link/error.go
+++ b/link/error.go
@@ -54,16 +54,6 @@
 // Unwrap returns the cause.
 func (e *ForeignError) Unwrap() error { return e.Cause }
 
-// MalformedError reports a response header that can't be parsed. Its text leaves out the
-// received bytes: it is sent to clients, and the bytes may belong to another request.
-type MalformedError struct{ Cause error }
-
-// Error implements error.
-func (*MalformedError) Error() string { return "malformed response header" }
-
-// Unwrap returns the cause.
-func (e *MalformedError) Unwrap() error { return e.Cause }
-
 // OversizedError reports a response body that is too large.
 type OversizedError struct{ Limit int }
 
--- a/link/link.go
+++ b/link/link.go
@@ -101,7 +101,6 @@
 	links      *Links
 	addr       string
 	conn       *conn
-	resp       *fasthttp.Response
 	body       io.Reader
 	ctx        context.Context
 	stopCancel func() bool
@@ -155,7 +154,7 @@
 	// Each read has its own deadline, so that a header that comes in small pieces could
 	// take any time.
 	overdue := time.AfterFunc(call.HeaderTimeout+headerSlack, c.abort)
-	resp, err := c.readHeader(call, overdue, func() { l.report(AnomalyForeign, c) })
+	header, body, err := c.readHeader(call, overdue, func() { l.report(AnomalyForeign, c) })
 	if !overdue.Stop() && err == nil {
 		err = errors.Errorf("response header took longer than %s", call.HeaderTimeout)
 	}
@@ -163,59 +162,45 @@
 		return nil, l.closeFailed(ctx, call.Addr, c, stopCancel, StageHeader, err)
 	}
 	c.readTimeout = call.ReadTimeout
-	r := &Response{
-		Status: resp.StatusCode(), Header: &resp.Header,
-		links: l, addr: call.Addr, conn: c, resp: resp, body: resp.BodyStream(), ctx: ctx, stopCancel: stopCancel,
-	}
-	r.complete = r.body == nil
-	return r, nil
+	return &Response{
+		Status: header.StatusCode(), Header: header,
+		links: l, addr: call.Addr, conn: c, body: body, ctx: ctx, stopCancel: stopCancel, complete: body == nil,
+	}, nil
 }
 
 // readHeader reads the header of the response to a call, and skips responses that belong
 // to earlier requests on the connection, for each of which it calls onForeign. overdue breaks
-// it off.
-func (c *conn) readHeader(call Call, overdue *time.Timer, onForeign func()) (*fasthttp.Response, error) {
+// it off. The body is nil if the response has none.
+func (c *conn) readHeader(call Call, overdue *time.Timer, onForeign func()) (*fasthttp.ResponseHeader, io.Reader, error) {
 	for skipped := range maxForeign {
-		resp := &fasthttp.Response{StreamBody: true}
-		resp.SkipBody = call.Request.Header.IsHead()
-		err := resp.ReadLimitBody(c.reader, 0)
-		switch {
-		case err != nil && c.failed != nil:
+		header := &fasthttp.ResponseHeader{}
+		err := client.ReadHeader(c.reader, header)
+		if err != nil && c.failed != nil {
 			err = errors.Wrap(c.failed, "incomplete response header")
-		case err != nil:
-			err = &MalformedError{err}
 		}
 		switch {
 		case err != nil && skipped > 0:
-			return nil, &ForeignError{err}
+			return nil, nil, &ForeignError{err}
 		case err != nil:
-			return nil, err
-		case !isFinal(resp.StatusCode()):
-			return nil, errors.Errorf("status %d is not that of a response", resp.StatusCode())
+			return nil, nil, err
 		}
-		if call.Foreign == nil || !call.Foreign(&resp.Header) {
-			return resp, nil
+		body := client.NewBody(c.reader, header, call.Request.Header.IsHead())
+		if call.Foreign == nil || !call.Foreign(header) {
+			return header, body, nil
 		}
 		onForeign()
 		if skipped == 0 {
 			overdue.Reset(min(call.HeaderTimeout, foreignWait))
 		}
-		if body := resp.BodyStream(); body != nil {
+		if body != nil {
 			if n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1)); err != nil || n > maxForeignBytes {
-				return nil, &ForeignError{errors.Errorf("it did not end within %d bytes (cause: %v)", maxForeignBytes, err)}
+				return nil, nil, &ForeignError{errors.Errorf("it did not end within %d bytes (cause: %v)", maxForeignBytes, err)}
 			}
 		}
-		if err := resp.CloseBodyStream(); err != nil {
-			return nil, &ForeignError{err}
-		}
 	}
-	return nil, &ForeignError{errors.Errorf("%d of them", maxForeign)}
+	return nil, nil, &ForeignError{errors.Errorf("%d of them", maxForeign)}
 }
 
-// isFinal reports whether a status may be that of a final response. No call asks to switch
-// protocols.
-func isFinal(status int) bool { return status >= 200 && status < 600 }
-
 // Read reads the response body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	if r.complete {
@@ -289,8 +274,7 @@
 	r.conn = nil
 	c.watch.stop()
 	notCanceled := r.stopCancel()
-	if r.complete && notCanceled && !r.resp.ConnectionClose() {
-		_ = r.resp.CloseBodyStream()
+	if r.complete && notCanceled && !r.Header.ConnectionClose() {
 		c.idleTimeout = IdleTime(string(r.Header.Peek("Keep-Alive")))
 		r.links.release(r.addr, c)
 		return nil
--- a/runner/head_test.go
+++ b/runner/head_test.go
@@ -31,7 +31,8 @@
 	return server, requests
 }
 
-// TestOddRun guards against results of runs and reward calls whose answers ended too soon.
+// TestOddRun guards against results of runs and reward calls whose answers ended too soon or were
+// malformed.
 func TestOddRun(t *testing.T) {
 	const (
 		id      = platform.HeaderAttempt + ": j-0\r\n"
@@ -88,6 +89,11 @@
 	} {
 		t.Run("run "+name, func(t *testing.T) { requireWhole(t, run, wholeReward) })
 	}
+	for _, variant := range stand.AnswerVariants("200 OK", id+version, event(1)+event(2)+event(3)) {
+		t.Run("run with "+variant.Name, func(t *testing.T) {
+			requireWhole(t, stand.ScriptedAnswer{Parts: []string{variant.Text}, Ending: stand.CloseConn}, wholeReward)
+		})
+	}
 	rewardHead := "HTTP/1.1 200 OK\r\n" + platform.HeaderAttempt + ": rj-0\r\n" + platform.HeaderStamp + ": cut\r\n"
 	for name, reward := range map[string]stand.ScriptedAnswer{
 		"cut in the head":    {Parts: []string{rewardHead + "Content-"}, Ending: stand.CloseConn},
@@ -102,4 +108,12 @@
 	} {
 		t.Run("reward "+name, func(t *testing.T) { requireWhole(t, wholeRun, reward) })
 	}
+	for _, variant := range stand.AnswerVariants("200 OK", platform.HeaderAttempt+": rj-0\r\n"+platform.HeaderStamp+": odd\r\n", "paid") {
+		if variant.Valid {
+			continue
+		}
+		t.Run("reward with "+variant.Name, func(t *testing.T) {
+			requireWhole(t, wholeRun, stand.ScriptedAnswer{Parts: []string{variant.Text}, Ending: stand.CloseConn})
+		})
+	}
 }
--- a/tunnel/cut_test.go
+++ b/tunnel/cut_test.go
@@ -16,7 +16,8 @@
 	"quetzalpier/stand"
 )
 
-// TestCutAnswer guards against answers that end too soon in a tunnel and count as whole.
+// TestCutAnswer guards against answers that end too soon or are malformed in a tunnel and count
+// as whole.
 func TestCutAnswer(t *testing.T) {
 	const (
 		whole    = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid"
@@ -92,6 +93,26 @@
 			})
 		}
 	}
+	t.Run("malformed", func(t *testing.T) {
+		t.Parallel()
+		call, answer, worker, _ := start(t)
+		for _, variant := range stand.AnswerVariants("200 OK", "", "paid") {
+			conns := worker.Conns.Load()
+			answer.Store(&stand.ScriptedAnswer{Parts: []string{variant.Text}})
+			body, err := call()
+			if variant.Valid {
+				require.NoError(t, err, variant.Name)
+				require.Equal(t, "paid", body, variant.Name)
+				continue
+			}
+			require.Error(t, err, variant.Name)
+			requireLinkError(t, err)
+			answer.Store(&stand.ScriptedAnswer{Parts: []string{whole}})
+			_, err = call()
+			require.NoError(t, err, variant.Name)
+			require.Equal(t, conns+1, worker.Conns.Load(), "%s: the connection was used again", variant.Name)
+		}
+	})
 	t.Run("in several pieces", func(t *testing.T) {
 		call, answer, _, _ := start(t)
 		answer.Store(&stand.ScriptedAnswer{Parts: strings.SplitAfter(chunked, "\n")})
