client: Refuse header fields that HTTP does not allow

Cause: the HTTP library takes blanks in names and removes those behind them ("Content-Length : 4" is a length), ends the header at a line feed that stands before a name, and appends a line that begins with a blank to the value before it. A check of the fields that it returns sees names and values that are valid.

To /safe/odd, a line feed before the name of the length gives a body that is not the upstream's,

Content-Length: 25 X-Quetzalpier-Attempt-Id: a1 X-Quetzalpier-Server-Stamp: s

Content-Length: 4

and a blank there a signature that is not ("s Content-Length: 4"). Other control bytes in a name were refused already; their tests are kept.

Fix: client.ReadHeader validates each line as it was received: a carriage return and a line feed at its end, a name of the token signs only, and a value without control bytes. Lines that continue the one before are refused too, as RFC 9112 allows a gateway.

--- a/client/response.go
+++ b/client/response.go
@@ -159,6 +159,9 @@
 	if !ok {
 		return 0, lines.malformed("invalid status line")
 	}
+	if err := lines.checkFields(); err != nil {
+		return 0, err
+	}
 	return status, nil
 }
 
@@ -217,6 +220,26 @@
 	}
 }
 
+// checkFields validates the fields up to the empty line behind them.
+func (l *lineReader) checkFields() error {
+	for {
+		line, err := l.next()
+		if err != nil || len(line) == 0 {
+			return err
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		switch {
+		case !ok:
+			return l.malformed("a line without a colon")
+		// A line that continues the one before is refused too: it begins with a blank.
+		case !httpguts.ValidHeaderFieldName(string(name)):
+			return l.malformed("invalid field name")
+		case !httpguts.ValidHeaderFieldValue(string(value)):
+			return l.malformed("invalid field value")
+		}
+	}
+}
+
 func (l *lineReader) malformed(reason string) error {
 	return &MalformedError{Part: l.part, Reason: reason}
 }
--- a/client/response_test.go
+++ b/client/response_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -108,3 +110,32 @@
 		}
 	})
 }
+
+// validHeader matches the grammar of RFC 9112 for heads, of which the last is that of a final
+// response. The blank before an empty reason may be missing.
+var validHeader = regexp.MustCompile("^(HTTP/1\\.[0-9] [1-5][0-9]{2}( [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*\r\n)+$")
+
+func FuzzReadHeader(f *testing.F) {
+	for _, variant := range stand.AnswerVariants("200 OK", "X-A: b\r\n", "paid") {
+		f.Add([]byte(variant.Text))
+	}
+	f.Fuzz(func(t *testing.T, received []byte) {
+		reader := bufio.NewReaderSize(bytes.NewReader(received), readerBytes)
+		var header fasthttp.ResponseHeader
+		if client.ReadHeader(reader, &header) != nil {
+			return
+		}
+		rest, err := io.ReadAll(reader)
+		require.NoError(t, err)
+		head := received[:len(received)-len(rest)]
+		require.Regexp(t, validHeader, string(head))
+		lines := strings.Split(string(head), "\r\n")
+		status := lines[0]
+		for i, line := range lines[:len(lines)-2] {
+			if i > 0 && lines[i-1] == "" {
+				status = line
+			}
+		}
+		require.Equal(t, status[len("HTTP/1.1 "):len("HTTP/1.1 200")], fmt.Sprint(header.StatusCode()))
+	})
+}
--- a/link/malformed_test.go
+++ b/link/malformed_test.go
@@ -58,7 +58,7 @@
 // TestMalformedHeaderIsRefusedAtOnce guards against the wait for the rest of a header that is
 // malformed already.
 func TestMalformedHeaderIsRefusedAtOnce(t *testing.T) {
-	for name, begin := range map[string]string{"status": "HTTP/1.1 000 OK\r\n"} {
+	for name, begin := range map[string]string{"status": "HTTP/1.1 000 OK\r\n", "name": "HTTP/1.1 200 OK\r\nX Odd: y\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			u := startUpstream(t, func(conn net.Conn) bool {
 				ran := readRequest(conn)
--- a/stand/variants.go
+++ b/stand/variants.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -12,6 +13,9 @@
 	Valid bool
 }
 
+// codedField is the field of an answer in chunks.
+const codedField = "Transfer-Encoding: chunked\r\n"
+
 // plainAnswer is the answer that variants differ from.
 type plainAnswer struct {
 	// status is the code and the reason, and fields are the header fields with their line ends.
@@ -22,7 +26,7 @@
 // each with its line end, and a body. Beside the malformed ones of each kind stand valid ones.
 func AnswerVariants(status, fields, body string) []AnswerVariant {
 	a := plainAnswer{status, fields, body}
-	return a.statusVariants()
+	return slices.Concat(a.statusVariants(), a.fieldVariants())
 }
 
 func (a plainAnswer) statusLine() string { return "HTTP/1.1 " + a.status + "\r\n" }
@@ -32,6 +36,8 @@
 // sized returns a field with the length of the body.
 func (a plainAnswer) sized(format string) string { return fmt.Sprintf(format, len(a.body)) }
 
+func (a plainAnswer) chunk() string { return fmt.Sprintf("%x\r\n%s\r\n", len(a.body), a.body) }
+
 // withLine returns the answer with another status line.
 func (a plainAnswer) withLine(line string) string {
 	return line + "\r\n" + a.fields + a.lengthField() + "\r\n" + a.body
@@ -45,6 +51,11 @@
 // withField returns the answer with further lines between its fields.
 func (a plainAnswer) withField(lines string) string { return a.with(lines + a.lengthField()) }
 
+// inChunks returns the answer with a body in chunks, and lines in place of the field that says so.
+func (a plainAnswer) inChunks(lines, chunks string) string {
+	return a.statusLine() + a.fields + lines + "\r\n" + chunks
+}
+
 // statusVariants returns answers with odd status lines.
 func (a plainAnswer) statusVariants() []AnswerVariant {
 	code, _, _ := strings.Cut(a.status, " ")
@@ -85,3 +96,67 @@
 		{"a DEL in the reason", a.withLine("HTTP/1.1 " + code + " O\x7fK"), false},
 	}
 }
+
+// fieldVariants returns answers with odd header fields.
+func (a plainAnswer) fieldVariants() []AnswerVariant {
+	chunks := a.chunk() + "0\r\n\r\n"
+	interim := func(text string) string { return text + "\r\n" + a.withField("") }
+	return []AnswerVariant{
+		{"a name of all signs", a.withField("X-Fine!#$%&'*+.^_`|~9: y\r\n"), true},
+		{"a blank in a name", a.withField("X Odd: y\r\n"), false},
+		{"a blank behind a name", a.withField("X-Odd : y\r\n"), false},
+		{"a blank before a name", a.withField(" X-Odd: y\r\n"), false},
+		{"a tab in a name", a.withField("X\tOdd: y\r\n"), false},
+		{"a tab behind a name", a.withField("X-Odd\t: y\r\n"), false},
+		{"a tab before a name", a.withField("\tX-Odd: y\r\n"), false},
+		{"a NUL in a name", a.withField("X\x00Odd: y\r\n"), false},
+		{"a control byte in a name", a.withField("X\x01Odd: y\r\n"), false},
+		{"a control byte before a name", a.withField("\x1bX-Odd: y\r\n"), false},
+		{"a control byte behind a name", a.withField("X-Odd\x1f: y\r\n"), false},
+		{"a DEL in a name", a.withField("X\x7fOdd: y\r\n"), false},
+		{"a line feed before a name", a.withField("\nX-Odd: y\r\n"), false},
+		{"a line feed in a name", a.withField("X\nOdd: y\r\n"), false},
+		{"a carriage return before a name", a.withField("\rX-Odd: y\r\n"), false},
+		{"a carriage return in a name", a.withField("X\rOdd: y\r\n"), false},
+		{"a carriage return behind a name", a.withField("X-Odd\r: y\r\n"), false},
+		{"a separator in a name", a.withField("X/Odd: y\r\n"), false},
+		{"a letter that is not ASCII in a name", a.withField("X\xc3\xa9: y\r\n"), false},
+		{"a name of a blank", a.withField(" : y\r\n"), false},
+		{"an empty name", a.withField(": y\r\n"), false},
+		{"a line without a colon", a.withField("X-Odd\r\n"), false},
+		{"a first name", a.statusLine() + "X-Fine: y\r\n" + a.fields + a.lengthField() + "\r\n" + a.body, true},
+		{"a blank in the first name", a.statusLine() + "X Odd: y\r\n" + a.fields + a.lengthField() + "\r\n" + a.body, false},
+		{"a blank before the first name", a.statusLine() + " X-Odd: y\r\n" + a.fields + a.lengthField() + "\r\n" + a.body, false},
+		{"a line feed before the first name", a.statusLine() + "\nX-Odd: y\r\n" + a.fields + a.lengthField() + "\r\n" + a.body, false},
+		{"a last name", a.with(a.lengthField() + "X-Fine: y\r\n"), true},
+		{"a blank in the last name", a.with(a.lengthField() + "X Odd: y\r\n"), false},
+		{"a blank before the last name", a.with(a.lengthField() + " X-Odd: y\r\n"), false},
+		{"a line feed before the last name", a.with(a.lengthField() + "\nX-Odd: y\r\n"), false},
+		{"a length in other letters", a.with(a.sized("content-LENGTH:%d\r\n")), true},
+		{"a blank behind the length's name", a.with(a.sized("Content-Length : %d\r\n")), false},
+		{"a blank in the length's name", a.with(a.sized("Content Length: %d\r\n")), false},
+		{"a blank before the length's name", a.with(a.sized(" Content-Length: %d\r\n")), false},
+		{"a control byte before the length's name", a.with(a.sized("\x01Content-Length: %d\r\n")), false},
+		{"a line feed before the length's name", a.with(a.sized("\nContent-Length: %d\r\n")), false},
+		{"a coding in other letters", a.inChunks("transfer-encoding:\tChunked \r\n", chunks), true},
+		{"a blank behind the coding's name", a.inChunks("Transfer-Encoding : chunked\r\n", chunks), false},
+		{"a blank in the coding's name", a.inChunks("Transfer Encoding: chunked\r\n", chunks), false},
+		{"a blank before the coding's name", a.inChunks(" Transfer-Encoding: chunked\r\n", chunks), false},
+		{"a line feed before the coding's name", a.inChunks("\nTransfer-Encoding: chunked\r\n", chunks), false},
+		{"odd values", a.withField("X-Fine:  a\tb \xc3\xa9 \r\nX-Empty:\r\n"), true},
+		{"a NUL in a value", a.withField("X-Odd: a\x00b\r\n"), false},
+		{"a control byte in a value", a.withField("X-Odd: a\x01b\r\n"), false},
+		{"a DEL in a value", a.withField("X-Odd: a\x7fb\r\n"), false},
+		{"a carriage return in a value", a.withField("X-Odd: a\rb\r\n"), false},
+		{"a line feed in a value", a.withField("X-Odd: a\nX-Odder: b\r\n"), false},
+		{"two carriage returns behind a value", a.withField("X-Odd: a\r\r\n"), false},
+		{"a value on two lines", a.withField("X-Odd: a\r\n b\r\n"), false},
+		{"a line feed as the end of the status line", strings.Replace(a.withField(""), "\r\n", "\n", 1), false},
+		{"a line feed as the end of a field", a.with(a.sized("Content-Length: %d\n")), false},
+		{"line feeds as the end of the header", a.statusLine() + a.fields + strings.TrimSuffix(a.lengthField(), "\r\n") + "\n\n" + a.body, false},
+		{"an interim answer", interim("HTTP/1.1 103 Early Hints\r\nLink: x\r\n"), true},
+		{"a blank in a name of an interim answer", interim("HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n"), false},
+		{"a control byte in a name of an interim answer", interim("HTTP/1.1 103 Early Hints\r\nLi\x01nk: x\r\n"), false},
+		{"an empty line behind an interim answer", interim("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"), false},
+	}
+}
