client: Refuse headers that contradict themselves on the body

What callers saw: an answer with both a length and chunks, or with two content types, reached clients as if one of them had not been there.

Cause: as for names of fields, the HTTP library repairs the header: chunks win over a length, and the last content type over those before. In versions other than HTTP/1.1 it ignores the chunks and returns them as the body; platform refused such answers of upstreams, but not the reader that all calls share.

Two lengths and a signed one were refused already.

Fix: client.ReadHeader counts these fields as they were received.

--- a/client/response.go
+++ b/client/response.go
@@ -155,38 +155,56 @@
 	if err != nil {
 		return 0, err
 	}
-	status, ok := parseStatusLine(line)
+	version, status, ok := parseStatusLine(line)
 	if !ok {
 		return 0, lines.malformed("invalid status line")
 	}
-	if err := lines.checkFields(); err != nil {
+	framing, err := lines.checkFields()
+	switch {
+	case err != nil:
 		return 0, err
+	case framing.coded && framing.sized:
+		return 0, lines.malformed("both a length and a transfer coding")
+	// The HTTP library ignores the transfer coding, and returns the chunks as the body.
+	case framing.coded && version != "HTTP/1.1":
+		return 0, lines.malformed("a transfer coding in a version without them")
+	// The HTTP library keeps the last one only.
+	case framing.kinds > 1:
+		return 0, lines.malformed("several content types")
 	}
 	return status, nil
 }
 
 // parseStatusLine parses a status line. The blank before a reason that is left out may be missing.
-func parseStatusLine(line []byte) (status int, ok bool) {
+func parseStatusLine(line []byte) (version string, status int, ok bool) {
 	before, rest, ok := bytes.Cut(line, []byte(" "))
 	minor, known := bytes.CutPrefix(before, []byte("HTTP/1."))
 	if !ok || !known || len(minor) != 1 || !isDigit(minor[0]) || len(rest) < statusDigits {
-		return 0, false
+		return "", 0, false
 	}
 	for _, c := range rest[:statusDigits] {
 		if !isDigit(c) {
-			return 0, false
+			return "", 0, false
 		}
 		status = 10*status + int(c-'0')
 	}
 	reason := rest[statusDigits:]
 	if len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return 0, false
+		return "", 0, false
 	}
-	return status, status >= http.StatusContinue && status <= maxStatus
+	return string(before), status, status >= http.StatusContinue && status <= maxStatus
 }
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
+// framing is what the fields of a header say of the body.
+type framing struct {
+	// sized is set by a length, and coded by a transfer coding.
+	sized, coded bool
+	// kinds is the number of content types.
+	kinds int
+}
+
 // lineReader reads the lines of a header without consuming them.
 type lineReader struct {
 	reader *bufio.Reader
@@ -221,21 +239,30 @@
 }
 
 // checkFields validates the fields up to the empty line behind them.
-func (l *lineReader) checkFields() error {
+func (l *lineReader) checkFields() (framing, error) {
+	var f framing
 	for {
 		line, err := l.next()
 		if err != nil || len(line) == 0 {
-			return err
+			return f, err
 		}
 		name, value, ok := bytes.Cut(line, []byte(":"))
 		switch {
 		case !ok:
-			return l.malformed("a line without a colon")
+			return f, l.malformed("a line without a colon")
 		// A line that continues the one before is refused too: it begins with a blank.
 		case !httpguts.ValidHeaderFieldName(string(name)):
-			return l.malformed("invalid field name")
+			return f, l.malformed("invalid field name")
 		case !httpguts.ValidHeaderFieldValue(string(value)):
-			return l.malformed("invalid field value")
+			return f, l.malformed("invalid field value")
+		}
+		switch {
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+			f.sized = true
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+			f.coded = true
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentType)):
+			f.kinds++
 		}
 	}
 }
--- a/stand/variants.go
+++ b/stand/variants.go
@@ -26,7 +26,7 @@
 // each with its line end, and a body. Beside the malformed ones of each kind stand valid ones.
 func AnswerVariants(status, fields, body string) []AnswerVariant {
 	a := plainAnswer{status, fields, body}
-	return slices.Concat(a.statusVariants(), a.fieldVariants())
+	return slices.Concat(a.statusVariants(), a.fieldVariants(), a.framingVariants())
 }
 
 func (a plainAnswer) statusLine() string { return "HTTP/1.1 " + a.status + "\r\n" }
@@ -160,3 +160,17 @@
 		{"an empty line behind an interim answer", interim("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"), false},
 	}
 }
+
+// framingVariants returns answers whose fields contradict each other on the body.
+func (a plainAnswer) framingVariants() []AnswerVariant {
+	chunks := a.chunk() + "0\r\n\r\n"
+	return []AnswerVariant{
+		{"a length and chunks", a.inChunks(a.lengthField()+codedField, chunks), false},
+		{"chunks and a length", a.inChunks(codedField+a.lengthField(), chunks), false},
+		{"two lengths", a.with(a.lengthField() + "Content-Length: 1\r\n"), false},
+		{"a content type", a.withField("Content-Type: text/plain\r\n"), true},
+		{"two content types", a.withField("Content-Type: text/plain\r\ncontent-type: text/odd\r\n"), false},
+		{"a signed length", a.with(a.sized("Content-Length: +%d\r\n")), false},
+		{"chunks in HTTP/1.0", strings.Replace(a.inChunks(codedField, chunks), "1.1", "1.0", 1), false},
+	}
+}
