client: Refuse malformed trailers, and keep them out of errors

What callers saw: an answer in chunks whose trailer is malformed (a blank or a line feed in a name) reached clients as whole, and of some of those that were refused the trailer's bytes stood in the client's error:

malformed mime header: missing colon: "X-Sum": ... contents: "X-Sum\r\n\r\n"

Cause: the trailer is read by the same lenient scanner as the header, and its errors quote what was received unless an unexported setting is on.

Malformed chunks were refused already.

Fix: the lines of a trailer are validated as those of a header, and the error of a trailer that can't be parsed leaves the bytes out. A stream that has begun ends without its last chunk then, so that its client can tell; TestMalformedStream and TestResumedMalformedStream hold that, and that no event comes twice.

--- a/client/response.go
+++ b/client/response.go
@@ -27,7 +27,8 @@
 
 // The parts of a response that are validated.
 const (
-	PartHeader Part = "header"
+	PartHeader  Part = "header"
+	PartTrailer Part = "trailer"
 )
 
 // MalformedError reports bytes that are not a valid HTTP/1.x response. Its text leaves out the
@@ -138,13 +139,15 @@
 
 // readTrailer reads the trailer. It returns io.EOF if it is valid.
 func (b *chunkedBody) readTrailer() error {
-	err := b.header.ReadTrailer(b.reader)
-	switch {
-	case err == io.EOF:
+	lines := lineReader{reader: b.reader, part: PartTrailer}
+	if _, err := lines.checkFields(); err == io.EOF {
 		return io.ErrUnexpectedEOF
-	case err != nil:
+	} else if err != nil {
 		return err
 	}
+	if err := b.header.ReadTrailer(b.reader); err != nil {
+		return &MalformedError{Part: PartTrailer, Reason: "it can't be parsed", Cause: err}
+	}
 	return io.EOF
 }
 
@@ -205,7 +208,7 @@
 	kinds int
 }
 
-// lineReader reads the lines of a header without consuming them.
+// lineReader reads the lines of a header or trailer without consuming them.
 type lineReader struct {
 	reader *bufio.Reader
 	part   Part
--- a/client/response_test.go
+++ b/client/response_test.go
@@ -23,6 +23,18 @@
 	// Output: malformed response header: invalid status line
 }
 
+func ExampleNewBody() {
+	received := bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npaid\r\n0\r\nX Sum: 1\r\n\r\n"))
+	var header fasthttp.ResponseHeader
+	if err := client.ReadHeader(received, &header); err != nil {
+		fmt.Println(err)
+		return
+	}
+	text, err := io.ReadAll(client.NewBody(received, &header, false))
+	fmt.Printf("%s, %v\n", text, err)
+	// Output: paid, malformed response trailer: invalid field name
+}
+
 // readerBytes is the size of the buffer that responses are read through.
 const readerBytes = 4 << 10
 
@@ -91,6 +103,7 @@
 		"a header without end":      "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", readerBytes),
 		"a line without end":        "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("y", 2*readerBytes),
 		"a status line without end": "HTTP/1.1 200 " + strings.Repeat("y", 2*readerBytes),
+		"a trailer without end":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("X: y\r\n", readerBytes),
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, _, _, err := read(strings.NewReader(text), false)
--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -138,7 +138,7 @@
 			require.EqualValues(t, 1, sent.Load())
 		})
 	}
-	for _, name := range []string{"status 000", "a blank in a name", "a line feed before the length's name"} {
+	for _, name := range []string{"status 000", "a blank in a name", "a line feed before the length's name", "a blank in a trailer's name"} {
 		t.Run("another upstream is preferred, "+name, func(t *testing.T) {
 			t.Parallel()
 			const requests = 60
--- a/stand/variants.go
+++ b/stand/variants.go
@@ -26,7 +26,7 @@
 // each with its line end, and a body. Beside the malformed ones of each kind stand valid ones.
 func AnswerVariants(status, fields, body string) []AnswerVariant {
 	a := plainAnswer{status, fields, body}
-	return slices.Concat(a.statusVariants(), a.fieldVariants(), a.framingVariants())
+	return slices.Concat(a.statusVariants(), a.fieldVariants(), a.framingVariants(), a.trailerVariants())
 }
 
 func (a plainAnswer) statusLine() string { return "HTTP/1.1 " + a.status + "\r\n" }
@@ -56,6 +56,11 @@
 	return a.statusLine() + a.fields + lines + "\r\n" + chunks
 }
 
+// withTrailer returns the answer in chunks, with the lines of a trailer.
+func (a plainAnswer) withTrailer(lines string) string {
+	return a.inChunks(codedField, a.chunk()+"0\r\n"+lines+"\r\n")
+}
+
 // statusVariants returns answers with odd status lines.
 func (a plainAnswer) statusVariants() []AnswerVariant {
 	code, _, _ := strings.Cut(a.status, " ")
@@ -174,3 +179,27 @@
 		{"chunks in HTTP/1.0", strings.Replace(a.inChunks(codedField, chunks), "1.1", "1.0", 1), false},
 	}
 }
+
+// trailerVariants returns answers in odd chunks, or with odd trailers.
+func (a plainAnswer) trailerVariants() []AnswerVariant {
+	return []AnswerVariant{
+		{"chunks", a.inChunks(codedField, fmt.Sprintf("0%X;a=\"b\"\r\n%s\r\n00;c\r\n\r\n", len(a.body), a.body)), true},
+		{"a line feed behind a chunk's size", a.inChunks(codedField, strings.Replace(a.chunk(), "\r\n", "\n", 1)+"0\r\n\r\n"), false},
+		{"a line feed behind a chunk", a.inChunks(codedField, strings.TrimSuffix(a.chunk(), "\r\n")+"\n0\r\n\r\n"), false},
+		{"a signed size of a chunk", a.inChunks(codedField, "+"+a.chunk()+"0\r\n\r\n"), false},
+		{"a prefixed size of a chunk", a.inChunks(codedField, "0x"+a.chunk()+"0\r\n\r\n"), false},
+		{"a blank before a chunk's size", a.inChunks(codedField, " "+a.chunk()+"0\r\n\r\n"), false},
+		{"a carriage return in a chunk's extension", a.inChunks(codedField, strings.Replace(a.chunk(), "\r\n", ";a\rb\r\n", 1)+"0\r\n\r\n"), false},
+		{"a trailer", a.withTrailer("X-Sum: 1\r\nX-More:\r\n"), true},
+		{"a blank in a trailer's name", a.withTrailer("X Sum: 1\r\n"), false},
+		{"a blank behind a trailer's name", a.withTrailer("X-Sum : 1\r\n"), false},
+		{"a blank before a trailer's name", a.withTrailer("X-Sum: 1\r\n X-More: 2\r\n"), false},
+		{"a control byte in a trailer's name", a.withTrailer("X\x01Sum: 1\r\n"), false},
+		{"a control byte in a trailer's value", a.withTrailer("X-Sum: \x01\r\n"), false},
+		{"a line feed before a trailer's name", a.withTrailer("X-Sum: 1\r\n\nX-More: 2\r\n"), false},
+		{"a line feed as the end of a trailer's line", a.withTrailer("X-Sum: 1\nX-More: 2\r\n"), false},
+		{"a line without a colon in a trailer", a.withTrailer("X-Sum\r\n"), false},
+		{"a length in a trailer", a.withTrailer(a.lengthField()), false},
+		{"a status line in a trailer", a.withTrailer(a.statusLine()), false},
+	}
+}
