client, platform: Read the responses of all calls in the same place

What callers saw: nothing yet, but the same malformed answers were taken from the key-value service, the cloud and engines that are asked for reports or sent orders: with status 000, a commit counted as made, a lease as granted and an order as accepted.

Cause: these calls go through the HTTP library's own client, which reads responses with the lenient scanner of link's earlier reader.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quetzalpier"
+	"quetzalpier/client"
 	"quetzalpier/load"
 	"quetzalpier/stand"
 )
@@ -229,7 +230,7 @@
 }
 
 func getJSON(addr, path string, into any) error {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+addr+path, 5*time.Second)
+	status, body, err := client.NewRepeating().GetTimeout(nil, "http://"+addr+path, 5*time.Second)
 	if err != nil {
 		return errors.Wrapf(err, "send request to %s", addr)
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -30,14 +30,16 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader:  true,
-		// Errors reach clients and logs, and what was received may belong to another call.
-		ConfigureClient: func(host *fasthttp.HostClient) error {
-			host.SecureErrorLogMessage = true
-			return nil
-		},
+		ConfigureClient:           Configure,
 	}
 }
 
+// NewRepeating returns an HTTP client for calls that may be made again: it repeats those that
+// fail on a connection that was idle.
+func NewRepeating() *fasthttp.Client {
+	return &fasthttp.Client{NoDefaultUserAgentHeader: true, ConfigureClient: Configure}
+}
+
 // Dial opens a TCP connection that fails when its peer becomes unresponsive.
 func Dial(addr string, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/find/find.go
+++ b/find/find.go
@@ -9,9 +9,11 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
+	"quetzalpier/client"
 )
 
+var httpClient = client.NewRepeating()
+
 // maxCacheTime bounds how long a list of addresses is used before a new one is
 // requested.
 const maxCacheTime = 10 * time.Second
@@ -66,7 +68,7 @@
 
 func (r *Resolver) refresh(now time.Time) {
 	for _, addr := range append(append([]string(nil), r.addrs...), r.Seeds...) {
-		status, body, err := fasthttp.GetTimeout(nil, "http://"+addr+"/v1/nodes?caller="+url.QueryEscape(r.Caller), time.Second)
+		status, body, err := httpClient.GetTimeout(nil, "http://"+addr+"/v1/nodes?caller="+url.QueryEscape(r.Caller), time.Second)
 		var response nodesResponse
 		if err != nil || status != http.StatusOK || json.Unmarshal(body, &response) != nil || len(response.Nodes) == 0 {
 			continue
