client: Close connections of calls with bytes behind the response

What callers saw: nothing yet. Bytes behind a complete response of the key-value service that arrived with it were dropped, and the connection went on to carry calls; of a second answer, the rest that arrived later was taken for the next one.

Cause: the HTTP library gives the read buffer back to its pool with what is left in it.

Fix: the transport closes a connection whose buffer is not empty. link did so already.

--- a/client/transport.go
+++ b/client/transport.go
@@ -47,7 +47,7 @@
 	// done gives the connection back once the response was read, and closes it if it was not or
 	// may not carry another one.
 	done := func(complete bool) {
-		if complete && !req.ConnectionClose() && !resp.ConnectionClose() {
+		if complete && reader.Buffered() == 0 && !req.ConnectionClose() && !resp.ConnectionClose() {
 			host.ReleaseConn(held)
 		} else {
 			host.CloseConn(held)
--- a/client/transport_test.go
+++ b/client/transport_test.go
@@ -64,6 +64,7 @@
 	}{
 		{name: "whole", answer: stand.ScriptedAnswer{Parts: []string{plainText}}, want: "paid", kept: true},
 		{name: "to HEAD", method: fasthttp.MethodHead, answer: stand.ScriptedAnswer{Parts: []string{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"}}, kept: true},
+		{name: "with more behind it", answer: stand.ScriptedAnswer{Parts: []string{plainText + "more"}}, want: "paid"},
 		{name: "that closes", answer: stand.ScriptedAnswer{Parts: []string{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\npaid"}}, want: "paid"},
 		{name: "without a length", answer: stand.ScriptedAnswer{Parts: []string{"HTTP/1.1 200 OK\r\n\r\npaid"}, Ending: stand.CloseConn}, want: "paid"},
 		{name: "as large as allowed", limit: 4, answer: stand.ScriptedAnswer{Parts: []string{plainText}}, want: "paid", kept: true},
