runner: Hold nothing of the bodies of reward calls' answers

Cause: an answer is bounded by 32 MiB, and the sum of those that are read at a time is not. The owner read each to its end into memory, about 60 MiB with its copies, and used the signature of its header only.

Fix: a reward call reads the body to its end and drops it. Its answer still has to be whole, and may have as many bytes as before (TestSkippedBody).

--- a/link/link.go
+++ b/link/link.go
@@ -221,6 +221,16 @@
 // bytes.
 func (r *Response) ReadAll(limit int) ([]byte, error) { return r.ReadGranted(limit, nil) }
 
+// Skip reads the body to its end and holds nothing of it. It returns an OversizedError if that has
+// more than limit bytes.
+func (r *Response) Skip(limit int) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, int64(limit)+1))
+	if err == nil && n > int64(limit) {
+		return &OversizedError{limit}
+	}
+	return err
+}
+
 // firstBytes is how much of a body is read without asking.
 const firstBytes = 64 << 10
 
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -523,7 +523,7 @@
 		req.SetBodyRaw(reward.Body)
 		result.Upstream = a.VM.ID
 		resp, err := p.runner.Upstreams.Forward(ctx, platform.Attempt{
-			VM: a.VM, Purpose: link.PurposeReward, Fresh: a.Fresh, Repeatable: true, Deadline: deadline,
+			VM: a.VM, Purpose: link.PurposeReward, Fresh: a.Fresh, Repeatable: true, Deadline: deadline, SkipBody: true,
 			OnSent: func() {
 				result.SentAt = time.Now()
 				p.recordSent(kindReward, task, reward.ID, a.VM.ID, result.SentAt)
