platform: Bound the memory of large events of all streams together

Cause: an event is bounded by 1 MiB, and the sum over the streams of a process is not. An event of many short lines took several times its size: a string for each line, in a slice that grows by copies.

Evidence: TestCrowdEndless, real processes with the memory of the smallest VMs, nine engines that stop just short of the bound, 72 clients. One answer alone is bounded already, in each kind that was tried: headers, chunks, trailers, lines, comments; those tests are kept.

Fix: events of more than 16 KiB share an eighth of the memory (intake.Room, which was runner's room for jobs). One that finds no room counts as a failed attempt: a stream that can be resumed goes on at another engine. A single event may be as large as before. Its data is built in one piece.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,6 +98,8 @@
 	largeJobsPart = 4
 	// jobsPart is the part of the memory for the other jobs.
 	jobsPart = 8
+	// eventsPart is the part of the memory for large events that are being read.
+	eventsPart = 8
 	// frontPollInterval is the interval between checks whether another front is
 	// available.
 	frontPollInterval = 100 * time.Millisecond
@@ -220,7 +222,7 @@
 	n.origins = origin.New(n.Board, n.Log)
 	n.origins.Call = n.callPeer
 	n.origins.ListedUntil = func() time.Time { return n.workers.State().CurrentAt }
-	upstreams := &platform.Upstreams{Links: n.links, Notices: n.limits}
+	upstreams := &platform.Upstreams{Links: n.links, Notices: n.limits, Events: &intake.Room{Limit: n.Settings.MemoryMiB << 20 / eventsPart}}
 	n.upstreams = &upstreamList{board: n.Board, settlePeriod: n.Settings.SettleTime.D(), log: n.Log, quiet: n.followsUpstreams}
 	n.openMirrors()
 	n.views = &viewSharer{node: n, lapsed: map[string]lapsedMember{}}
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -230,7 +230,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.reserved {
-		p.runner.room().add(-r.bytes)
+		p.runner.room().Add(-r.bytes)
 	}
 	p.reserved = map[string]*reservation{}
 	for len(p.waiting) > 0 {
@@ -470,7 +470,7 @@
 		p.runner.Log.Info().Str("pool", p.pool).Int("engines", len(engines)).Int("long", len(split.Long)).Msg("division of engines between long and short prompts changed")
 	}
 	retention := endedRetention
-	retention.Crowded = len(p.waiting) > 0 || p.runner.room().crowded()
+	retention.Crowded = len(p.waiting) > 0 || p.runner.room().Crowded()
 	for _, job := range p.scheduler.DropEnded(retention, now) {
 		p.dropped[job.Spec.ID] = job.Spec.SubmittedAt
 		delete(p.sent, job.Spec.ID)
--- a/runner/room.go
+++ b/runner/room.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"quetzalpier"
+	"quetzalpier/intake"
 	"quetzalpier/platform"
 	"quetzalpier/vault"
 )
@@ -27,52 +27,12 @@
 	unknownBytes = 1 << 20
 )
 
-// jobRoom is the memory for the open jobs of all pools that this node processes. The first job
-// always has room.
-type jobRoom struct {
-	mu sync.Mutex
-	// held is what the jobs take, and limit the most; a limit of zero is none.
-	held, limit int
-}
-
-// take reserves room for a job. It returns false if there is none.
-func (r *jobRoom) take(bytes int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.limit > 0 && r.held > 0 && r.held+bytes > r.limit {
-		return false
-	}
-	r.held += bytes
-	return true
-}
-
-// add changes what the jobs take.
-func (r *jobRoom) add(bytes int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.held += bytes
-}
-
-// fits reports whether a job would get room now.
-func (r *jobRoom) fits(bytes int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.limit == 0 || r.held == 0 || r.held+bytes <= r.limit
-}
-
-// crowded reports whether more than half of the room is taken.
-func (r *jobRoom) crowded() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.limit > 0 && r.held > r.limit/2
-}
-
 // room returns the memory for open jobs that are stored as one value.
-func (r *Runner) room() *jobRoom {
+func (r *Runner) room() *intake.Room {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.jobRoom == nil {
-		r.jobRoom = &jobRoom{limit: r.MaxJobBytes}
+		r.jobRoom = &intake.Room{Limit: r.MaxJobBytes}
 	}
 	return r.jobRoom
 }
@@ -113,7 +73,7 @@
 		return false
 	}
 	bytes := jobBytes(job)
-	if len(p.waiting) == 0 && p.runner.room().take(bytes) {
+	if len(p.waiting) == 0 && p.runner.room().Take(bytes) {
 		p.reserved[job.ID] = &reservation{bytes: bytes}
 		return true
 	}
@@ -146,7 +106,7 @@
 func (p *poolRunner) releaseRooms() {
 	for id, r := range p.reserved {
 		if r.opened && p.scheduler.Jobs[id] == nil {
-			p.runner.room().add(-r.bytes)
+			p.runner.room().Add(-r.bytes)
 			delete(p.reserved, id)
 		}
 	}
@@ -161,7 +121,7 @@
 			p.popWaiting()
 			continue
 		}
-		if !p.runner.room().take(next.bytes) {
+		if !p.runner.room().Take(next.bytes) {
 			return
 		}
 		p.readingWaiting = true
@@ -186,7 +146,7 @@
 	opens := err == nil && job != nil && p.applyRecord(job.ID, job.Pool, now)
 	p.mu.Lock()
 	p.readingWaiting = false
-	p.runner.room().add(-next.bytes)
+	p.runner.room().Add(-next.bytes)
 	mayHaveResults := false
 	if err == nil {
 		mayHaveResults = p.popWaiting()
@@ -194,7 +154,7 @@
 	if opens && job.Parts.Count == 0 {
 		// A job of which only the key was read may be larger than was assumed.
 		bytes := jobBytes(job)
-		p.runner.room().add(bytes)
+		p.runner.room().Add(bytes)
 		p.reserved[next.id] = &reservation{bytes: bytes}
 	}
 	p.mu.Unlock()
@@ -239,7 +199,7 @@
 		for i := range entries {
 			size := len(entries[i].Value)
 			_, ended := s.pool.endedJobs[vault.JobID(entries[i])]
-			if size > alwaysKept && (ended || held+size > maxKept || !s.pool.runner.room().fits(held+size)) {
+			if size > alwaysKept && (ended || held+size > maxKept || !s.pool.runner.room().Fits(held+size)) {
 				entries[i].Value = nil
 				continue
 			}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -15,6 +15,7 @@
 	"quetzalpier"
 	"quetzalpier/board"
 	"quetzalpier/hash"
+	"quetzalpier/intake"
 	"quetzalpier/lease"
 	"quetzalpier/meter"
 	"quetzalpier/platform"
@@ -102,7 +103,7 @@
 	lastOwners map[string]string
 	goroutines conc.WaitGroup
 	// jobRoom is the room for the jobs that MaxJobBytes bounds.
-	jobRoom *jobRoom
+	jobRoom *intake.Room
 	// loading is occupied while a job is loaded that is stored in parts.
 	loading       chan struct{}
 	firstPool     chan struct{}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -208,7 +208,9 @@
 			return errors.Wrap(err, "response of engine "+r.vm.ID)
 		}
 	}
-	return r.readEvents(platform.NewEventDecoder(resp), version, overdue)
+	events := r.parent.runner.Upstreams.DecodeEvents(resp)
+	defer events.Close()
+	return r.readEvents(events, version, overdue)
 }
 
 func (r *run) recordSent(now time.Time) {
--- a/stand/worker.go
+++ b/stand/worker.go
@@ -136,6 +136,9 @@
 	SilentAfterEvent int
 	// Answers break the answers.
 	Answers AnswerFaults
+	// Endless is sent in place of all answers but reports and those to orders; the zero value
+	// leaves them.
+	Endless EndlessAnswer
 	// LargePrefix is the prefix of the paths to which a plain service answers with LargeBytes
 	// bytes; empty for none.
 	LargePrefix string
@@ -433,6 +436,10 @@
 	}
 	run.Request = receivedRequest(c, body)
 	_, tag := w.recordRun(run)
+	if faults.Endless.Kind != "" {
+		w.answerEndless(c, faults.Endless, run)
+		return
+	}
 	if faults.StatusCount > 0 {
 		c.SetStatusCode(faults.Status)
 		return
