runner, tasks: Bound the memory of long texts of all runs together

With all engines of the pool the fronts, which take it over then, end as well.

Cause: a text is bounded by 960 KiB, with one byte an event, and took over 30 bytes an event in memory: a string, in a slice that grows by copies. Nothing bounded the sum over runs, and the texts of ended jobs were kept for 20 s beside it.

Fix: the events of a text are held in one piece (tasks.Events), of which each takes one byte more than its data. Texts of more than 64 KiB that are being generated share an eighth of the memory, and those kept for later jobs a sixteenth. A run whose text finds no room counts against its engine and starts over; a text of 960 KiB is taken as before. Texts too long for a value are not saved for the next owner, which failed in any case.

The tests that read Text.Events as a list now read Text.Events.List().

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,6 +98,8 @@
 	largeJobsPart = 4
 	// jobsPart is the part of the memory for the other jobs.
 	jobsPart = 8
+	// textsPart is the part of the memory for long texts that are being generated.
+	textsPart = 8
 	// eventsPart is the part of the memory for large events that are being read.
 	eventsPart = 8
 	// frontPollInterval is the interval between checks whether another front is
@@ -236,6 +238,7 @@
 	}
 	n.runner.MaxLargeBytes = n.Settings.MemoryMiB << 20 / largeJobsPart
 	n.runner.MaxJobBytes = n.Settings.MemoryMiB << 20 / jobsPart
+	n.runner.MaxTextBytes = n.Settings.MemoryMiB << 20 / textsPart
 	n.runner.Paths = n.dialer
 	n.runner.PlaceByNoise = n.Settings.PlaceByNoise
 	n.runner.ReusePrompts, n.runner.ShareByPriority, n.runner.BoundMemory = n.Settings.ReusePrompts, n.Settings.ShareByPriority, n.Settings.BoundMemory
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -152,6 +152,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	scheduler := tasks.NewScheduler()
 	scheduler.Reuse, scheduler.Share = r.ReusePrompts, r.ShareByPriority
+	scheduler.MaxRetainedBytes = r.MaxTextBytes / 2
 	p := &poolRunner{
 		runner: r, pool: pool, fence: fence, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), resultReady: make(chan struct{}, 1), reconcileDue: make(chan struct{}, 1),
--- a/runner/room.go
+++ b/runner/room.go
@@ -37,6 +37,16 @@
 	return r.jobRoom
 }
 
+// textRoom returns the memory for long texts that are being generated.
+func (r *Runner) textRoom() *intake.Room {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.texts == nil {
+		r.texts = &intake.Room{Limit: r.MaxTextBytes}
+	}
+	return r.texts
+}
+
 // reservation is the room of a job. opened is set once the scheduler has the job, or it turned out
 // that it need not be opened.
 type reservation struct {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -78,6 +78,9 @@
 	MaxLargeBytes int
 	// MaxJobBytes bounds the memory of the other open jobs; zero does not.
 	MaxJobBytes int
+	// MaxTextBytes bounds the memory of long texts that are being generated, and half as much that of
+	// texts that are kept for later jobs; zero does not.
+	MaxTextBytes int
 
 	// WatchTimeout is how long one watch call for jobs waits.
 	WatchTimeout time.Duration
@@ -102,8 +105,9 @@
 	runners    map[string]*poolRunner
 	lastOwners map[string]string
 	goroutines conc.WaitGroup
-	// jobRoom is the room for the jobs that MaxJobBytes bounds.
-	jobRoom *intake.Room
+	// jobRoom is the room for the jobs that MaxJobBytes bounds, and texts that for what MaxTextBytes
+	// does.
+	jobRoom, texts *intake.Room
 	// loading is occupied while a job is loaded that is stored in parts.
 	loading       chan struct{}
 	firstPool     chan struct{}
--- a/runner/save.go
+++ b/runner/save.go
@@ -19,8 +19,8 @@
 	// generates them in a third of a second.
 	minSaveEvents = 10
 	// maxSaveBytes limits the texts in one transaction, and maxSaveTasks their
-	// number.
-	maxSaveBytes = 1 << 20
+	// number. A longer text is not saved: a value of the key-value service can't hold it.
+	maxSaveBytes = 1008 << 10
 	maxSaveTasks = 24
 )
 
@@ -45,13 +45,18 @@
 		if !p.recorded[task.Job.Spec.ID] {
 			continue
 		}
-		if size += textSize(task.Text); size > maxSaveBytes && len(parts) > 0 {
+		// An event takes three bytes more in a value.
+		bytes := task.Text.Events.Bytes() + 2*task.Text.Events.Len()
+		if bytes > maxSaveBytes {
+			continue
+		}
+		if size += bytes; size > maxSaveBytes {
 			break
 		}
 		text := task.Text
-		text.Events, text.Versions = slices.Clip(text.Events), slices.Clone(text.Versions)
+		text.Versions = slices.Clone(text.Versions)
 		parts = append(parts, vault.Part{Job: task.Job.Spec.ID, Task: task.Spec.ID, Partial: quetzalpier.Partial{
-			Events: text.Events, Versions: text.Versions, Software: text.Software, Processes: slices.Clone(text.Processes),
+			Events: text.Events.List(), Versions: text.Versions, Software: text.Software, Processes: slices.Clone(text.Processes),
 		}})
 		saved[task] = text
 	}
@@ -70,14 +75,6 @@
 	}
 }
 
-func textSize(text tasks.Text) int {
-	size := 0
-	for _, event := range text.Events {
-		size += len(event)
-	}
-	return size
-}
-
 // restoreParts sets the texts of a job's tasks to what an earlier owner saved,
 // where the scheduler can still use it. The caller holds the lock.
 func (p *poolRunner) restoreParts(job *tasks.Job, parts []vault.Part) {
@@ -87,7 +84,7 @@
 	}
 	for _, task := range job.Tasks {
 		if part, ok := byTask[task.Spec.ID]; ok {
-			p.scheduler.Restore(task, tasks.Text{Events: part.Events, Versions: part.Versions, Software: part.Software, Processes: part.Processes})
+			p.scheduler.Restore(task, tasks.Text{Events: tasks.NewEvents(part.Events...), Versions: part.Versions, Software: part.Software, Processes: part.Processes})
 		}
 	}
 }
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -90,6 +90,22 @@
 	return "engine " + e.Engine + " generated more than " + strconv.Itoa(maxTextBytes) + " bytes"
 }
 
+const (
+	// freeTextBytes is the size up to which a text needs no room, and textStep how much of a longer
+	// one is accounted for at a time. A text takes up to textCopies times its size while it grows.
+	freeTextBytes = 64 << 10
+	textStep      = 64 << 10
+	textCopies    = 2
+)
+
+// textRoomError reports a long text that has no room beside the others that are being generated.
+type textRoomError struct{ Engine string }
+
+// Error implements error.
+func (e *textRoomError) Error() string {
+	return "text of engine " + e.Engine + " has no room in memory beside other long ones"
+}
+
 // run is one run of a task on an engine.
 type run struct {
 	parent *poolRunner
@@ -108,6 +124,8 @@
 	firstEvent int
 	// textBytes is the size of the text so far, with the separators of its events.
 	textBytes int
+	// heldBytes is the size of the text that has room, and roomBytes the room that it has.
+	heldBytes, roomBytes int
 	// waited is how long the task waited for the run.
 	waited tasks.Wait
 	// heldTokens is how many of the promptTokens that the task shares with others the engine
@@ -128,10 +146,10 @@
 			limit.Hold(u, l.Task.StartedAt)
 		}
 	})
-	events := len(l.Task.Text.Events)
+	events := l.Task.Text.Events.Len()
 	r := &run{
 		parent: p, task: l.Task, engine: p.engines[l.Engine.VM.ID], vm: l.Engine.VM, startedAt: l.Task.StartedAt,
-		firstEvent: events, lastEvent: events, textBytes: textSize(l.Task.Text) + events, waited: l.Waited, timeout: eventTimeout(l.Task.SilentRuns),
+		firstEvent: events, lastEvent: events, textBytes: l.Task.Text.Events.Bytes(), waited: l.Waited, timeout: eventTimeout(l.Task.SilentRuns),
 		heldTokens: l.HeldTokens, promptTokens: l.PromptTokens,
 		class: l.Class, mixed: l.Mixed,
 	}
@@ -278,12 +296,27 @@
 		if r.textBytes += len(event.Data) + 1; r.textBytes > maxTextBytes {
 			return &textSizeError{Engine: r.vm.ID}
 		}
+		if !r.takeRoom() {
+			return &textRoomError{Engine: r.vm.ID}
+		}
 		if !r.addEvent(event.Data, version, time.Now()) {
 			return &versionError{Engine: r.vm.ID, Version: version}
 		}
 	}
 }
 
+// takeRoom takes room for the text if it is a long one. It returns false if there is none.
+func (r *run) takeRoom() bool {
+	for r.textBytes > freeTextBytes+r.heldBytes {
+		if !r.parent.runner.textRoom().Take(textCopies * textStep) {
+			return false
+		}
+		r.heldBytes += textStep
+		r.roomBytes += textCopies * textStep
+	}
+	return true
+}
+
 // addEvent adds an event to the task's text. It returns false if the run is no
 // longer useful.
 func (r *run) addEvent(data string, version quetzalpier.Version, now time.Time) bool {
@@ -311,6 +344,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer signal(p.wake)
+	p.runner.textRoom().Add(-r.roomBytes)
 	delete(p.cancels, r.task)
 	r.engine.Running--
 	var limited *quetzalpier.LimitedError
@@ -352,6 +386,7 @@
 	var version *versionError
 	var linkErr *link.Error
 	var oversized *textSizeError
+	var room *textRoomError
 	errors.As(err, &status)
 	errors.As(err, &version)
 	errors.As(err, &linkErr)
@@ -380,6 +415,10 @@
 		// The engine loaded new weights during the run of a task that needs a
 		// single version.
 		r.task.NotBefore = now.Add(retryDelay)
+	case errors.As(err, &room):
+		r.task.DropText()
+		r.engine.RecordFailure(r.startedAt, now)
+		r.task.NotBefore = now.Add(retryDelay)
 	default:
 		r.engine.RecordFailure(r.startedAt, now)
 		connected := linkErr == nil || linkErr.Stage != link.StageConnect
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -101,6 +101,9 @@
 		{"a line to streams", stand.EndlessAnswer{Kind: stand.EndlessLine}, stand.EndlessAnswer{}, toStreams},
 		{"a line that stalls to streams", stand.EndlessAnswer{Kind: stand.EndlessLine, Burst: burst}, stand.EndlessAnswer{}, toStreams},
 		{"lines that stall to streams", stand.EndlessAnswer{Kind: stand.EndlessLines, Burst: burst}, stand.EndlessAnswer{}, toStreams},
+		{"small events to runs", stand.EndlessAnswer{Kind: stand.EndlessEvents}, stand.EndlessAnswer{}, submitSteps},
+		{"small events that stall to runs", stand.EndlessAnswer{Kind: stand.EndlessEvents, Burst: 2 * burst}, stand.EndlessAnswer{}, submitSteps},
+		{"large events to runs", stand.EndlessAnswer{Kind: stand.EndlessLargeEvents}, stand.EndlessAnswer{}, submitSteps},
 		{"lines that stall to runs", stand.EndlessAnswer{Kind: stand.EndlessLines, Burst: burst}, stand.EndlessAnswer{}, submitSteps},
 		{"a line to reward calls", stand.EndlessAnswer{}, stand.EndlessAnswer{Kind: stand.EndlessLine}, submitSteps},
 	}
--- a/tasks/held.go
+++ b/tasks/held.go
@@ -224,7 +224,7 @@
 			if n >= first || q.slacks[n] > q.slacks[i]+reuseSlack {
 				break
 			}
-			if n > i && other.Phase == Waiting && len(other.Text.Events) == 0 && engine.holds(other) &&
+			if n > i && other.Phase == Waiting && other.Text.Events.Len() == 0 && engine.holds(other) &&
 				engine.HasRoom(other.Job.Spec, now) && !pool.tooSlow(engine, other, median, now) &&
 				other.promptClass(pool.longPrompt) == task.promptClass(pool.longPrompt) {
 				first = n
--- a/tasks/plan.go
+++ b/tasks/plan.go
@@ -346,7 +346,7 @@
 // of the longest recent task of its model.
 func (s *Scheduler) slack(task *Task, median time.Duration, now time.Time) time.Duration {
 	length := task.remainingEvents()
-	if len(task.Text.Events) == 0 {
+	if task.Text.Events.Len() == 0 {
 		length = max(length, int(longestTaskShare*s.modelStats(task.Job.Spec.Model).longestTask))
 	}
 	left := task.Job.Spec.DueAt.Sub(now) - time.Duration(length)*median
@@ -364,7 +364,7 @@
 	if t.Spec.LengthHint > 0 {
 		expected = int(math.Ceil(float64(t.Spec.LengthHint) / t.Job.stats.eventTokens()))
 	}
-	generated := len(t.Text.Events)
+	generated := t.Text.Events.Len()
 	return max(1, expected-generated, generated/2)
 }
 
@@ -372,7 +372,7 @@
 // goes on at an engine that its text fits. If there is none, or the wait for one takes
 // longer than generating the events again, it starts over at another.
 func placeTask(pool *candidates, task *Task, median time.Duration, now time.Time) *Engine {
-	if len(task.Text.Events) == 0 {
+	if task.Text.Events.Len() == 0 {
 		return pool.choose(pool, task, median, now)
 	}
 	fitting := pool.fitting(&task.Text)
@@ -392,7 +392,7 @@
 
 // lostTime is the time that the events of the task's text took to generate.
 func (t *Task) lostTime(median time.Duration) time.Duration {
-	return time.Duration(len(t.Text.Events)) * median
+	return time.Duration(t.Text.Events.Len()) * median
 }
 
 // soonRegenerated reports whether starting over takes no longer than the expected wait
--- a/tasks/retain_test.go
+++ b/tasks/retain_test.go
@@ -181,7 +181,7 @@
 					scheduler.Reconcile(job.Spec.ID, append(found, theirs(task)), now)
 				}
 			case step == "saved":
-				scheduler.Restore(task, tasks.Text{Events: []string{newEvent(), newEvent(), newEvent()}, Versions: []quetzalpier.Version{2}})
+				scheduler.Restore(task, tasks.Text{Events: tasks.NewEvents(newEvent(), newEvent(), newEvent()), Versions: []quetzalpier.Version{2}})
 			case step == "end":
 				scheduler.End(job.Spec.ID, now)
 				jobs++
@@ -221,3 +221,47 @@
 		})
 	}
 }
+
+// TestRetainedBytes guards against texts of ended jobs that fill the memory of their owner.
+func TestRetainedBytes(t *testing.T) {
+	resumed := func(t *testing.T, s *tasks.Scheduler, id string, now time.Time) int {
+		t.Helper()
+		return s.Add(newScoredSpec(id, 2), nil, now).Tasks[0].Text.Events.Len()
+	}
+	end := func(s *tasks.Scheduler, id string, now time.Time, texts ...string) {
+		job := s.Add(newScoredSpec(id, 2), nil, now)
+		for i, text := range texts {
+			job.Tasks[i].Text = tasks.Text{Events: tasks.NewEvents(text), Versions: []quetzalpier.Version{2}}
+		}
+		s.End(id, now)
+	}
+	for _, c := range []struct {
+		name   string
+		limit  int
+		first  string
+		events int
+	}{
+		{"without a limit", 0, strings.Repeat("x", 1000), 1},
+		{"within the limit", 1001, strings.Repeat("x", 1000), 1},
+		{"beyond the limit", 1000, strings.Repeat("x", 1000), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			scheduler := tasks.NewScheduler()
+			scheduler.MaxRetainedBytes = c.limit
+			end(scheduler, "a", start, c.first)
+			require.Equal(t, c.events, resumed(t, scheduler, "b", start))
+		})
+	}
+	t.Run("a text that is resumed, replaced or has expired leaves its room", func(t *testing.T) {
+		scheduler := tasks.NewScheduler()
+		scheduler.MaxRetainedBytes = 10
+		end(scheduler, "a", start, "123456789")
+		require.Equal(t, 1, resumed(t, scheduler, "b", start))
+		scheduler.Withdraw("b", start)
+		end(scheduler, "c", start, "123456789")
+		scheduler.DropEnded(tasks.Retention{}, start.Add(time.Minute))
+		end(scheduler, "d", start.Add(time.Minute), "123456789")
+		end(scheduler, "e", start.Add(time.Minute), "987654321")
+		require.Equal(t, 1, resumed(t, scheduler, "f", start.Add(time.Minute)))
+	})
+}
--- a/tasks/scheduler.go
+++ b/tasks/scheduler.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"quetzalpier"
@@ -29,7 +28,7 @@
 // versions that generated its events, in order of first use. Owners may generate
 // different texts for one task, so a text is replaced only as a whole.
 type Text struct {
-	Events   []string
+	Events   Events
 	Versions []quetzalpier.Version
 	// Software is the software version of the engines that generated the events; empty
 	// if unknown. Processes are these engines, as they were listed.
@@ -52,7 +51,7 @@
 // neither complete nor scored.
 func (t *Text) Add(event string, version quetzalpier.Version) {
 	t.Complete, t.Score = false, nil
-	t.Events = append(t.Events, event)
+	t.Events.add(event)
 	for _, present := range t.Versions {
 		if present == version {
 			return
@@ -63,7 +62,7 @@
 
 // begin records that the next events come from an engine.
 func (t *Text) begin(vm quetzalpier.VM) {
-	if len(t.Events) == 0 {
+	if t.Events.Len() == 0 {
 		t.Software, t.Processes = vm.Software, nil
 	}
 	if process := vm.Process(); !slices.Contains(t.Processes, process) {
@@ -75,7 +74,7 @@
 // software versions generate doesn't fit together.
 func (t *Text) Fits(vm quetzalpier.VM) bool {
 	switch {
-	case len(t.Events) == 0:
+	case t.Events.Len() == 0:
 		return true
 	case t.Software == "":
 		return slices.Equal(t.Processes, []quetzalpier.Process{vm.Process()})
@@ -88,14 +87,14 @@
 // with other software, and its entry is written after that. softwareOf returns the
 // version that an engine is listed with.
 func (t *Text) MayBeMixed(softwareOf func(engine string) (version string, listed bool)) bool {
-	return len(t.Events) > 0 && slices.ContainsFunc(t.Processes, func(process quetzalpier.Process) bool {
+	return t.Events.Len() > 0 && slices.ContainsFunc(t.Processes, func(process quetzalpier.Process) bool {
 		version, listed := softwareOf(process.VM)
 		return listed && version != t.Software
 	})
 }
 
 // Join returns the text in the form in which it is listed.
-func (t Text) Join() string { return strings.Join(t.Events, "\n") }
+func (t Text) Join() string { return t.Events.Join() }
 
 // MeetsPolicy reports whether the text meets the job's version requirements.
 func (t Text) MeetsPolicy(job *quetzalpier.Job) bool {
@@ -207,8 +206,13 @@
 	// MemoryTokens is the number of tokens that an engine holds; zero if not known.
 	MemoryTokens int
 
+	// MaxRetainedBytes bounds the texts of ended jobs that are kept for later ones; zero does not.
+	MaxRetainedBytes int
+
 	retained map[string]retainedText
-	models   map[string]*stats
+	// retainedBytes is the size of the retained texts.
+	retainedBytes int
+	models        map[string]*stats
 }
 
 // stats holds the observed task lengths of a model.
@@ -331,7 +335,7 @@
 	if !ok || !earlier.text.MeetsPolicy(task.Job.Spec) {
 		return
 	}
-	delete(s.retained, task.Spec.ID)
+	s.dropRetained(task.Spec.ID)
 	task.Text = earlier.text
 	if task.Text.Complete {
 		s.Complete(task, now)
@@ -403,10 +407,21 @@
 // recently that the trainer may not have read it.
 func (s *Scheduler) retain(task *Task, now time.Time) {
 	read := task.Group.Unfinished == 0 && now.Sub(task.Group.CompletedAt) > unreadPeriod
-	if read || len(task.Text.Events) == 0 {
+	if read || task.Text.Events.Len() == 0 {
+		return
+	}
+	s.dropRetained(task.Spec.ID)
+	bytes := task.Text.Events.Bytes()
+	if s.MaxRetainedBytes > 0 && s.retainedBytes+bytes > s.MaxRetainedBytes {
 		return
 	}
 	s.retained[task.Spec.ID] = retainedText{text: task.Text, until: now.Add(retainPeriod)}
+	s.retainedBytes += bytes
+}
+
+func (s *Scheduler) dropRetained(id string) {
+	s.retainedBytes -= s.retained[id].text.Events.Bytes()
+	delete(s.retained, id)
 }
 
 // Retention limits how long ended jobs stay in memory for readers: at least MinAge
@@ -449,7 +464,7 @@
 	}
 	for id, entry := range s.retained {
 		if now.After(entry.until) {
-			delete(s.retained, id)
+			s.dropRetained(id)
 		}
 	}
 	return dropped
@@ -488,7 +503,7 @@
 	if task.Spec.Reward != nil {
 		task.Text.Score = &Score{Reward: task.Spec.Reward.ID, Stamp: score}
 	}
-	s.modelStats(task.Job.Spec.Model).observe(task.Spec.LengthHint, len(task.Text.Events))
+	s.modelStats(task.Job.Spec.Model).observe(task.Spec.LengthHint, task.Text.Events.Len())
 	task.addResult(quetzalpier.Result{
 		ID: task.Spec.ID, Done: true, Text: task.Text.Join(), Versions: task.Text.Versions, Score: score,
 	}, now)
@@ -587,14 +602,14 @@
 			continue
 		}
 		for _, task := range job.Tasks {
-			if task.Phase != Finished && len(task.Text.Events)-task.SavedEvents >= minEvents {
+			if task.Phase != Finished && task.Text.Events.Len()-task.SavedEvents >= minEvents {
 				unsaved = append(unsaved, task)
 			}
 		}
 	}
 	sort.Slice(unsaved, func(i, j int) bool {
 		a, b := unsaved[i], unsaved[j]
-		if first, second := len(a.Text.Events)-a.SavedEvents, len(b.Text.Events)-b.SavedEvents; first != second {
+		if first, second := a.Text.Events.Len()-a.SavedEvents, b.Text.Events.Len()-b.SavedEvents; first != second {
 			return first > second
 		}
 		return a.Spec.ID < b.Spec.ID
@@ -605,11 +620,11 @@
 // Restore sets the text of a waiting task to the one that an earlier owner
 // saved, if it is longer and still meets the version requirements.
 func (s *Scheduler) Restore(task *Task, text Text) {
-	if task.Phase != Waiting || len(text.Events) <= len(task.Text.Events) || !text.MeetsPolicy(task.Job.Spec) {
+	if task.Phase != Waiting || text.Events.Len() <= task.Text.Events.Len() || !text.MeetsPolicy(task.Job.Spec) {
 		return
 	}
 	task.Text = text
-	task.SavedEvents = len(text.Events)
+	task.SavedEvents = text.Events.Len()
 	task.Saved = true
 }
 
@@ -624,13 +639,13 @@
 func (t *Task) MarkSaved(saved Text) {
 	t.Saved = true
 	if t.Text.extends(saved) {
-		t.SavedEvents = len(saved.Events)
+		t.SavedEvents = saved.Events.Len()
 	}
 }
 
 // extends reports whether the text begins with an earlier one.
 func (t Text) extends(earlier Text) bool {
-	return len(t.Events) >= len(earlier.Events) && slices.Equal(t.Events[:len(earlier.Events)], earlier.Events) &&
+	return t.Events.Len() >= earlier.Events.Len() && t.Events.extend(earlier.Events) &&
 		len(t.Versions) >= len(earlier.Versions) && slices.Equal(t.Versions[:len(earlier.Versions)], earlier.Versions)
 }
 
--- a/tasks/scheduler_test.go
+++ b/tasks/scheduler_test.go
@@ -104,7 +104,7 @@
 		scheduler.End("a", start)
 		second := newSpec("b", 1, 2)
 		second.Tasks[0].ID = "a-0"
-		require.Equal(t, []string{"one"}, scheduler.Add(second, nil, start).Tasks[0].Text.Events)
+		require.Equal(t, []string{"one"}, scheduler.Add(second, nil, start).Tasks[0].Text.Events.List())
 	})
 	t.Run("a result that the trainer may not have read is listed again at once", func(t *testing.T) {
 		scheduler := tasks.NewScheduler()
@@ -178,7 +178,7 @@
 		second := newSpec("b", 1, 2)
 		second.MinVersion = 3
 		second.Tasks[0].ID = "a-0"
-		require.Empty(t, scheduler.Add(second, nil, start).Tasks[0].Text.Events)
+		require.Empty(t, scheduler.Add(second, nil, start).Tasks[0].Text.Events.List())
 	})
 	t.Run("a single-version job rejects a text of two versions", func(t *testing.T) {
 		var text tasks.Text
@@ -240,11 +240,11 @@
 	t.Run("a saved text that is shorter or below the minimum version is ignored", func(t *testing.T) {
 		scheduler := tasks.NewScheduler()
 		task := scheduler.Add(newSpec("j", 1, 1), nil, start).Tasks[0]
-		scheduler.Restore(task, tasks.Text{Events: []string{"a", "b"}, Versions: []quetzalpier.Version{2}})
-		scheduler.Restore(task, tasks.Text{Events: []string{"a"}, Versions: []quetzalpier.Version{2}})
-		require.Len(t, task.Text.Events, 2)
-		scheduler.Restore(task, tasks.Text{Events: []string{"a", "b", "c"}, Versions: []quetzalpier.Version{1}})
-		require.Len(t, task.Text.Events, 2, "a saved text below the minimum version is not used")
+		scheduler.Restore(task, tasks.Text{Events: tasks.NewEvents("a", "b"), Versions: []quetzalpier.Version{2}})
+		scheduler.Restore(task, tasks.Text{Events: tasks.NewEvents("a"), Versions: []quetzalpier.Version{2}})
+		require.Len(t, task.Text.Events.List(), 2)
+		scheduler.Restore(task, tasks.Text{Events: tasks.NewEvents("a", "b", "c"), Versions: []quetzalpier.Version{1}})
+		require.Len(t, task.Text.Events.List(), 2, "a saved text below the minimum version is not used")
 	})
 	t.Run("ended jobs are dropped after the given time", func(t *testing.T) {
 		scheduler := tasks.NewScheduler()
--- a/tasks/software_test.go
+++ b/tasks/software_test.go
@@ -45,7 +45,7 @@
 		}
 		require.Len(t, launches, 1)
 		require.Equal(t, want, launches[0].Engine.VM.ID)
-		require.Len(t, launches[0].Task.Text.Events, events)
+		require.Len(t, launches[0].Task.Text.Events.List(), events)
 	}
 	full := func(e *tasks.Engine) *tasks.Engine {
 		busy := *e
--- a/trial/pool.go
+++ b/trial/pool.go
@@ -314,7 +314,7 @@
 		if !m.policy.Resume {
 			kept = 0
 		}
-		r.task.Text.Events = r.task.Text.Events[:min(kept, len(r.task.Text.Events))]
+		r.task.Text.Events = r.task.Text.Events.First(kept)
 		m.stopRun(r.task, now)
 	}
 }
@@ -402,7 +402,7 @@
 	}
 	m.changed = false
 	for _, launch := range m.scheduler.PlanWith(m.policy.Heuristics, m.engines, now) {
-		generated := len(launch.Task.Text.Events)
+		generated := launch.Task.Text.Events.Len()
 		m.reportNoise(launch.Engine, now)
 		m.prefill(launch)
 		m.runs = append(m.runs, &poolRun{task: launch.Task, events: float64(generated), recorded: generated})
