fleet: Wait in TestStopWithinGrace until the node can serve

Cause: the test waits until the node has read the configuration and the list of upstreams, and not until both are on its board, from which it serves; until then 503 is right. Under load the request can come between.

What the test requires is unchanged.

--- a/fleet/exit_test.go
+++ b/fleet/exit_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"quetzalpier"
+	"quetzalpier/board"
 	"quetzalpier/platform"
 	"quetzalpier/setup"
 	"quetzalpier/stand"
@@ -65,7 +66,9 @@
 	t.Cleanup(func() { cancel(); run.Wait() })
 	require.Eventually(t, func() bool {
 		_, known := n.workers.Snapshot()
-		return known && n.config.State().Rev > 0 && (class != "store" || n.ownsPool())
+		onBoard := false
+		n.Board.Do(func(s *board.State) { onBoard = s.Config.Number > 0 && s.Upstreams["e"] != nil })
+		return known && onBoard && n.config.State().Rev > 0 && (class != "store" || n.ownsPool())
 	}, 5*time.Second, 10*time.Millisecond)
 	return n, kv, func() time.Duration {
 		start := time.Now()
