runner: Own the pools of engines whatever routes lead to them

Callers saw an accepted job that no node ran: after its route led to another pool and the owner of its own pool was restarted as planned, 68 of 100 tasks reached no engine, with all engines idle for 25.6 s until the job was due.

Cause: nodes took over, kept and watched the pools that batch routes of the newest configuration lead to. A job stays with its pool when the route moves, but a pool without a route kept its owner only until that process ended.

Fix: a pool needs an owner if it is one of engines or a batch route leads to it (Config.JobPools), and for Retention after it left the configuration if a node knows that it had one.

--- a/config.go
+++ b/config.go
@@ -147,6 +147,26 @@
 	return c.Routes[best], true
 }
 
+// JobPools returns the names of the pools that may have jobs, in order: those of engines and those
+// that batch routes lead to. A job stays with its pool when its route leads elsewhere or is removed.
+func (c *Config) JobPools() []string {
+	var names []string
+	for name, pool := range c.Pools {
+		if pool.Kind == KindEngine {
+			names = append(names, name)
+		}
+	}
+	for _, route := range c.Routes {
+		for _, target := range route.Targets {
+			if route.Batch {
+				names = append(names, target.Pool)
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Pool configures a set of upstreams that serve the same requests.
 type Pool struct {
 	// Kind is KindEngine or KindPlain.
--- a/config_test.go
+++ b/config_test.go
@@ -41,3 +41,21 @@
 		require.Empty(t, quetzalpier.Route{}.PoolOf("j"))
 	})
 }
+
+// TestJobPools guards against pools whose jobs no node runs, because routes lead elsewhere.
+func TestJobPools(t *testing.T) {
+	leadsTo := func(batch bool, pools ...string) (route quetzalpier.Route) {
+		route.Batch = batch
+		for _, pool := range pools {
+			route.Targets = append(route.Targets, quetzalpier.Target{Pool: pool, Weight: 1})
+		}
+		return route
+	}
+	config := quetzalpier.Config{Pools: map[string]quetzalpier.Pool{
+		"lm": {Kind: quetzalpier.KindEngine}, "chat": {Kind: quetzalpier.KindEngine}, "app": {Kind: quetzalpier.KindPlain},
+	}}
+	require.Equal(t, []string{"chat", "lm"}, config.JobPools(), "without routes")
+	config.Routes = []quetzalpier.Route{leadsTo(true, "unlisted", "lm"), leadsTo(true, "lm"), leadsTo(false, "app")}
+	require.Equal(t, []string{"chat", "lm", "unlisted"}, config.JobPools())
+	require.Empty(t, (&quetzalpier.Config{}).JobPools())
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +100,9 @@
 	// to give up. Only Run uses the maps.
 	vacancies map[string]*vacancy
 	handOvers map[string]*handOver
+	// configuredAt is when the configuration last had a pool that may have jobs. Only Run uses
+	// the map.
+	configuredAt map[string]time.Time
 
 	mu         sync.Mutex
 	ctx        context.Context
@@ -133,10 +137,11 @@
 	r.runners, r.lastOwners = map[string]*poolRunner{}, map[string]string{}
 	r.mu.Unlock()
 	r.vacancies, r.handOvers = map[string]*vacancy{}, map[string]*handOver{}
+	r.configuredAt = map[string]time.Time{}
 	watched := map[string]bool{}
 	for ctx.Err() == nil {
 		now := time.Now()
-		for _, pool := range r.batchPools() {
+		for _, pool := range r.jobPools(now) {
 			if !watched[pool] {
 				watched[pool] = true
 				r.goroutines.Go(func() { r.watchOwner(ctx, pool) })
@@ -154,20 +159,29 @@
 	r.releasePools()
 }
 
-// batchPools returns the pools that are targets of batch routes.
-func (r *Runner) batchPools() []string {
-	var pools []string
+// jobPools returns the pools that need an owner: those that may have jobs, and those that had an
+// owner, until Retention after they left the configuration.
+func (r *Runner) jobPools(now time.Time) []string {
 	r.Board.Do(func(s *board.State) {
-		seen := map[string]bool{}
-		for _, route := range s.Config.Routes {
-			for _, target := range route.Targets {
-				if route.Batch && !seen[target.Pool] {
-					seen[target.Pool] = true
-					pools = append(pools, target.Pool)
-				}
+		if s.Config.Number == 0 {
+			return
+		}
+		for _, pool := range s.Config.JobPools() {
+			r.configuredAt[pool] = now
+		}
+		for pool := range s.RecentOwners {
+			if _, known := r.configuredAt[pool]; !known {
+				r.configuredAt[pool] = now
 			}
 		}
 	})
+	var pools []string
+	for pool, at := range r.configuredAt {
+		if now.Sub(at) <= r.Retention {
+			pools = append(pools, pool)
+		}
+	}
+	slices.Sort(pools)
 	return pools
 }
 
