entry: Tell the next owner of a pool without a route of ends

An end that is stored is sent to the owners of all pools, repeatedly while one has none: a new owner may not be able to read the ends. Which pools need an owner was taken from the batch routes of the newest configuration, as in runner. An end that came while a pool was without an owner, and no route led to it any more, was not sent to the next owner, nor to the nodes that would take the pool over; its tasks would run on there while the ends can't be read.

Before, TestEndWithoutRoute failed: the next owner got no notice within 3 s. The pools come from Config.JobPools now, and from those that are known to have had an owner.

--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -72,24 +72,18 @@
 	pools, ids := map[string]bool{}, map[string]bool{}
 	owned = true
 	e.Board.Do(func(s *board.State) {
-		for pool := range s.Owners {
+		for pool, recent := range s.RecentOwners {
 			pools[pool] = true
-		}
-		for _, recent := range s.RecentOwners {
 			for _, id := range recent {
 				if m, listed := s.Members[id]; listed && !ids[id] {
 					ids[id], members = true, append(members, m)
 				}
 			}
 		}
-		for _, route := range s.Config.Routes {
-			for _, target := range route.Targets {
-				if route.Batch {
-					pools[target.Pool] = true
-					_, known := s.Members[s.Owners[target.Pool].Node]
-					owned = owned && known
-				}
-			}
+		for _, pool := range s.Config.JobPools() {
+			pools[pool] = true
+			_, known := s.Members[s.Owners[pool].Node]
+			owned = owned && known
 		}
 	})
 	for pool := range pools {
