duty: Let the duties go on without batch routes

The platform got no reports of usage and no orders of upstreams from a deployment whose last batch route was removed: the duties were held by the owner of the first pool with batch routes. Requests on other routes are still counted, and pools still need upstreams.

Without batch routes, the duties are held by the owner of the first pool that may have jobs. As long as there are batch routes nothing changes, so that older builds beside this one agree on the holder.

Before, TestPool failed: no pool.

--- a/duty/holder_test.go
+++ b/duty/holder_test.go
@@ -135,3 +135,15 @@
 		require.Equal(t, uint64(8), turn.Token)
 	})
 }
+
+// TestPool guards against duties that no node holds once the last batch route is removed.
+func TestPool(t *testing.T) {
+	pool := func(routes ...quetzalpier.Route) string {
+		return duty.Pool(&board.State{Config: quetzalpier.Config{Routes: routes, Pools: map[string]quetzalpier.Pool{
+			"app": {Kind: quetzalpier.KindPlain}, "lm": {Kind: quetzalpier.KindEngine}, "chat": {Kind: quetzalpier.KindEngine},
+		}}})
+	}
+	require.Equal(t, "lm", pool(quetzalpier.Route{Batch: true, Targets: []quetzalpier.Target{{Pool: "lm"}}}))
+	require.Equal(t, "chat", pool(quetzalpier.Route{Targets: []quetzalpier.Target{{Pool: "app"}}}))
+	require.Empty(t, duty.Pool(&board.State{}))
+}
--- a/duty/machine.go
+++ b/duty/machine.go
@@ -26,7 +26,8 @@
 )
 
 // Pool returns the pool whose owner holds the duties: the first one by name that has batch
-// routes. It returns an empty string if there is none.
+// routes, or that may have jobs if there are no such routes. It returns an empty string if there is
+// none.
 func Pool(s *board.State) string {
 	var pools []string
 	for _, route := range s.Config.Routes {
@@ -36,6 +37,9 @@
 			}
 		}
 	}
+	if len(pools) == 0 {
+		pools = s.Config.JobPools()
+	}
 	if len(pools) == 0 {
 		return ""
 	}
