--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -32,6 +32,7 @@
 	Odd           bool          `long:"odd" description:"also write odd entries beside those of the upstreams"`
 	Stops         bool          `long:"stops" description:"also stop fronts as planned while clients use their open connections, and leave watches without an answer"`
 	Crowds        bool          `long:"crowds" description:"also send crowds of clients that do not keep to the limits, and check the nodes' memory and open files"`
+	Moves         bool          `long:"moves" description:"also move the batch route between two pools of engines and end the owners of the one that it led to"`
 	Memory        int           `long:"memory" default:"284" description:"memory of each front in MiB"`
 	Logs          string        `long:"logs" description:"parent directory of the logs; by default a temporary directory, removed if the seed passes"`
 }
@@ -88,15 +89,20 @@
 	if c.Keys {
 		key = "soak-key"
 	}
+	eventInterval, spareEngines := 30*time.Millisecond, 0
+	if c.Moves {
+		// Jobs stay open for longer.
+		eventInterval, spareEngines = 100*time.Millisecond, 4
+	}
 	r, err := soak.Open(soak.Options{
 		ClientKey: key,
-		Program:   program, Dir: dir, Fronts: c.Fronts, Stores: c.Stores, Engines: 4, Plains: 2, SoftwareVersions: softwareVersions,
-		EventInterval: 30 * time.Millisecond, Partitions: c.Partitions, FrontMemoryMiB: c.Memory,
+		Program:   program, Dir: dir, Fronts: c.Fronts, Stores: c.Stores, Engines: 4, SpareEngines: spareEngines, Plains: 2, SoftwareVersions: softwareVersions,
+		EventInterval: eventInterval, Partitions: c.Partitions, FrontMemoryMiB: c.Memory,
 	})
 	if err != nil {
 		return nil, dir, err
 	}
 	defer r.Close()
-	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Partitions: c.Partitions, Versions: c.Versions, Answers: c.Answers, Ends: c.Ends, Odd: c.Odd, Stops: c.Stops, Crowds: c.Crowds, Log: zerolog.New(log).With().Timestamp().Logger()}
+	plan := soak.Plan{Seed: seed, FaultDuration: c.FaultDuration, LoseFronts: !c.StoreOnly, StoreFaults: true, NoProcessFaults: c.StoreOnly, Upstreams: c.Upstreams, Partitions: c.Partitions, Versions: c.Versions, Answers: c.Answers, Ends: c.Ends, Odd: c.Odd, Stops: c.Stops, Crowds: c.Crowds, Moves: c.Moves, Log: zerolog.New(log).With().Timestamp().Logger()}
 	return soak.Run(ctx, r, plan), dir, nil
 }
--- a/soak/outage.go
+++ b/soak/outage.go
@@ -154,8 +154,10 @@
 }
 
 // Owner returns the node that owns the pool of engines, or nil if there is none.
-func (r *Rig) Owner(ctx context.Context) *Node {
-	entry, err := r.KV.Get(ctx, vault.Owners+poolLM)
+func (r *Rig) Owner(ctx context.Context) *Node { return r.ownerOf(ctx, poolLM) }
+
+func (r *Rig) ownerOf(ctx context.Context, pool string) *Node {
+	entry, err := r.KV.Get(ctx, vault.Owners+pool)
 	if err != nil {
 		return nil
 	}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -39,6 +39,7 @@
 	scorePath = "/score/"
 	viewPath  = "/view/"
 	poolLM    = "lm"
+	poolSpare = "spare"
 	poolApp   = "app"
 	modelName = "m0"
 	// stopTimeout is the time that a node has for a planned stop.
@@ -61,7 +62,10 @@
 	Fronts  int
 	Stores  int
 	Engines int
-	Plains  int
+	// SpareEngines is the number of engines of a second pool, to which the batch route can be
+	// moved.
+	SpareEngines int
+	Plains       int
 	// SoftwareVersions is the number of versions of the engines' software.
 	SoftwareVersions int
 	// EventInterval is the time that an engine takes for each stream event.
@@ -118,13 +122,15 @@
 	Plains  []*stand.Worker
 	Fronts  []*Node
 	Stores  []*Node
-	// configMu guards config, keys and routes.
+	// configMu guards config, keys, routes and batchPool.
 	configMu sync.Mutex
 	config   quetzalpier.Config
 	// keys are the API keys of customers, by name, besides the clients' own.
 	keys map[string][]string
 	// routes are routes that the configuration has besides the usual ones.
 	routes []quetzalpier.Route
+	// batchPool is the pool that the batch route leads to; empty for the first one.
+	batchPool string
 	// listed are the upstreams as they were last listed, by ID.
 	listedMu  sync.Mutex
 	listed    map[string]quetzalpier.VM
@@ -149,15 +155,11 @@
 }
 
 func (r *Rig) start() error {
-	for i := range r.Options.Engines {
-		options := stand.WorkerOptions{
-			ID: fmt.Sprintf("engine-%d", i), Pool: poolLM, Domain: domain(i), Slots: 8,
-			Models: map[string]quetzalpier.Version{modelName: 1}, EventInterval: r.EventInterval, SwapDuration: 300 * time.Millisecond,
-			Software: fmt.Sprintf("v%d", 1+i%max(1, r.SoftwareVersions)),
-		}
-		if err := r.startWorker(&r.Engines, options); err != nil {
-			return err
-		}
+	if err := r.startEngines(poolLM, "engine", r.Options.Engines); err != nil {
+		return err
+	}
+	if err := r.startEngines(poolSpare, "spare", r.SpareEngines); err != nil {
+		return err
 	}
 	for i := range r.Options.Plains {
 		options := stand.WorkerOptions{ID: fmt.Sprintf("plain-%d", i), Pool: poolApp, Domain: domain(i), Slots: 6, EventInterval: 5 * time.Millisecond}
@@ -181,6 +183,20 @@
 	return nil
 }
 
+func (r *Rig) startEngines(pool, name string, count int) error {
+	for i := range count {
+		options := stand.WorkerOptions{
+			ID: fmt.Sprintf("%s-%d", name, i), Pool: pool, Domain: domain(i), Slots: 8,
+			Models: map[string]quetzalpier.Version{modelName: 1}, EventInterval: r.EventInterval, SwapDuration: 300 * time.Millisecond,
+			Software: fmt.Sprintf("v%d", 1+i%max(1, r.SoftwareVersions)),
+		}
+		if err := r.startWorker(&r.Engines, options); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (r *Rig) nodes() []*Node { return append(append([]*Node(nil), r.Fronts...), r.Stores...) }
 
 func (r *Rig) nodeNames() []string {
@@ -246,7 +262,7 @@
 		Routes: []quetzalpier.Route{
 			{
 				Name: "batch", Host: Host, Prefix: batchPath, Batch: true, CanResume: true, MaxAttempts: 3, LatencyObjective: 400 * time.Millisecond,
-				JobObjective: 8 * time.Second, TaskTTL: 40 * time.Second, Targets: []quetzalpier.Target{{Pool: poolLM, Weight: 1}},
+				JobObjective: 8 * time.Second, TaskTTL: 40 * time.Second, Targets: []quetzalpier.Target{{Pool: cmp.Or(r.batchPool, poolLM), Weight: 1}},
 			},
 			{Name: "score", Host: Host, Prefix: scorePath, Idempotent: true, MaxAttempts: 4, Timeout: 3 * time.Second, Targets: []quetzalpier.Target{{Pool: poolApp, Weight: 1}}},
 			{Name: "view", Host: Host, Prefix: viewPath, Idempotent: true, MaxAttempts: 2, Timeout: 1500 * time.Millisecond, Targets: []quetzalpier.Target{{Pool: poolApp, Weight: 1}}},
@@ -254,6 +270,9 @@
 			orderRoute,
 		},
 	}
+	if r.SpareEngines > 0 {
+		r.config.Pools[poolSpare] = r.config.Pools[poolLM]
+	}
 	r.config.Routes = append(r.config.Routes, r.routes...)
 	for _, route := range r.routes {
 		for _, target := range route.Targets {
@@ -285,6 +304,14 @@
 	return r.writeConfig()
 }
 
+// moveBatchRoute writes a configuration whose batch route leads to a pool.
+func (r *Rig) moveBatchRoute(pool string) error {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
+	r.batchPool = pool
+	return r.writeConfig()
+}
+
 // clientName is the name of the clients' customer.
 const clientName = "soak"
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,6 +83,10 @@
 	// Crowds also sends crowds of clients that do not keep to the limits, and kills nodes that
 	// exceed their memory unless IgnoreMemory is set.
 	Crowds, IgnoreMemory bool
+	// Moves also moves the batch route from one pool of engines to another and ends the owners of
+	// the pool that it led to, and requires that all accepted steps become whole. It needs
+	// Options.SpareEngines.
+	Moves bool
 	// NoProcessFaults leaves out the faults of processes, links, engines and the whole
 	// key-value service.
 	NoProcessFaults bool
@@ -100,6 +104,10 @@
 	} else if plan.Odd {
 		duration += oddSettle
 	}
+	if plan.Moves {
+		ledger.stepsRequired = true
+		duration += movesSettle
+	}
 	if plan.Crowds && !plan.IgnoreMemory {
 		watch := r.StartWatch()
 		defer func() { ledger.recordPeaks(r, watch.Stop()) }()
@@ -162,6 +170,10 @@
 		planned := injector(17)
 		injectors.Go(func() { planned.playStops(ctx, plan.FaultDuration) })
 	}
+	if plan.Moves {
+		moves := injector(23)
+		injectors.Go(func() { moves.moveRoutes(ctx, plan.FaultDuration) })
+	}
 	if plan.Crowds {
 		crowds := injector(19)
 		injectors.Go(func() { crowds.sendCrowds(ctx, plan.FaultDuration) })
@@ -378,12 +390,7 @@
 		f.revertAfter(ctx, duration, func() { f.restart(n) })
 	case 1:
 		f.logFault("stop", n.Settings.Name, duration)
-		f.pending.Go(func() {
-			if !n.Stop() {
-				f.ledger.recordViolation("%s did not end within its grace", n.Settings.Name)
-			}
-			f.restart(n)
-		})
+		f.pending.Go(func() { f.stopAndStart(n) })
 	default:
 		f.pause(ctx, n, duration)
 	}
@@ -415,6 +422,14 @@
 	}
 }
 
+// stopAndStart stops a node as planned and starts it again. The caller has marked it as disturbed.
+func (f *faultInjector) stopAndStart(n *Node) {
+	if !n.Stop() {
+		f.ledger.recordViolation("%s did not end within its grace", n.Settings.Name)
+	}
+	f.restart(n)
+}
+
 func (f *faultInjector) restart(n *Node) {
 	if err := n.Start(); err != nil {
 		f.ledger.recordViolation("%s not started: %v", n.Settings.Name, err)
@@ -576,9 +591,9 @@
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d of %d tries at partitioned fronts served; %d lookups; %d of %d streams complete; %d requests compared; %d ends sent once, %d lost; %d fronts followed; %d requests over kept connections served; %d clients in crowds, at most %.0f%% of the memory used; at most %d warnings a second; %d promises broken",
+	text := fmt.Sprintf("%d steps whole, %d late; %d jobs ended, %d late runs of nodes out of touch; %d requests, %d failed; %d of %d tries at partitioned fronts served; %d lookups; %d of %d streams complete; %d requests compared; %d ends sent once, %d lost; %d fronts followed; %d requests over kept connections served; %d moves of the batch route; %d clients in crowds, at most %.0f%% of the memory used; at most %d warnings a second; %d promises broken",
 		l.Steps, l.LateSteps, l.EndedJobs, l.ExcusedRuns, l.Requests, l.FailedRequests, l.PartitionedServed, l.PartitionedTries, l.Lookups,
-		l.Streams.Complete, l.Streams.Begun, l.Received, l.UnrepeatedEnds, l.LostEnds, l.Followed, l.KeptServed, l.CrowdClients, 100*l.PeakMemory, l.PeakWarnings, len(l.Violations))
+		l.Streams.Complete, l.Streams.Begun, l.Received, l.UnrepeatedEnds, l.LostEnds, l.Followed, l.KeptServed, l.Moves, l.CrowdClients, 100*l.PeakMemory, l.PeakWarnings, len(l.Violations))
 	if len(l.Violations) > 0 {
 		text += ":\n  " + strings.Join(l.Violations, "\n  ")
 	}
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -81,6 +81,9 @@
 	// that a node used.
 	CrowdClients int
 	PeakMemory   float64
+	// Moves counts the moves of the batch route. stepsRequired makes a late step a violation.
+	Moves         int
+	stepsRequired bool
 	// PeakWarnings is the largest number of warnings and errors that one process
 	// logged in a second.
 	PeakWarnings int
@@ -282,6 +285,9 @@
 		t.ledger.Steps++
 	case ctx.Err() == nil:
 		t.ledger.LateSteps++
+		if known := len(t.ledger.jobs[job.ID].results); t.ledger.stepsRequired {
+			t.ledger.Violations = append(t.ledger.Violations, fmt.Sprintf("accepted job %s has %d of %d results after %s", job.ID, known, len(job.Tasks), readTimeout))
+		}
 	}
 	t.ledger.mu.Unlock()
 	t.end(ctx, job.ID)
