--- a/soak/moves.go
+++ b/soak/moves.go
@@ -38,21 +38,21 @@
 // endOwner stops the owner of a pool as planned or kills it, or kills all nodes with a disk at
 // once, and starts them again.
 func (f *faultInjector) endOwner(ctx context.Context, pool string) {
-	kind, duration := f.rnd.IntN(3), f.draw(minFaultTime, maxFaultTime)
+	kind := []string{"stop owner", "kill owner", "kill store nodes"}[f.rnd.IntN(3)]
+	duration := f.draw(minFaultTime, maxFaultTime)
 	ending := []*Node{f.rig.ownerOf(ctx, pool)}
-	if kind == 2 {
+	if kind == "kill store nodes" {
 		ending = f.rig.Stores
 	}
 	for _, n := range ending {
 		if n == nil || !n.disturbed.CompareAndSwap(false, true) {
 			continue
 		}
-		if kind == 0 {
-			f.logFault("stop owner", n.Settings.Name, 0)
+		f.logFault(kind, n.Settings.Name, duration)
+		if kind == "stop owner" {
 			f.pending.Go(func() { f.stopAndStart(n) })
 			continue
 		}
-		f.logFault("kill", n.Settings.Name, duration)
 		n.Kill()
 		f.revertAfter(ctx, duration, func() { f.restart(n) })
 	}
