--- a/review/third/drive/deadly.go
+++ b/review/third/drive/deadly.go
@@ -38,7 +38,7 @@
 	var workers []*rig.Worker
 	err = r.Write(platform.EncodeConfig(config))
 	for i := 0; err == nil && i < 6; i++ {
-		w := &rig.Worker{Name: fmt.Sprintf("app%d", i), Pool: "app", Slots: 6, WorkTime: 25 * time.Millisecond, Deadly: deadly, Downtime: crashDowntime, Events: events}
+		w := &rig.Worker{Name: fmt.Sprintf("app%d", i), Pool: "app", Slots: 6, WorkTime: 25 * time.Millisecond, Deadly: deadly, Downtime: crashDowntime, Events: events, EventTime: 20 * time.Millisecond}
 		workers = append(workers, w)
 		err = r.AddWorker(w)
 	}
--- a/review/third/drive/disks.go
+++ b/review/third/drive/disks.go
@@ -159,7 +159,11 @@
 
 // call makes a call about the batch submission on a new channel.
 func call(n *rig.Node, method, path, body string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	return callWith(n, method, path, lotID, body, 3*time.Second)
+}
+
+func callWith(n *rig.Node, method, path, id, body string, timeout time.Duration) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.Front+path, strings.NewReader(body))
 	if err != nil {
@@ -167,7 +171,7 @@
 	}
 	req.Host, req.Close = rig.Host, true
 	if method == http.MethodPost {
-		req.Header.Set(platform.HeaderAttempt, lotID)
+		req.Header.Set(platform.HeaderAttempt, id)
 		req.Header.Set("Content-Type", "application/json")
 	}
 	resp, err := http.DefaultClient.Do(req)
--- a/review/third/drive/main.go
+++ b/review/third/drive/main.go
@@ -23,6 +23,7 @@
 	cases := map[string]func(record string, trouble bool) (broken string, err error){
 		"disks":    playDisks,
 		"restarts": playRestarts,
+		"retire":   playRetire,
 		"streams":  playStreams,
 	}
 	play, known := cases[os.Args[1]]
--- a/review/third/rig/rig.go
+++ b/review/third/rig/rig.go
@@ -70,6 +70,8 @@
 // Node is a node of the service.
 type Node struct {
 	Name, Front, Ready, Peer string
+	// Data is the folder of the node's disk; empty for a front.
+	Data string
 
 	program, file, log string
 	kv                 *stand.KV
@@ -141,23 +143,34 @@
 	return len(found.Entries)
 }
 
-// freeAddrs returns free loopback addresses.
-func freeAddrs(n int) ([]string, error) {
+// Value returns the value of a key of the store; empty if there is none.
+func (r *Rig) Value(key string) string {
+	entry, _ := r.KV.MemoryKV.Get(context.Background(), key)
+	return string(entry.Value)
+}
+
+// firstPort is the first port of a node. Each node has an IP address of its own, so that no other
+// connection can take its ports.
+const firstPort = 7100
+
+// freeAddrs returns free addresses of the next node.
+func (r *Rig) freeAddrs(n int) ([]string, error) {
 	var addrs []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for i := range n {
+		addr := fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()/250%128, 1+os.Getpid()%250, r.nodes+1, firstPort+i)
+		listener, err := net.Listen("tcp", addr)
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		addrs = append(addrs, listener.Addr().String())
+		_ = listener.Close()
+		addrs = append(addrs, addr)
 	}
 	return addrs, nil
 }
 
 // AddNode adds a node of a class in a zone, and starts it.
 func (r *Rig) AddNode(class, zone string) (*Node, error) {
-	addrs, err := freeAddrs(5)
+	addrs, err := r.freeAddrs(5)
 	if err != nil {
 		return nil, err
 	}
@@ -180,6 +193,7 @@
 		if err := os.MkdirAll(data, 0o755); err != nil {
 			return nil, err
 		}
+		n.Data = data
 		r.Stores = append(r.Stores, n)
 	}
 	text := fmt.Sprintf(settings, name, class, zone, n.Peer, n.Front, n.Ready, lookup, addrs[4], kv.Addr, memory, files, data)
@@ -230,6 +244,14 @@
 	}
 }
 
+// Wipe empties the disk of the node.
+func (n *Node) Wipe() error {
+	if err := os.RemoveAll(n.Data); err != nil {
+		return err
+	}
+	return os.MkdirAll(n.Data, 0o755)
+}
+
 // Exited reports whether the process of the node has ended.
 func (n *Node) Exited() bool {
 	select {
--- a/review/third/rig/worker.go
+++ b/review/third/rig/worker.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,8 +30,13 @@
 	WorkTime time.Duration
 	Deadly   string
 	// Events is the number of events with which the worker of a model answers; zero for a plain service.
-	Events   int
-	Downtime time.Duration
+	Events int
+	// EventBytes is the size of an event, EventTime the time that it takes, and Model the model that
+	// the worker serves; empty for none.
+	EventBytes int
+	EventTime  time.Duration
+	Model      string
+	Downtime   time.Duration
 
 	rig  *Rig
 	addr string
@@ -62,7 +68,11 @@
 func (w *Worker) id() string { return fmt.Sprintf("i-%s-%d", w.Name, w.lifetime) }
 
 func (w *Worker) entry() (quetzalpier.Write, error) {
-	return platform.EncodeVM(quetzalpier.VM{ID: w.id(), Addr: w.addr, Domain: "zone-a", Kind: quetzalpier.KindPlain, Pool: w.Pool, Slots: w.Slots, State: quetzalpier.VMLive, Incarnation: time.Now().UnixMilli(), Software: "v1"})
+	vm := quetzalpier.VM{ID: w.id(), Addr: w.addr, Domain: "zone-a", Kind: quetzalpier.KindPlain, Pool: w.Pool, Slots: w.Slots, State: quetzalpier.VMLive, Incarnation: time.Now().UnixMilli(), Software: "v1"}
+	if w.Model != "" {
+		vm.Kind, vm.Models = quetzalpier.KindEngine, map[string]quetzalpier.Version{w.Model: 1}
+	}
+	return platform.EncodeVM(vm)
 }
 
 func (w *Worker) open(listener net.Listener) {
@@ -142,6 +152,9 @@
 		return
 	case req.URL.Path == "/healthz":
 		return
+	case req.URL.Path == platform.PathReport:
+		_, _ = fmt.Fprintf(out, `{"stage":"both","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":0}`, w.Model)
+		return
 	case attempt == "":
 		out.Header().Set(platform.HeaderNotRun, "1")
 		out.WriteHeader(http.StatusBadRequest)
@@ -170,20 +183,22 @@
 	time.Sleep(w.WorkTime)
 	out.Header().Set(platform.HeaderStamp, "stamp."+attempt)
 	if w.Events > 0 {
-		w.stream(out, attempt)
+		w.stream(out, attempt, req.Header.Get(platform.HeaderLastEventID))
 		return
 	}
 	_, _ = fmt.Fprintf(out, "served %s", attempt)
 }
 
-// stream writes the events of a stream.
-func (w *Worker) stream(out http.ResponseWriter, attempt string) {
+// stream writes the events of a stream that follow the last one that the caller has.
+func (w *Worker) stream(out http.ResponseWriter, attempt, last string) {
+	after, _ := strconv.Atoi(last)
 	out.Header().Set("Content-Type", "text/event-stream")
 	out.Header().Set(platform.HeaderWeightVersion, "1")
-	for event := 1; event <= w.Events; event++ {
-		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s-%d\n\n", event, attempt, event)
+	for event := after + 1; event <= w.Events; event++ {
+		data := fmt.Sprintf("%s-%d", attempt, event)
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s%s\n\n", event, data, strings.Repeat(".", max(0, w.EventBytes-len(data))))
 		out.(http.Flusher).Flush()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(w.EventTime)
 	}
 }
 
