--- a/review/third/drive/deadly.go
+++ b/review/third/drive/deadly.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"quetzalpier"
@@ -26,7 +25,7 @@
 var inputLimits = quetzalpier.Input{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 32 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 // openDeadly starts a deployment with a route to six workers.
-func openDeadly(record string, route quetzalpier.Route, fronts, events int) (*rig.Rig, []*rig.Worker, error) {
+func openDeadly(record string, route quetzalpier.Route, events int) (*rig.Rig, []*rig.Worker, error) {
 	r, err := rig.New(record)
 	if err != nil {
 		return nil, nil, err
@@ -42,7 +41,7 @@
 		workers = append(workers, w)
 		err = r.AddWorker(w)
 	}
-	for i := 0; err == nil && i < 3+fronts; i++ {
+	for i := 0; err == nil && i < 6; i++ {
 		class := "store"
 		if i >= 3 {
 			class = "front"
@@ -63,7 +62,7 @@
 // it, or an ordinary one.
 func playStreams(record string, trouble bool) (string, error) {
 	route := quetzalpier.Route{Name: "chat", Prefix: "/chat/", Stream: true, CanResume: true, Timeout: 10 * time.Second, LatencyObjective: 400 * time.Millisecond}
-	r, workers, err := openDeadly(record, route, 3, 5)
+	r, workers, err := openDeadly(record, route, 5)
 	if err != nil {
 		return "", err
 	}
@@ -79,64 +78,6 @@
 	return judgeDeadly(r, workers), nil
 }
 
-// playRestarts restarts the fronts in turn, while a request that crashes each worker that begins to
-// run it comes again at each front.
-func playRestarts(record string, trouble bool) (string, error) {
-	route := quetzalpier.Route{Name: "view", Prefix: "/view/", Idempotent: true, Timeout: 1500 * time.Millisecond, LatencyObjective: 150 * time.Millisecond}
-	r, workers, err := openDeadly(record, route, 6, 0)
-	if err != nil {
-		return "", err
-	}
-	defer r.Close()
-	stopFill := fill(r)
-	defer stopFill()
-	sendAgain(r, r.Fronts[0], "/view/"+deadly, 0)
-	time.Sleep(crashPause)
-	for i, front := range r.Fronts {
-		if trouble {
-			r.Note("%s gets SIGTERM", front.Name)
-			front.Stop()
-			if err := front.Start(); err != nil {
-				return "", err
-			}
-			r.Note("%s starts again", front.Name)
-			if err := r.WaitReady(15 * time.Second); err != nil {
-				return "", err
-			}
-			time.Sleep(rig.ContactTime + 500*time.Millisecond)
-		}
-		sendAgain(r, front, "/view/"+deadly, i+1)
-		time.Sleep(crashPause)
-	}
-	return judgeDeadly(r, workers), nil
-}
-
-// fill sends ordinary requests at all fronts, a few a second, until stop is called.
-func fill(r *rig.Rig) (stop func()) {
-	done := make(chan struct{})
-	var clients sync.WaitGroup
-	clients.Add(1)
-	go func() {
-		defer clients.Done()
-		client := &http.Client{Timeout: 3 * time.Second}
-		served, failed := 0, 0
-		for n := 0; ; n++ {
-			select {
-			case <-done:
-				r.Note("%d ordinary requests served, %d not", served, failed)
-				return
-			case <-time.After(150 * time.Millisecond):
-			}
-			if status, _ := send(client, r.Fronts[n%len(r.Fronts)].Front, fmt.Sprintf("/view/page%d", n), fmt.Sprintf("a%015x", n), "page"); status == http.StatusOK {
-				served++
-			} else {
-				failed++
-			}
-		}
-	}()
-	return func() { close(done); clients.Wait() }
-}
-
 // sendAgain makes a client attempt with the same request.
 func sendAgain(r *rig.Rig, front *rig.Node, path string, attempt int) {
 	id := fmt.Sprintf("d%015x", attempt)
--- a/review/third/drive/main.go
+++ b/review/third/drive/main.go
@@ -21,10 +21,11 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(record string, trouble bool) (broken string, err error){
-		"disks":    playDisks,
-		"restarts": playRestarts,
-		"retire":   playRetire,
-		"streams":  playStreams,
+		"bodies":  playBodies,
+		"disks":   playDisks,
+		"headers": playHeaders,
+		"retire":  playRetire,
+		"streams": playStreams,
 	}
 	play, known := cases[os.Args[1]]
 	if !known {
--- a/review/third/rig/rig.go
+++ b/review/third/rig/rig.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -72,6 +73,8 @@
 	Name, Front, Ready, Peer string
 	// Data is the folder of the node's disk; empty for a front.
 	Data string
+	// Memory is the memory of the machine in bytes.
+	Memory int
 
 	program, file, log string
 	kv                 *stand.KV
@@ -196,6 +199,7 @@
 		n.Data = data
 		r.Stores = append(r.Stores, n)
 	}
+	n.Memory = memory << 20
 	text := fmt.Sprintf(settings, name, class, zone, n.Peer, n.Front, n.Ready, lookup, addrs[4], kv.Addr, memory, files, data)
 	if err := os.WriteFile(n.file, []byte(text), 0o644); err != nil {
 		return nil, err
@@ -252,6 +256,24 @@
 	return os.MkdirAll(n.Data, 0o755)
 }
 
+// UsedMemory returns the bytes of memory that the node's process uses, and PeakMemory the most that
+// it has used since it was started. Both are zero if it has ended.
+func (n *Node) UsedMemory() int { return n.memory("VmRSS:") }
+
+// PeakMemory is described at UsedMemory.
+func (n *Node) PeakMemory() int { return n.memory("VmHWM:") }
+
+func (n *Node) memory(field string) int {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
+	for _, line := range strings.Split(string(data), "\n") {
+		if value, ok := strings.CutPrefix(line, field); ok {
+			kib, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(value, "kB")))
+			return kib << 10
+		}
+	}
+	return 0
+}
+
 // Exited reports whether the process of the node has ended.
 func (n *Node) Exited() bool {
 	select {
