--- a/review/third/drive/disks.go
+++ b/review/third/drive/disks.go
@@ -26,6 +26,9 @@
 	lotID = "7c41e09b52d6a3f8"
 )
 
+// inputLimits are the limits of clients in the configuration.
+var inputLimits = quetzalpier.Input{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 32 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
 // openRollout starts a deployment with a rollout route to three workers of a model.
 func openRollout(record string) (*rig.Rig, error) {
 	r, err := rig.New(record)
--- a/review/third/drive/headers.go
+++ b/review/third/drive/headers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"quetzalpier/platform"
@@ -29,7 +30,7 @@
 	}
 	defer r.Close()
 	limits := limitMemory(r)
-	for i := range headersLots {
+	for i := 0; i < headersLots && limits.broken() == ""; i++ {
 		id := fmt.Sprintf("5f02d8a61c9e7%03d", i)
 		body := soundBody(id, headersBytes)
 		if trouble {
@@ -39,7 +40,7 @@
 			r.Note("client sends batch submission %s of %d bytes to %s", id, len(body), front.Name)
 			status, text := callWith(front, http.MethodPost, "/roll/"+id, id, body, 20*time.Second)
 			r.Note("client gets %d %.120s", status, text)
-			if status == http.StatusAccepted || status == http.StatusRequestEntityTooLarge {
+			if status == http.StatusAccepted || status == http.StatusRequestEntityTooLarge || limits.broken() != "" {
 				break
 			}
 		}
@@ -68,6 +69,7 @@
 // memoryLimits kills processes that use more than their machines have, and starts them again.
 type memoryLimits struct {
 	rig  *rig.Rig
+	mu   sync.Mutex
 	ends map[*rig.Node]int
 	peak map[*rig.Node]int
 	stop chan struct{}
@@ -104,7 +106,9 @@
 		return
 	}
 	n.Kill()
+	m.mu.Lock()
 	m.ends[n]++
+	m.mu.Unlock()
 	m.rig.Note("%s uses %d MiB of %d, and its process is killed", n.Name, used>>20, n.Memory>>20)
 	time.Sleep(restartDelay)
 	if err := n.Start(); err != nil {
@@ -112,14 +116,13 @@
 	}
 }
 
-// verdict ends the limit, and tells on how many machines processes ended too often. It is empty if
-// there are too few for the rule to be broken.
-func (m *memoryLimits) verdict() string {
-	close(m.stop)
-	<-m.done
+// broken tells on how many machines processes have ended too often. It is empty if there are too few
+// for the rule to be broken.
+func (m *memoryLimits) broken() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	failed := 0
 	for _, n := range m.nodes() {
-		m.rig.Note("the process of %s was ended %d times, and used at most %d MiB of %d", n.Name, m.ends[n], m.peak[n]>>20, n.Memory>>20)
 		if m.ends[n] >= endsOfMachine {
 			failed++
 		}
@@ -129,3 +132,13 @@
 	}
 	return fmt.Sprintf("Fault: on %d of %d machines processes ended by themselves %d times or more, as they used more memory than their machines have", failed, len(m.nodes()), endsOfMachine)
 }
+
+// verdict ends the limit, and tells the same.
+func (m *memoryLimits) verdict() string {
+	close(m.stop)
+	<-m.done
+	for _, n := range m.nodes() {
+		m.rig.Note("the process of %s was ended %d times, and used at most %d MiB of %d", n.Name, m.ends[n], m.peak[n]>>20, n.Memory>>20)
+	}
+	return m.broken()
+}
--- a/review/third/drive/main.go
+++ b/review/third/drive/main.go
@@ -24,8 +24,8 @@
 		"bodies":  playBodies,
 		"disks":   playDisks,
 		"headers": playHeaders,
+		"results": playResults,
 		"retire":  playRetire,
-		"streams": playStreams,
 	}
 	play, known := cases[os.Args[1]]
 	if !known {
