--- a/review/third/drive/main.go
+++ b/review/third/drive/main.go
@@ -21,11 +21,12 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(record string, trouble bool) (broken string, err error){
-		"bodies":  playBodies,
-		"disks":   playDisks,
-		"headers": playHeaders,
-		"results": playResults,
-		"retire":  playRetire,
+		"busy":     playBusy,
+		"disks":    playDisks,
+		"resume":   playResume,
+		"restarts": playRestarts,
+		"results":  playResults,
+		"retire":   playRetire,
 	}
 	play, known := cases[os.Args[1]]
 	if !known {
--- a/review/third/drive/results.go
+++ b/review/third/drive/results.go
@@ -24,11 +24,13 @@
 	// there are more than a few.
 	dropTime = 12 * time.Second
 	// resultReaders clients read at a time, each about twice per second, for readTime.
-	resultReaders = 30
+	resultReaders = 48
 	readTime      = 50 * time.Second
 	readPause     = 500 * time.Millisecond
 )
 
+const lotHead = `{"step":0,"model":"m0","minVersion":1,"targetGroups":8,"items":[`
+
 // playResults has several clients read the results of batch submissions that were ended before; or
 // only one client.
 func playResults(record string, trouble bool) (string, error) {
--- a/review/third/rig/rig.go
+++ b/review/third/rig/rig.go
@@ -256,17 +256,12 @@
 	return os.MkdirAll(n.Data, 0o755)
 }
 
-// UsedMemory returns the bytes of memory that the node's process uses, and PeakMemory the most that
-// it has used since it was started. Both are zero if it has ended.
-func (n *Node) UsedMemory() int { return n.memory("VmRSS:") }
-
-// PeakMemory is described at UsedMemory.
-func (n *Node) PeakMemory() int { return n.memory("VmHWM:") }
-
-func (n *Node) memory(field string) int {
+// UsedMemory returns the bytes of memory that the node's process uses and that no file backs; zero if
+// it has ended.
+func (n *Node) UsedMemory() int {
 	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
 	for _, line := range strings.Split(string(data), "\n") {
-		if value, ok := strings.CutPrefix(line, field); ok {
+		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kib, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(value, "kB")))
 			return kib << 10
 		}
@@ -324,14 +319,17 @@
 	if refuses {
 		status = http.StatusServiceUnavailable
 	}
-	for _, n := range append(append([]*Node{}, r.Fronts...), r.Stores...) {
+	for _, n := range r.Nodes() {
 		n.kv.SetFaults(stand.KVFaults{RefusalStatus: status})
 	}
 }
 
+// Nodes returns all nodes.
+func (r *Rig) Nodes() []*Node { return append(append([]*Node{}, r.Fronts...), r.Stores...) }
+
 // Close ends all processes that the rig started.
 func (r *Rig) Close() {
-	for _, n := range append(append([]*Node{}, r.Fronts...), r.Stores...) {
+	for _, n := range r.Nodes() {
 		if n.command != nil && n.command.Process != nil {
 			n.Signal(syscall.SIGCONT)
 			n.Kill()
