--- a/review/third/drive/deadly.go
+++ b/review/third/drive/deadly.go
@@ -54,7 +54,7 @@
 	if err == nil {
 		err = r.WaitReady(15 * time.Second)
 	}
-	time.Sleep(rig.ContactTime + time.Second)
+	r.Settle()
 	if err != nil {
 		r.Close()
 	}
--- a/review/third/drive/results.go
+++ b/review/third/drive/results.go
@@ -92,7 +92,7 @@
 	if err == nil {
 		err = r.WaitReady(15 * time.Second)
 	}
-	time.Sleep(rig.ContactTime + time.Second)
+	r.Settle()
 	if err != nil {
 		r.Close()
 	}
--- a/review/third/drive/resume.go
+++ b/review/third/drive/resume.go
@@ -25,7 +25,7 @@
 	// brokenAfter is when the streams break off, and noPower how long the machines are away then.
 	brokenAfter = time.Second
 	noPower     = 800 * time.Millisecond
-	retryPause  = time.Second
+	retryPause  = 2500 * time.Millisecond
 )
 
 // tally counts streams that clients take up again, or begin, at machines in touch.
@@ -61,7 +61,7 @@
 	if err != nil {
 		return "", err
 	}
-	time.Sleep(rig.ContactTime + time.Second)
+	r.Settle()
 	var counts tally
 	var clients sync.WaitGroup
 	began, inTouch := time.Now(), make(chan struct{})
@@ -113,8 +113,8 @@
 	return "", nil
 }
 
-// takeUp begins a stream and takes it up again about each second after it has broken off, or the
-// client has left it, until it is complete or the client has no more time.
+// takeUp begins a stream and takes it up again a few times after it has broken off, or the client has
+// left it, until it is complete or the client has no more time.
 func takeUp(r *rig.Rig, counts *tally, client int, began time.Time, leaves bool, inTouch chan struct{}) {
 	path, first := fmt.Sprintf("/chat/talk%d", client), fmt.Sprintf("a%07x%08x", client, 0)
 	leaveAfter := time.Duration(0)
--- a/review/third/rig/rig.go
+++ b/review/third/rig/rig.go
@@ -313,6 +313,12 @@
 	return errors.New("the fronts did not become ready")
 }
 
+// settleTime is how long the machines have run when traffic starts.
+const settleTime = 10 * time.Second
+
+// Settle waits until traffic may start.
+func (r *Rig) Settle() { time.Sleep(time.Until(r.start.Add(settleTime))) }
+
 // SetStore makes the store refuse all calls of nodes with 503, or serve them again.
 func (r *Rig) SetStore(refuses bool) {
 	status := 0
