--- a/review/third/drive/retire.go
+++ b/review/third/drive/retire.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/base64"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -17,6 +18,9 @@
 	recoverTime = 12 * time.Second
 	// wipedAway is how long the machine that loses its disk is away.
 	wipedAway = time.Second
+	// The batch submission has largeItems items, and about largeBytes; 32 MiB are allowed.
+	largeItems = 500
+	largeBytes = 8 << 20
 )
 
 // playRetire asks for the store machine to be emptied that processes the batch submissions, just
@@ -43,7 +47,7 @@
 		r.Note("the operator has %s emptied, and the platform's store refuses all calls", retired.Name)
 	}
 	time.Sleep(2 * time.Second)
-	if err := submitLot(r); err != nil {
+	if err := submitLarge(r); err != nil {
 		return "", err
 	}
 	time.Sleep(time.Until(begin.Add(outage)))
@@ -100,3 +104,23 @@
 	r.Note("%s is back with an empty disk", lost.Name)
 	return lost.Start()
 }
+
+// submitLarge submits a large batch submission at each front in turn until one accepts it.
+func submitLarge(r *rig.Rig) error {
+	var items []string
+	prompt := base64.StdEncoding.EncodeToString(make([]byte, largeBytes/largeItems*3/4-200))
+	for i := range largeItems {
+		items = append(items, fmt.Sprintf(`{"id":"%s%04d","path":"/roll/%d","headers":{"%s":"m0"},"body":%q,"tokens":10,"group":"g%d"}`, lotID, i, i, platform.HeaderModel, prompt, i/8))
+	}
+	body := lotHead + strings.Join(items, ",") + "]}"
+	for i := range 6 {
+		front := r.Fronts[i%len(r.Fronts)]
+		status, text := callWith(front, http.MethodPost, "/roll/"+lotID, lotID, body, 10*time.Second)
+		r.Note("client submits %s with %d bytes to %s and gets %d %.100s", lotID, len(body), front.Name, status, text)
+		if status == http.StatusAccepted {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fmt.Errorf("no front accepted the batch submission")
+}
