Log which nodes were asked before a job is said not to exist

Two causes would look the same in its log: it asked no node with a disk, or those that it asked did not have the job. The line names the nodes.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -526,5 +526,6 @@
 	case spec != nil:
 		return "it was stored a moment ago"
 	}
+	e.Log.Info().Str("job", job).Strs("asked", peers).Msg("job is neither stored nor on a disk")
 	return ""
 }
