Ask a node's own disk too before a job is said not to exist

What callers see: a node with a disk that is to store the end of a customer's job looks the job up, and leaves out its own disk. If the job is on that disk alone, the end is dropped as that of a job that does not exist, and the tasks run on. With losses = 1 the other copy hides the fault unless its disk is lost.

Cause: the disks that are asked are those of the other nodes.

Fix: the node asks itself as it asks the others.

TestJobOnOwnDisk: before, 404 where 503 is expected; now green.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -483,8 +483,8 @@
 	var peers []string
 	missing := false
 	e.Board.Do(func(s *board.State) {
-		for id, m := range s.Members {
-			if id != s.Self.ID && m.HasRole(runner.ClassStore) {
+		for _, m := range s.Members {
+			if m.HasRole(runner.ClassStore) {
 				peers = append(peers, m.Peer)
 			}
 		}
