Record the disks that may hold jobs apart from the entries of their nodes

All store nodes lose power, the service is back, and their entries are removed. A front that starts then answers reads of the job 404 until a store node is back; clients don't ask again after a 404.

Cause: the removal of an entry left no trace in the service, so that a missing disk was known only to the processes that had seen the entry.

Fix: each disk has an ID and a record, which is written in the transaction of its node's entry and outlives it. The node removes it when it leaves an empty disk, and refuses further jobs first; after the retention time of jobs a node with a disk does. Records are under the prefix of nodes, which all nodes read already: no call and no wait is added. A copy that a node refuses is written by the next one.

--- a/board/board.go
+++ b/board/board.go
@@ -164,6 +164,21 @@
 	// Evictions how often the entry was removed while the member ran.
 	Rev       uint64
 	Evictions int
+	// Disk is the ID of the member's disk; empty for a member without one, or one that runs a
+	// build that does not name its disk.
+	Disk string
+}
+
+// Disk is a disk that may hold jobs that are not in the key-value service yet. Its record
+// there outlives the entry of its node.
+type Disk struct {
+	// Node is the ID of the node that has the disk.
+	Node string
+	// Rev is the revision of the record.
+	Rev uint64
+	// MissingSince is when this node first found that no listed node has the disk; zero while
+	// one has.
+	MissingSince time.Time
 }
 
 // MemberState is the state of a member. Of two states with the same incarnation,
@@ -201,8 +216,10 @@
 	// Silent holds the members that don't answer this node at a time when no other member
 	// does, so that none can confirm it, but the key-value service does.
 	Silent map[string]time.Time
-	// MissingDisks holds the nodes with a disk whose entries are missing, with the times
-	// since when. Their disks may hold jobs.
+	// Disks holds the recorded disks by ID.
+	Disks map[string]Disk
+	// MissingDisks holds the nodes with a disk that have no record of it and whose entries are
+	// missing, with the times since when. Their disks may hold jobs.
 	MissingDisks map[string]time.Time
 	Config       quetzalpier.Config
 	// Access is the index of the configuration's customers.
@@ -298,6 +315,7 @@
 			Members:        map[string]Member{},
 			Unreachable:    map[string]time.Time{},
 			Silent:         map[string]time.Time{},
+			Disks:          map[string]Disk{},
 			MissingDisks:   map[string]time.Time{},
 			Upstreams:      map[string]*Upstream{},
 			Helpers:        map[string]Helper{},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,9 @@
 	LookupTTL time.Duration
 	// Retention is the time for which results stay readable.
 	Retention time.Duration
+	// MaxLostDisks is how many disks may be lost at a time without losing a job: each kept
+	// job is on one more.
+	MaxLostDisks int
 	// KVStable reports whether the key-value service has been available for so long
 	// that the list of nodes is up to date and missing entries don't exist.
 	KVStable func(now time.Time) bool
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -134,7 +134,7 @@
 		n.Log.Warn().Str("job", job).Err(err).Msg("kept job could not be looked up")
 		return &wire.Reply{Fault: err.Error()}
 	}
-	return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Job: job, Present: present}}}
+	return &wire.Reply{Kind: &wire.Reply_Kept{Kept: &wire.Kept{Job: job, Present: present, Disk: n.disk.id}}}
 }
 
 // storeJob writes a job to the key-value service, or keeps it on disks if this
--- a/fleet/evict.go
+++ b/fleet/evict.go
@@ -8,6 +8,7 @@
 
 	"quetzalpier"
 	"quetzalpier/board"
+	"quetzalpier/runner"
 	"quetzalpier/sleep"
 	"quetzalpier/vault"
 )
@@ -62,7 +63,17 @@
 	ctx, cancel := context.WithTimeout(ctx, evictTimeout)
 	defer cancel()
 	key := vault.Nodes + m.ID
-	_, err := n.kv.Commit(ctx, quetzalpier.Txn{Expect: map[string]uint64{key: m.Rev}, Deletes: []string{key}})
+	txn := quetzalpier.Txn{Expect: map[string]uint64{key: m.Rev}, Deletes: []string{key}}
+	if m.Disk == "" && m.HasRole(runner.ClassStore) {
+		// Earlier builds write no record of their disk.
+		write, err := writeDisk(m.ID, m.ID)
+		if err != nil {
+			n.Log.Error().Str("member", m.ID).Err(err).Msg("entry of a node that does not answer could not be removed")
+			return
+		}
+		txn.Writes = []quetzalpier.Write{write}
+	}
+	_, err := n.kv.Commit(ctx, txn)
 	var changed *quetzalpier.RevisionError
 	switch {
 	case err == nil:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -140,6 +140,7 @@
 	runner  *runner.Runner
 	entry   *entry.Entry
 	keeper  *keep.Keeper
+	disk    ownDisk
 	vault   *vault.Vault
 	// The mirrors hold the nodes, the owners of pools (on nodes that may own one),
 	// the upstreams, the configuration, the weight versions that trainers publish,
@@ -245,7 +246,7 @@
 	n.openDuties(n.startedAt)
 	options := entry.Options{
 		Board: n.Board, Sender: n.sender, Upstreams: upstreams, Origins: n.origins, Vault: jobVault, Meter: n.Meter, Log: n.Log,
-		Call: n.callPeer, LookupTTL: n.Settings.LookupTTL.D(), Retention: n.Settings.Retention.D(), KVStable: n.kvStable, KVFailed: n.kv.DirectFailed,
+		Call: n.callPeer, LookupTTL: n.Settings.LookupTTL.D(), Retention: n.Settings.Retention.D(), MaxLostDisks: n.Settings.MaxDiskLosses, KVStable: n.kvStable, KVFailed: n.kv.DirectFailed,
 		StopJob: n.runner.StopJob, ConfigAge: n.configAge, RefuseAfter: n.refuseAfter(),
 		Budget: intake.NewBudget(n.Settings.MemoryMiB<<20, n.Settings.Files, n.Settings.HeadBytes),
 	}
@@ -258,6 +259,7 @@
 			Dir: n.Settings.DataDir, MaxLostDisks: n.Settings.MaxDiskLosses, Retention: n.Settings.Retention.D(), Vault: jobVault,
 			Peers: n.diskPeers, Call: n.callPeer, Log: n.Log,
 		}
+		n.openDisk()
 	}
 	// The mesh is opened last, because calls of other nodes use the components
 	// above.
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -18,7 +18,6 @@
 	"quetzalpier/lease"
 	"quetzalpier/mirror"
 	"quetzalpier/platform"
-	"quetzalpier/runner"
 	"quetzalpier/sleep"
 	"quetzalpier/vault"
 )
@@ -42,6 +41,8 @@
 	Leaves bool     `json:"leaves,omitempty"`
 	// Evictions is how often other nodes removed the entry while the node ran.
 	Evictions int `json:"evictions,omitempty"`
+	// Disk is the ID of the node's disk; empty if it has none.
+	Disk string `json:"disk,omitempty"`
 }
 
 // decodeMember decodes and validates the entry of a node.
@@ -58,6 +59,8 @@
 		return m, &quetzalpier.FieldError{Field: "http", Reason: "must be an IP address and port"}
 	case len(m.Domain) > quetzalpier.MaxNameBytes || len(m.Region) > quetzalpier.MaxNameBytes:
 		return m, &quetzalpier.FieldError{Field: "domain", Reason: fmt.Sprintf("must have at most %d bytes, as the region", quetzalpier.MaxNameBytes)}
+	case len(m.Disk) > maxDiskIDBytes:
+		return m, &quetzalpier.FieldError{Field: "disk", Reason: fmt.Sprintf("must have at most %d bytes", maxDiskIDBytes)}
 	}
 	return m, nil
 }
@@ -104,6 +107,10 @@
 				}
 			}
 		}
+		if written.rev > 0 && n.disk.id != "" {
+			n.acceptJobs()
+			n.dropDisks(ctx, time.Now())
+		}
 		sleep.For(ctx, registerInterval)
 	}
 }
@@ -154,12 +161,18 @@
 	defer cancel()
 	value, err := json.Marshal(memberEntry{
 		Peer: self.Peer, HTTP: self.HTTP, Domain: self.Domain, Region: self.Region, Roles: self.Roles,
-		Leaves: self.State != board.Alive, Evictions: self.Evictions,
+		Leaves: self.State != board.Alive, Evictions: self.Evictions, Disk: self.Disk,
 	})
 	if err != nil {
 		return 0, errors.Wrap(err, "encode the node's entry")
 	}
-	return n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{{Key: vault.Nodes + self.ID, Value: value}}})
+	n.disk.mu.Lock()
+	defer n.disk.mu.Unlock()
+	txn := quetzalpier.Txn{Writes: []quetzalpier.Write{{Key: vault.Nodes + self.ID, Value: value}}}
+	if err := n.addRecord(&txn); err != nil {
+		return 0, err
+	}
+	return n.kv.Commit(ctx, txn)
 }
 
 // unregister removes the node's entry before the deadline, unless a later process of the
@@ -171,7 +184,8 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), sleep.Earlier(deadline, time.Now().Add(registerTimeout)))
 	defer cancel()
-	err := n.kv.Delete(ctx, vault.Nodes+n.Settings.Name, rev)
+	key := vault.Nodes + n.Settings.Name
+	err := n.releaseDisk(ctx, quetzalpier.Txn{Expect: map[string]uint64{key: rev}, Deletes: []string{key}})
 	var changed *quetzalpier.RevisionError
 	switch {
 	case errors.As(err, &changed):
@@ -195,11 +209,15 @@
 		before := maps.Clone(s.Members)
 		if full {
 			clear(s.Members)
+			dropUnlisted(s.Disks, changed)
 		}
 		for _, e := range changed {
 			if id, ok := strings.CutPrefix(e.Key, vault.Nodes); ok {
 				n.setMember(s, id, e, now)
 			}
+			if id, ok := strings.CutPrefix(e.Key, vault.Disks); ok {
+				n.setDisk(s, id, e)
+			}
 		}
 		for id, m := range s.Members {
 			if old, known := before[id]; known && old.Rev == m.Rev {
@@ -208,24 +226,12 @@
 			}
 		}
 		n.recordMembers(before, s.Members)
-		recordDisks(s, before, now)
+		n.recordDisks(s, before, now)
 	})
 	n.prober.Refresh(now)
 	n.listedOnce.Do(func() { close(n.nodesListed) })
 }
 
-// recordDisks records the nodes with a disk whose entries are missing.
-func recordDisks(s *board.State, before map[string]board.Member, now time.Time) {
-	for id, m := range before {
-		if _, listed := s.Members[id]; !listed && m.HasRole(runner.ClassStore) {
-			s.MissingDisks[id] = now
-		}
-	}
-	for id := range s.Members {
-		delete(s.MissingDisks, id)
-	}
-}
-
 // distrust marks listed nodes that this node did not know as unreachable, since they may
 // have been lost in an outage; the prober clears the mark of each that answers.
 func (n *Node) distrust(entries []quetzalpier.Entry, now time.Time) {
@@ -295,7 +301,7 @@
 	}
 	s.Members[id] = board.Member{
 		ID: id, Peer: m.Peer, HTTP: m.HTTP, Domain: m.Domain, Region: m.Region, Roles: m.Roles, State: state, Since: now,
-		Rev: e.Rev, Evictions: m.Evictions,
+		Rev: e.Rev, Evictions: m.Evictions, Disk: m.Disk,
 	}
 }
 
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -49,7 +49,8 @@
 	Call func(ctx context.Context, addr string, call *wire.Call) (*wire.Reply, error)
 	Log  zerolog.Logger
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	closed bool
 }
 
 // TooFewCopiesError reports that there are too few nodes for a job to survive
@@ -65,6 +66,27 @@
 	return "job " + e.Job + ": too few nodes to keep enough copies"
 }
 
+// ClosedError reports that this node keeps no further jobs.
+type ClosedError struct {
+	Job string
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string { return "job " + e.Job + ": this node keeps no further jobs" }
+
+// Close makes Keep refuse further jobs with a ClosedError. Those on the disk are still
+// submitted.
+func (k *Keeper) Close() { k.setClosed(true) }
+
+// Open makes Keep accept jobs again.
+func (k *Keeper) Open() { k.setClosed(false) }
+
+func (k *Keeper) setClosed(closed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = closed
+}
+
 // Keep writes a job to this disk and, unless it is a copy already, to as many
 // others that one copy survives the worst configured loss of disks. It returns the job
 // that the disk keeps: one that was submitted before has precedence. After an
@@ -87,19 +109,7 @@
 	if len(peers) < k.MaxLostDisks {
 		return nil, &TooFewCopiesError{job.ID, 1, k.MaxLostDisks + 1}
 	}
-	copies := pool.New().WithErrors().WithFirstError()
-	for _, peer := range peers[:k.MaxLostDisks] {
-		copies.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-			defer cancel()
-			reply, err := k.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: &wire.Keep{Job: data, Copy: true}}})
-			if err == nil && wire.IsForeign(reply) {
-				err = &quetzalpier.ForeignJobError{Job: job.ID}
-			}
-			return err
-		})
-	}
-	err = errors.Wrapf(copies.Wait(), "copy job %s to other nodes", job.ID)
+	err = errors.Wrapf(k.copyTo(ctx, peers, job, data), "copy job %s to other nodes", job.ID)
 	var foreign *quetzalpier.ForeignJobError
 	if created && errors.As(err, &foreign) {
 		// Submitted before the other customer's job, this one would take its ID.
@@ -108,6 +118,42 @@
 	return job, err
 }
 
+// copyTo has as many nodes write a copy as disks may be lost. A node that fails is replaced by one
+// of those left, which are in the order of preference.
+func (k *Keeper) copyTo(ctx context.Context, peers []string, job *quetzalpier.Job, data []byte) error {
+	left := make(chan string, len(peers))
+	for _, peer := range peers {
+		left <- peer
+	}
+	close(left)
+	copies := pool.New().WithErrors().WithFirstError()
+	for range k.MaxLostDisks {
+		copies.Go(func() error {
+			var failed error = &TooFewCopiesError{job.ID, 1, k.MaxLostDisks + 1}
+			for peer := range left {
+				err := k.copyOnce(ctx, peer, job, data)
+				var foreign *quetzalpier.ForeignJobError
+				if err == nil || errors.As(err, &foreign) || ctx.Err() != nil {
+					return err
+				}
+				failed = err
+			}
+			return failed
+		})
+	}
+	return copies.Wait()
+}
+
+func (k *Keeper) copyOnce(ctx context.Context, peer string, job *quetzalpier.Job, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	reply, err := k.Call(ctx, peer, &wire.Call{Kind: &wire.Call_Keep{Keep: &wire.Keep{Job: data, Copy: true}}})
+	if err == nil && wire.IsForeign(reply) {
+		err = &quetzalpier.ForeignJobError{Job: job.ID}
+	}
+	return err
+}
+
 // remove removes the file of a job.
 func (k *Keeper) remove(id string) {
 	k.mu.Lock()
@@ -146,6 +192,9 @@
 func (k *Keeper) write(job *quetzalpier.Job, data []byte) (earlier keptJob, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.closed {
+		return keptJob{}, &ClosedError{job.ID}
+	}
 	name, err := k.path(job.ID)
 	if err != nil {
 		return keptJob{}, err
@@ -199,6 +248,10 @@
 
 func (k *Keeper) submitFile(ctx context.Context, name string, now time.Time) error {
 	data, err := os.ReadFile(name)
+	if errors.Is(err, os.ErrNotExist) {
+		// Another call of SubmitAll has submitted it.
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/soak/disks_test.go
@@ -0,0 +1,188 @@
+package soak_test
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"quetzalpier/platform"
+	"quetzalpier/soak"
+	"quetzalpier/stand"
+	"quetzalpier/vault"
+)
+
+const (
+	// inTouchAfter is how long after its start, and after the last loss of a node, a front's
+	// answers count.
+	inTouchAfter = 3 * time.Second
+	// servesAgainAfter limits how long jobs on disks may stay unreadable once all disks are back.
+	servesAgainAfter = 12 * time.Second
+	jobOnDisks       = `{"step":0,"model":"m0","minVersion":1,"targetGroups":1,"items":[{"id":"t1","path":"/batch/t1","headers":{"X-Quetzalpier-Model":"m0"},"body":"MTAgcHJvbXB0","tokens":100,"group":"g"}]}`
+)
+
+// openDiskRig starts a deployment for jobs on disks, of which one may be lost.
+func openDiskRig(t *testing.T) *soak.Rig {
+	t.Helper()
+	r := openRigWith(t, soak.Options{Fronts: 2, Stores: 3, Engines: 2, Plains: 1, EventInterval: 5 * time.Millisecond})
+	require.True(t, r.WaitReady(t.Context(), 15*time.Second))
+	time.Sleep(inTouchAfter)
+	return r
+}
+
+// callJob makes a call about a job over a connection of its own. The status is zero without an
+// answer.
+func callJob(method string, n *soak.Node, path, id, body string) int {
+	client := http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(method, "http://"+n.Settings.Front+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Host = soak.Host
+	req.Header.Set(platform.HeaderAttempt, id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// readJob reads the results of a job at a front and returns the status.
+func readJob(n *soak.Node, job string) int {
+	return callJob(http.MethodGet, n, platform.PathJobs+job+"?after=0", "", "")
+}
+
+// submitInOutage submits a job while the key-value service is unavailable, so that it lies on
+// disks. The service stays unavailable.
+func submitInOutage(t *testing.T, r *soak.Rig, job string) {
+	t.Helper()
+	r.KV.SetFaults(stand.KVFaults{Unavailable: true})
+	time.Sleep(time.Second)
+	status := 0
+	for i := 0; i < 10 && status != http.StatusAccepted; i++ {
+		status = callJob(http.MethodPost, r.Fronts[i%2], "/batch/"+job, job, jobOnDisks)
+	}
+	require.Equal(t, http.StatusAccepted, status)
+}
+
+// killStores kills store nodes and waits, with the service back, until their entries are removed.
+func killStores(t *testing.T, r *soak.Rig, stores ...*soak.Node) {
+	t.Helper()
+	var kills conc.WaitGroup
+	for _, n := range stores {
+		kills.Go(n.Kill)
+	}
+	kills.Wait()
+	r.KV.SetFaults(stand.KVFaults{})
+	for _, n := range stores {
+		require.Eventually(t, func() bool {
+			entry, err := r.KV.Get(t.Context(), vault.Nodes+n.Settings.Name)
+			return err == nil && entry.Rev == 0
+		}, 15*time.Second, 20*time.Millisecond, "entry of %s", n.Settings.Name)
+	}
+}
+
+// requireReads requires the status of a read of a job at all fronts, which may take some time.
+func requireReads(t *testing.T, r *soak.Rig, job string, status int, within time.Duration) {
+	t.Helper()
+	for _, n := range r.Fronts {
+		require.Eventually(t, func() bool { return readJob(n, job) == status }, within, 50*time.Millisecond, "job %s at %s", job, n.Settings.Name)
+	}
+}
+
+// TestStartAfterDisksWereLost guards against a front that answers that an accepted job does not
+// exist, since it started after the entries of the nodes that keep the job were removed.
+func TestStartAfterDisksWereLost(t *testing.T) {
+	t.Parallel()
+	r := openDiskRig(t)
+	submitInOutage(t, r, "kept")
+	killStores(t, r, r.Stores...)
+	r.Fronts[0].Kill()
+	require.NoError(t, r.Fronts[0].Start())
+	require.NoError(t, r.AddFront())
+	for end := time.Now().Add(inTouchAfter + 2*time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, n := range r.Fronts {
+			require.NotEqual(t, http.StatusNotFound, readJob(n, "kept"), "at %s", n.Settings.Name)
+		}
+	}
+	for _, n := range r.Stores {
+		require.NoError(t, n.Start())
+	}
+	for end := time.Now().Add(servesAgainAfter); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		status := readJob(r.Fronts[2], "kept")
+		require.NotEqual(t, http.StatusNotFound, status)
+		if status == http.StatusOK {
+			break
+		}
+	}
+	requireReads(t, r, "kept", http.StatusOK, time.Second)
+	requireReads(t, r, "never", http.StatusNotFound, inTouchAfter)
+}
+
+// TestJobThatNeverWas guards against refusals to tell that a job does not exist, by a front that
+// has just started, and after nodes with a disk have left as planned or were replaced.
+func TestJobThatNeverWas(t *testing.T) {
+	t.Parallel()
+	r := openDiskRig(t)
+	requireReads(t, r, "never", http.StatusNotFound, time.Second)
+	require.NoError(t, r.AddFront())
+	requireReads(t, r, "never", http.StatusNotFound, inTouchAfter)
+	for _, n := range r.Stores {
+		require.True(t, n.Stop())
+		requireReads(t, r, "never", http.StatusNotFound, time.Second)
+		require.NoError(t, n.Start())
+		time.Sleep(time.Second)
+	}
+	require.True(t, r.Stores[0].Stop())
+	killStores(t, r, r.Stores[1])
+	require.NoError(t, r.AddStore())
+	require.NoError(t, r.AddFront())
+	requireReads(t, r, "never", http.StatusNotFound, inTouchAfter)
+}
+
+// TestEmptyDiskInPlaceOfALostOne guards against a front that takes a new disk for the one that
+// held an accepted job, while the other node that keeps the job is away.
+func TestEmptyDiskInPlaceOfALostOne(t *testing.T) {
+	t.Parallel()
+	r := openDiskRig(t)
+	submitInOutage(t, r, "kept")
+	var keepers []*soak.Node
+	for _, n := range r.Stores {
+		if keepsJob(t, n) {
+			keepers = append(keepers, n)
+		}
+	}
+	require.Len(t, keepers, 2)
+	killStores(t, r, keepers...)
+	wipeDisk(t, keepers[0])
+	require.NoError(t, keepers[0].Start())
+	require.NoError(t, r.AddFront())
+	for end := time.Now().Add(inTouchAfter + 2*time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, n := range r.Fronts {
+			require.NotEqual(t, http.StatusNotFound, readJob(n, "kept"), "at %s", n.Settings.Name)
+		}
+	}
+	require.NoError(t, keepers[1].Start())
+	requireReads(t, r, "kept", http.StatusOK, servesAgainAfter)
+}
+
+// keepsJob reports whether a job is on the node's disk.
+func keepsJob(t *testing.T, n *soak.Node) bool {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(n.Settings.DataDir, "*.job"))
+	require.NoError(t, err)
+	return len(names) > 0
+}
+
+// wipeDisk empties the disk of a node that does not run.
+func wipeDisk(t *testing.T, n *soak.Node) {
+	t.Helper()
+	require.NoError(t, os.RemoveAll(n.Settings.DataDir))
+	require.NoError(t, os.MkdirAll(n.Settings.DataDir, 0o755))
+}
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -345,6 +345,18 @@
 	return err
 }
 
+// AddFront starts a further front.
+func (r *Rig) AddFront() error {
+	i := len(r.Fronts)
+	return r.startNode(&r.Fronts, fmt.Sprintf("front-%d", i), "front", i)
+}
+
+// AddStore starts a further node with a disk.
+func (r *Rig) AddStore() error {
+	i := len(r.Stores)
+	return r.startNode(&r.Stores, fmt.Sprintf("store-%d", i), "store", i)
+}
+
 func (r *Rig) startNode(started *[]*Node, name, class string, i int) error {
 	kv, err := r.KV.Share("127.0.0.1:0")
 	if err != nil {
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -25,11 +25,12 @@
 	Ends          = "in/end/"
 	prefixResults = "out/"
 	prefixPart    = "part/"
-	// System is the prefix of the keys of owners and nodes, Owners of those of
-	// pool owners, and Nodes of those of nodes.
+	// System is the prefix of the keys of owners, nodes and disks, Owners of those of
+	// pool owners, Nodes of those of nodes, and Disks of those of the disks that may hold jobs.
 	System = "sys/"
 	Owners = "sys/own/"
 	Nodes  = "sys/node/"
+	Disks  = "sys/disk/"
 	// Duties is the prefix of the keys of the platform's duties.
 	Duties = "duty/"
 )
