Don't take missing entries for deleted before the nodes are read

What callers see: a front whose first read of the nodes gets no answer, which it waits 15 s for, answers 404 for a job that is on disks from two seconds after its start on: it knows of no disk to ask.

Cause: kvStable looked at failures of the mirror, which has none while its first read is in progress.

Fix: the mirror must have had an answer. Lookups and orders of upstreams use kvStable too: they keep what they know until then.

TestUnstableBeforeTheNodesAreListed: before, stable with nothing read; now green.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -330,12 +330,12 @@
 }
 
 // kvStable reports whether the key-value service has answered for longer than
-// the settle time since its last outage and since the start of this process.
-// Only then is a missing entry known to be deleted.
+// the settle time since its last outage and since the start of this process, which
+// has read the nodes. Only then is a missing entry known to be deleted.
 func (n *Node) kvStable(now time.Time) bool {
 	state := n.nodes.State()
 	settle := n.Settings.SettleTime.D()
-	return n.kv.StableFor(settle, now) && !state.Failing && now.Sub(state.RecoveredAt) > settle && now.Sub(n.startedAt) > settle
+	return n.kv.StableFor(settle, now) && !state.LastContact.IsZero() && !state.Failing && now.Sub(state.RecoveredAt) > settle && now.Sub(n.startedAt) > settle
 }
 
 // configAge returns the time since the configuration on the board was last known to be
--- a/fleet/learn_test.go
+++ b/fleet/learn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 	"quetzalpier/meter"
 	"quetzalpier/mirror"
 	"quetzalpier/platform"
+	"quetzalpier/relay"
 )
 
 const settlePeriod = 2 * time.Second
@@ -114,6 +116,36 @@
 	})
 }
 
+// Guards against a node that says that a job does not exist before it has read which nodes may have
+// the job on their disks, as when the answer of its first read is lost.
+func TestUnstableBeforeTheNodesAreListed(t *testing.T) {
+	now := time.Now()
+	list := quetzalpier.Changes{Rev: 1, Entries: []quetzalpier.Entry{storeEntry("a", "x")}}
+	n := &Node{kv: &relay.KV{}, startedAt: now.Add(-time.Minute), nodes: &mirror.Mirror{Apply: func([]quetzalpier.Entry, bool, time.Time) {}}}
+	require.False(t, n.kvStable(now), "nothing is read yet")
+	require.True(t, n.nodes.Seed(list, now))
+	require.False(t, n.kvStable(now), "only the view of another node is known")
+	ctx, cancel := context.WithCancel(t.Context())
+	n.nodes.KV = listOnce{list, cancel}
+	n.nodes.Run(ctx)
+	require.True(t, n.kvStable(now.Add(time.Minute)))
+}
+
+// listOnce is a source of one list. It calls done at the first watch.
+type listOnce struct {
+	list quetzalpier.Changes
+	done func()
+}
+
+func (l listOnce) Range(context.Context, string, bool) (quetzalpier.Changes, error) {
+	return l.list, nil
+}
+
+func (l listOnce) WatchPrefix(context.Context, string, uint64, time.Duration) (quetzalpier.Changes, error) {
+	l.done()
+	return quetzalpier.Changes{Rev: l.list.Rev}, nil
+}
+
 // TestConfigWithCustomers guards against a configuration that can't be read replacing the
 // last good one, or being dropped silently.
 func TestConfigWithCustomers(t *testing.T) {
