Refuse jobs for the disk of a node that is to be retired

Cause: the node found its disk empty once and then repeated the report until the service took it, while it went on accepting jobs.

Fix: it refuses further jobs before it looks at the disk, so that there can only be fewer. The report also removes the record of the disk, which would be missing once the node is removed.

--- a/fleet/disks.go
+++ b/fleet/disks.go
@@ -118,6 +118,16 @@
 	n.keeper.Open()
 }
 
+// closeDisk makes this node refuse further jobs for its disk.
+func (n *Node) closeDisk() {
+	n.disk.mu.Lock()
+	defer n.disk.mu.Unlock()
+	n.disk.closing = true
+	if n.keeper != nil {
+		n.keeper.Close()
+	}
+}
+
 // releaseDisk commits a transaction that also removes the record of this node's disk if
 // nothing is left on it. The node accepts no job for its disk any more.
 func (n *Node) releaseDisk(ctx context.Context, txn quetzalpier.Txn) error {
--- a/fleet/disks_test.go
+++ b/fleet/disks_test.go
@@ -18,6 +18,7 @@
 	"quetzalpier/keep"
 	"quetzalpier/meter"
 	"quetzalpier/mirror"
+	"quetzalpier/platform"
 	"quetzalpier/probe"
 	"quetzalpier/runner"
 	"quetzalpier/stand"
@@ -205,6 +206,27 @@
 		kv.SetFaults(stand.KVFaults{})
 		require.Eventually(t, func() bool { return len(listRecords(t, kv)) == 1 && keepTestJob(t, next).GetFault() == "" }, 5*time.Second, 50*time.Millisecond)
 	})
+	// Guards against a node that reports that it is empty, and is removed with its disk, while it has
+	// accepted another job.
+	t.Run("a node that is to be retired keeps no further job", func(t *testing.T) {
+		t.Parallel()
+		n, kv, _ := openTestNode(t, "store")
+		kv.SetFaults(stand.KVFaults{Unavailable: true})
+		require.Eventually(t, n.kv.DirectFailed, 5*time.Second, 10*time.Millisecond)
+		require.Empty(t, keepTestJob(t, n).GetFault())
+		n.Board.Update(func(s *board.State) { s.Retiring["n"] = true })
+		require.Eventually(t, func() bool { return keepTestJob(t, n).GetFault() != "" }, time.Second, 10*time.Millisecond)
+		kv.SetFaults(stand.KVFaults{})
+		require.Eventually(t, func() bool {
+			status, err := kv.Get(t.Context(), platform.EncodeRetireStatus("n", true).Key)
+			return err == nil && status.Rev > 0
+		}, 5*time.Second, 10*time.Millisecond)
+		require.Empty(t, listRecords(t, kv), "its disk would be missing once it is removed")
+		stored, err := n.vault.Get(t.Context(), "j1")
+		require.NoError(t, err)
+		require.NotNil(t, stored)
+		require.NotEmpty(t, keepTestJob(t, n).GetFault())
+	})
 	t.Run("the entry of an earlier build's node is removed with a record left", func(t *testing.T) {
 		t.Parallel()
 		n, kv, _ := openTestNode(t, "store")
--- a/fleet/stop.go
+++ b/fleet/stop.go
@@ -35,16 +35,17 @@
 	}
 }
 
-// retire releases the node's pools, moves its kept jobs to the key-value service,
-// and then reports to the platform that the node is empty.
+// retire refuses further jobs for the node's disk, releases its pools, moves its kept jobs to
+// the key-value service, and then reports to the platform that the node is empty.
 func (n *Node) retire(ctx context.Context, releasePools func()) {
 	n.Log.Info().Msg("retiring the node")
+	n.closeDisk()
 	releasePools()
 	for ctx.Err() == nil && n.keeper != nil && !n.keeper.SubmitAll(ctx, time.Now()) {
 		sleep.For(ctx, ownerRenewInterval)
 	}
 	for ctx.Err() == nil {
-		_, err := n.kv.Commit(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{platform.EncodeRetireStatus(n.Settings.Name, true)}})
+		err := n.releaseDisk(ctx, quetzalpier.Txn{Writes: []quetzalpier.Write{platform.EncodeRetireStatus(n.Settings.Name, true)}})
 		if err == nil {
 			n.Log.Info().Msg("node retired: it owns no pool and keeps no job")
 			return
