Have callers wait a second for a job on a disk that can't be asked

What callers saw: reads of a job that may be on a missing disk got 503 with a Retry-After of 0.1 to 0.15 s, for as long as the disk was missing: up to two minutes, with a call to the key-value service each.

Cause: the delay was that of a job which a node is about to store, as those on the disk of a node that answers are.

Fix: a job that a node keeps still comes with that delay; one on a disk that can't be asked with 1 to 1.5 s, as a VM takes seconds to come back.

TestJobThatMayBeOnADisk checks both; before, the rows with a missing disk fail.

--- a/entry/disks.go
+++ b/entry/disks.go
@@ -13,6 +13,10 @@
 	"quetzalpier/wire"
 )
 
+// diskRetryAfter is the retry delay for a job that may be on a disk which this node can't ask: a
+// VM takes seconds to come back.
+const diskRetryAfter = time.Second
+
 // jobDisks are the disks that may hold a job that is not in the key-value service.
 type jobDisks struct {
 	// nodes are the listed nodes that may have one, and missing describes those whose nodes
@@ -68,21 +72,21 @@
 	return peers
 }
 
-// mayBeKept returns why a job that is not stored may be on a disk, or an empty string if
-// it is on none.
-func (e *Entry) mayBeKept(job string, now time.Time) string {
+// mayBeKept returns why a job that is not stored may be on a disk, and when to ask again, or an
+// empty string if it is on none.
+func (e *Entry) mayBeKept(job string, now time.Time) (reason string, retryAfter time.Duration) {
 	var disks jobDisks
 	e.Board.Do(func(s *board.State) { disks = findDisks(s, e.Retention, now) })
 	unknown, tolerated := disks.missing, disks.tolerated(e.MaxLostDisks)
 	if len(unknown) <= tolerated {
 		kept, unanswered := e.askDisks(job, disks.nodes)
 		if kept != "" {
-			return kept
+			return kept, storeRetryDelay
 		}
 		unknown = append(unknown, unanswered...)
 	}
 	if len(unknown) > tolerated {
-		return unknown[0]
+		return unknown[0], diskRetryAfter
 	}
 	// A node removes the job from its disk once it is stored.
 	ctx, cancel := context.WithTimeout(e.ctx, storeCallTimeout)
@@ -90,12 +94,12 @@
 	spec, err := e.readJob(ctx, job)
 	switch {
 	case err != nil:
-		return "the store can't be read: " + err.Error()
+		return "the store can't be read: " + err.Error(), storeRetryDelay
 	case spec != nil:
-		return "it was stored a moment ago"
+		return "it was stored a moment ago", storeRetryDelay
 	}
 	e.Log.Info().Str("job", job).Strs("asked", disks.peers()).Strs("unknown", unknown).Msg("job is neither stored nor on a disk")
-	return ""
+	return "", 0
 }
 
 // diskAnswer is what a node says of a job on its disk.
--- a/entry/disks_test.go
+++ b/entry/disks_test.go
@@ -1,8 +1,12 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -16,12 +20,15 @@
 	"quetzalpier/wire"
 )
 
-// requireJob requires the status of a read of a job's results.
-func (r *testEntry) requireJob(t *testing.T, want int) {
+// requireJob requires the status of a read of a job's results, and returns its retry delay.
+func (r *testEntry) requireJob(t *testing.T, want int) time.Duration {
 	t.Helper()
 	resp, text, err := r.send(t, http.MethodGet, platform.PathJobs+"j2", "", nil)
 	require.NoError(t, err)
 	require.Equal(t, want, resp.StatusCode, text)
+	after, err := strconv.ParseFloat(cmp.Or(resp.Header.Get("Retry-After"), "0"), 64)
+	require.NoError(t, err)
+	return time.Duration(after * float64(time.Second))
 }
 
 // Guards against a node with a disk that says that a job does not exist which is on its own disk,
@@ -116,7 +123,15 @@
 				}
 				return &wire.Reply{Kind: &wire.Reply_Kept{Kept: kept}}, nil
 			}
-			r.requireJob(t, test.want)
+			after := r.requireJob(t, test.want)
+			switch {
+			case test.want == http.StatusNotFound:
+				require.Zero(t, after)
+			case slices.Contains(slices.Collect(maps.Values(test.answers)), present):
+				require.Less(t, after, time.Second, "the job is stored within moments")
+			default:
+				require.GreaterOrEqual(t, after, time.Second, "a VM takes seconds to come back")
+			}
 		})
 	}
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -470,9 +470,9 @@
 	if !e.KVStable(now) {
 		return quetzalpier.Unavailable("store", "job "+job+" is not stored, and the store was out a moment ago", quetzalpier.RanNo, e.Sender.Jitter(storeRetryDelay))
 	}
-	if reason := e.mayBeKept(job, now); reason != "" {
+	if reason, retryAfter := e.mayBeKept(job, now); reason != "" {
 		e.Log.Info().Str("job", job).Str("reason", reason).Msg("job is not stored and may be on a disk")
-		return quetzalpier.Unavailable("store", "job "+job+" is not stored, and may be on a disk", quetzalpier.RanNo, e.Sender.Jitter(storeRetryDelay))
+		return quetzalpier.Unavailable("store", "job "+job+" is not stored, and may be on a disk", quetzalpier.RanNo, e.Sender.Jitter(retryAfter))
 	}
 	return jobMissing(job)
 }
