Remove the records of lost disks apart from the renewal of leases

The removal ran in the loop that renews the leases of pools, which last 1.2 s: a removal that gets no answer takes as long. It has a loop of its own now, and waits while the service doesn't answer.

--- a/fleet/disks.go
+++ b/fleet/disks.go
@@ -16,6 +16,7 @@
 	"quetzalpier/hash"
 	"quetzalpier/keep"
 	"quetzalpier/runner"
+	"quetzalpier/sleep"
 	"quetzalpier/vault"
 )
 
@@ -90,6 +91,25 @@
 	n.Board.Do(func(s *board.State) { s.Self.Disk = id })
 }
 
+// watchDisks opens this node's disk for jobs once its record is written, and removes the records
+// of other disks that hold no job, until ctx ends.
+func (n *Node) watchDisks(ctx context.Context) {
+	if n.disk.id == "" {
+		return
+	}
+	select {
+	case <-n.registered:
+	case <-ctx.Done():
+		return
+	}
+	for ok := true; ok; ok = sleep.For(ctx, dropInterval) {
+		n.acceptJobs()
+		if !n.kv.DirectFailed() {
+			n.dropDisks(ctx, time.Now())
+		}
+	}
+}
+
 // addRecord adds the record of this node's disk to the writes of the node's entry; the caller
 // holds disk.mu.
 func (n *Node) addRecord(txn *quetzalpier.Txn) error {
@@ -253,6 +273,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 		err := n.kv.Delete(callCtx, vault.Disks+id, rev)
 		cancel()
-		n.Log.Info().Str("disk", id).AnErr("cause", err).Msg("removed the record of a disk that holds no job")
+		if err != nil {
+			n.Log.Info().Str("disk", id).Err(err).Msg("record of a disk that holds no job could not be removed")
+			continue
+		}
+		n.Log.Info().Str("disk", id).Msg("removed the record of a disk that holds no job")
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -374,6 +374,7 @@
 	n.runDuties(work)
 	n.background.Go(func() { n.prober.Run(membership) })
 	n.background.Go(func() { n.views.run(membership) })
+	n.background.Go(func() { n.watchDisks(membership) })
 	var runs, registration conc.WaitGroup
 	registration.Go(func() { n.register(membership) })
 	runs.Go(func() { n.runner.Run(ownCtx) })
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -107,10 +107,6 @@
 				}
 			}
 		}
-		if written.rev > 0 && n.disk.id != "" {
-			n.acceptJobs()
-			n.dropDisks(ctx, time.Now())
-		}
 		sleep.For(ctx, registerInterval)
 	}
 }
--- a/soak/disks_test.go
+++ b/soak/disks_test.go
@@ -97,14 +97,19 @@
 }
 
 // TestStartAfterDisksWereLost guards against a front that answers that an accepted job does not
-// exist, since it started after the entries of the nodes that keep the job were removed.
+// exist, since it started after the entries of the nodes that keep the job were removed, as did all
+// others.
 func TestStartAfterDisksWereLost(t *testing.T) {
 	t.Parallel()
 	r := openDiskRig(t)
 	submitInOutage(t, r, "kept")
 	killStores(t, r, r.Stores...)
-	r.Fronts[0].Kill()
-	require.NoError(t, r.Fronts[0].Start())
+	for _, n := range r.Fronts {
+		n.Kill()
+	}
+	for _, n := range r.Fronts {
+		require.NoError(t, n.Start())
+	}
 	require.NoError(t, r.AddFront())
 	for end := time.Now().Add(inTouchAfter + 2*time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, n := range r.Fronts {
