--- a/soak/disks_test.go
+++ b/soak/disks_test.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"quetzalpier"
 	"quetzalpier/platform"
 	"quetzalpier/soak"
 	"quetzalpier/stand"
@@ -23,7 +24,6 @@
 	inTouchAfter = 3 * time.Second
 	// servesAgainAfter limits how long jobs on disks may stay unreadable once all disks are back.
 	servesAgainAfter = 12 * time.Second
-	jobOnDisks       = `{"step":0,"model":"m0","minVersion":1,"targetGroups":1,"items":[{"id":"t1","path":"/batch/t1","headers":{"X-Quetzalpier-Model":"m0"},"body":"MTAgcHJvbXB0","tokens":100,"group":"g"}]}`
 )
 
 // openDiskRig starts a deployment for jobs on disks, of which one may be lost.
@@ -64,9 +64,12 @@
 	t.Helper()
 	r.KV.SetFaults(stand.KVFaults{Unavailable: true})
 	time.Sleep(time.Second)
+	task := quetzalpier.Task{ID: "t1", Group: "g", Path: "/batch/t1", Headers: map[string]string{platform.HeaderModel: "m0"}, Body: []byte("10 prompt"), MaxTokens: 100}
+	data, err := platform.EncodeJob(quetzalpier.Job{ID: job, Model: "m0", MinVersion: 1, WantGroups: 1, Tasks: []quetzalpier.Task{task}})
+	require.NoError(t, err)
 	status := 0
 	for i := 0; i < 10 && status != http.StatusAccepted; i++ {
-		status = callJob(http.MethodPost, r.Fronts[i%2], "/batch/"+job, job, jobOnDisks)
+		status = callJob(http.MethodPost, r.Fronts[i%2], "/batch/"+job, job, string(data))
 	}
 	require.Equal(t, http.StatusAccepted, status)
 }
