--- a/fleet/disks.go
+++ b/fleet/disks.go
@@ -55,20 +55,23 @@
 	return quetzalpier.Write{Key: vault.Disks + id, Value: value}, errors.Wrap(err, "encode the record of a disk")
 }
 
-// ownDisk is the disk of this node. Each disk that holds a job has a record: jobs are accepted
-// once the record is known to be written, which the ID that is saved on the disk tells later
-// processes, and until it is to be removed.
+// ownDisk is the disk of this node; id is empty if it has none or its ID can't be read. The disk
+// takes jobs only while it has a record. Its ID is saved on it for as long, so that a process
+// that starts while the key-value service is unavailable knows whether there is one.
 type ownDisk struct {
 	id string
 
 	// mu serializes the writes of the record and its removal.
-	mu       sync.Mutex
+	mu sync.Mutex
+	// recorded is set once the record was written, by this process or an earlier one.
 	recorded bool
+	// closing is set once the disk takes no further jobs since the node is leaving, and
+	// released once the record is or may be removed.
 	closing  bool
 	released bool
 }
 
-// openDisk reads the ID of the disk, or chooses that of a new one.
+// openDisk reads the ID of the disk, or chooses one for a new disk, which takes no jobs yet.
 func (n *Node) openDisk() {
 	if n.keeper == nil {
 		return
