soak: Say how far a lookup without a response got

The error did not tell whether the connection was not accepted, the front did not answer, or nothing ran on the machine; the logs of the nodes are not kept there. The error now names the stage, and the test asks all fronts once more.

--- a/soak/lookup.go
+++ b/soak/lookup.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,10 +25,54 @@
 // lookupPause is the time between two lookups of a check.
 const lookupPause = 50 * time.Millisecond
 
+// LookupStage is how far a lookup got.
+type LookupStage int32
+
+// The stages of a lookup.
+const (
+	LookupConnecting LookupStage = iota
+	LookupSending
+	LookupWaiting
+)
+
+// String implements fmt.Stringer.
+func (s LookupStage) String() string {
+	switch s {
+	case LookupConnecting:
+		return "connecting"
+	case LookupSending:
+		return "sending the request"
+	default:
+		return "waiting for the response"
+	}
+}
+
+// LookupError reports a lookup that got no response.
+type LookupError struct {
+	Node  string
+	Stage LookupStage
+	Took  time.Duration
+	Err   error
+}
+
+// Error implements error.
+func (e *LookupError) Error() string {
+	return fmt.Sprintf("lookup at %s failed after %s, %s: %s", e.Node, e.Took, e.Stage, e.Err)
+}
+
+// Unwrap returns the error of the HTTP client.
+func (e *LookupError) Unwrap() error { return e.Err }
+
 // Lookup asks the node which fronts clients should use.
 func (n *Node) Lookup(ctx context.Context) ([]string, error) {
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
+	var stage atomic.Int32
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { stage.Store(int32(LookupSending)) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { stage.Store(int32(LookupWaiting)) },
+	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Lookup+platform.PathLookup+"?name="+Host, nil)
 	if err != nil {
 		return nil, err
@@ -33,7 +80,7 @@
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, &LookupError{Node: n.Settings.Name, Stage: LookupStage(stage.Load()), Took: time.Since(start), Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
--- a/soak/lookup_test.go
+++ b/soak/lookup_test.go
@@ -52,12 +52,26 @@
 	for start := time.Now(); time.Since(start) < period; time.Sleep(lookupInterval) {
 		for _, n := range fronts {
 			named, err := n.Names(t.Context(), subject)
+			if err != nil {
+				logLookups(t, fronts)
+			}
 			require.NoError(t, err)
 			require.True(t, named, "%s does not name %s after %s", n.Settings.Name, subject.Settings.Name, time.Since(start))
 		}
 	}
 }
 
+// logLookups logs what a further lookup at each front gives, to tell a lost connection from a
+// front that hangs, and that from a machine on which nothing runs.
+func logLookups(t *testing.T, fronts []*soak.Node) {
+	t.Helper()
+	for _, n := range fronts {
+		start := time.Now()
+		addrs, err := n.Lookup(t.Context())
+		t.Logf("a further lookup at %s took %s: %v, error: %v", n.Settings.Name, time.Since(start), addrs, err)
+	}
+}
+
 func TestLookupNamesLostFront(t *testing.T) {
 	t.Run("a front whose process is gone", func(t *testing.T) {
 		_, lost, others := openFronts(t)
