soak: Test further calls about jobs whose disks are away

The review of what follows from missing disks was done on tables of decisions only for the end of a job, the same submission sent again, and a front that can't reach the key-value service while entries are removed. They are played with processes now.

--- a/soak/disks_test.go
+++ b/soak/disks_test.go
@@ -58,18 +58,29 @@
 	return callJob(http.MethodGet, n, platform.PathJobs+job+"?after=0", "", "")
 }
 
+// submitJob submits a job at a front and returns the status.
+func submitJob(t *testing.T, n *soak.Node, job string) int {
+	t.Helper()
+	task := quetzalpier.Task{ID: "t1", Group: "g", Path: "/batch/t1", Headers: map[string]string{platform.HeaderModel: "m0"}, Body: []byte("10 prompt"), MaxTokens: 100}
+	data, err := platform.EncodeJob(quetzalpier.Job{ID: job, Model: "m0", MinVersion: 1, WantGroups: 1, Tasks: []quetzalpier.Task{task}})
+	require.NoError(t, err)
+	return callJob(http.MethodPost, n, "/batch/"+job, job, string(data))
+}
+
+// endJob ends a job at a front and returns the status.
+func endJob(n *soak.Node, job string) int {
+	return callJob(http.MethodDelete, n, platform.PathJobs+job, "", "")
+}
+
 // submitInOutage submits a job while the key-value service is unavailable, so that it lies on
 // disks. The service stays unavailable.
 func submitInOutage(t *testing.T, r *soak.Rig, job string) {
 	t.Helper()
 	r.KV.SetFaults(stand.KVFaults{Unavailable: true})
 	time.Sleep(time.Second)
-	task := quetzalpier.Task{ID: "t1", Group: "g", Path: "/batch/t1", Headers: map[string]string{platform.HeaderModel: "m0"}, Body: []byte("10 prompt"), MaxTokens: 100}
-	data, err := platform.EncodeJob(quetzalpier.Job{ID: job, Model: "m0", MinVersion: 1, WantGroups: 1, Tasks: []quetzalpier.Task{task}})
-	require.NoError(t, err)
 	status := 0
 	for i := 0; i < 10 && status != http.StatusAccepted; i++ {
-		status = callJob(http.MethodPost, r.Fronts[i%2], "/batch/"+job, job, string(data))
+		status = submitJob(t, r.Fronts[i%2], job)
 	}
 	require.Equal(t, http.StatusAccepted, status)
 }
@@ -180,6 +191,74 @@
 	requireReads(t, r, "kept", http.StatusOK, servesAgainAfter)
 }
 
+// TestCallsWhileDisksAreAway guards against calls about an accepted job that are answered as if
+// the job did not exist, while all disks that hold it are away.
+func TestCallsWhileDisksAreAway(t *testing.T) {
+	restart := func(t *testing.T, nodes []*soak.Node) {
+		t.Helper()
+		for _, n := range nodes {
+			require.NoError(t, n.Start())
+		}
+	}
+	t.Run("the job is ended", func(t *testing.T) {
+		t.Parallel()
+		r := openDiskRig(t)
+		submitInOutage(t, r, "kept")
+		killStores(t, r, r.Stores...)
+		require.NoError(t, r.AddFront())
+		for end := time.Now().Add(inTouchAfter + time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			for _, n := range r.Fronts {
+				require.NotEqual(t, http.StatusNotFound, endJob(n, "kept"), "at %s", n.Settings.Name)
+			}
+		}
+		restart(t, r.Stores)
+		added := r.Fronts[2]
+		require.Eventually(t, func() bool { return endJob(added, "kept") == http.StatusOK }, servesAgainAfter, 50*time.Millisecond)
+	})
+	t.Run("the job is submitted again", func(t *testing.T) {
+		t.Parallel()
+		r := openDiskRig(t)
+		submitInOutage(t, r, "kept")
+		killStores(t, r, r.Stores...)
+		require.NoError(t, r.AddFront())
+		added := r.Fronts[2]
+		require.Eventually(t, func() bool { return submitJob(t, added, "kept") == http.StatusAccepted }, servesAgainAfter, 50*time.Millisecond)
+		requireReads(t, r, "kept", http.StatusOK, inTouchAfter)
+		restart(t, r.Stores)
+		for _, n := range r.Stores {
+			require.Eventually(t, func() bool { return !keepsJob(t, n) }, servesAgainAfter, 50*time.Millisecond, "disk of %s", n.Settings.Name)
+		}
+		for _, n := range r.Fronts {
+			require.Equal(t, http.StatusOK, readJob(n, "kept"), "at %s", n.Settings.Name)
+		}
+	})
+	t.Run("a front could not reach the key-value service when the entries were removed", func(t *testing.T) {
+		t.Parallel()
+		r := openDiskRig(t)
+		submitInOutage(t, r, "kept")
+		cut := r.Fronts[1]
+		require.NoError(t, cut.KVProxy.SetMode(soak.Reset))
+		killStores(t, r, r.Stores...)
+		requireNever := func(period time.Duration) {
+			for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				require.NotEqual(t, http.StatusNotFound, readJob(cut, "kept"))
+			}
+		}
+		requireNever(2 * time.Second)
+		require.NoError(t, cut.KVProxy.SetMode(soak.Pass))
+		requireNever(inTouchAfter + 2*time.Second)
+		cut.Kill()
+		require.NoError(t, cut.KVProxy.SetMode(soak.Reset))
+		require.NoError(t, cut.Start())
+		requireNever(2 * time.Second)
+		require.NoError(t, cut.KVProxy.SetMode(soak.Pass))
+		requireNever(inTouchAfter + 2*time.Second)
+		restart(t, r.Stores)
+		requireReads(t, r, "kept", http.StatusOK, servesAgainAfter)
+		requireReads(t, r, "never", http.StatusNotFound, inTouchAfter)
+	})
+}
+
 // keepsJob reports whether a job is on the node's disk.
 func keepsJob(t *testing.T, n *soak.Node) bool {
 	t.Helper()
