--- a/soak/disks_test.go
+++ b/soak/disks_test.go
@@ -24,12 +24,20 @@
 	inTouchAfter = 3 * time.Second
 	// servesAgainAfter limits how long jobs on disks may stay unreadable once all disks are back.
 	servesAgainAfter = 12 * time.Second
+	// diskClientKey is the API key of calls about jobs, which counts only where customers have keys.
+	diskClientKey = "own"
 )
 
 // openDiskRig starts a deployment for jobs on disks, of which one may be lost.
 func openDiskRig(t *testing.T) *soak.Rig {
 	t.Helper()
-	r := openRigWith(t, soak.Options{Fronts: 2, Stores: 3, Engines: 2, Plains: 1, EventInterval: 5 * time.Millisecond})
+	return openDiskRigFor(t, "")
+}
+
+// openDiskRigFor starts the deployment for clients with an API key, if there is one.
+func openDiskRigFor(t *testing.T, key string) *soak.Rig {
+	t.Helper()
+	r := openRigWith(t, soak.Options{Fronts: 2, Stores: 3, Engines: 2, Plains: 1, EventInterval: 5 * time.Millisecond, ClientKey: key})
 	require.True(t, r.WaitReady(t.Context(), 15*time.Second))
 	time.Sleep(inTouchAfter)
 	return r
@@ -45,6 +53,7 @@
 	}
 	req.Host = soak.Host
 	req.Header.Set(platform.HeaderAttempt, id)
+	req.Header.Set(platform.HeaderAuthorization, "Bearer "+diskClientKey)
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
@@ -200,21 +209,23 @@
 			require.NoError(t, n.Start())
 		}
 	}
-	t.Run("the job is ended", func(t *testing.T) {
-		t.Parallel()
-		r := openDiskRig(t)
-		submitInOutage(t, r, "kept")
-		killStores(t, r, r.Stores...)
-		require.NoError(t, r.AddFront())
-		for end := time.Now().Add(inTouchAfter + time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-			for _, n := range r.Fronts {
-				require.NotEqual(t, http.StatusNotFound, endJob(n, "kept"), "at %s", n.Settings.Name)
+	for name, key := range map[string]string{"the job is ended": "", "a customer's job is ended": diskClientKey} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := openDiskRigFor(t, key)
+			submitInOutage(t, r, "kept")
+			killStores(t, r, r.Stores...)
+			require.NoError(t, r.AddFront())
+			for end := time.Now().Add(inTouchAfter + time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				for _, n := range r.Fronts {
+					require.NotEqual(t, http.StatusNotFound, endJob(n, "kept"), "at %s", n.Settings.Name)
+				}
 			}
-		}
-		restart(t, r.Stores)
-		added := r.Fronts[2]
-		require.Eventually(t, func() bool { return endJob(added, "kept") == http.StatusOK }, servesAgainAfter, 50*time.Millisecond)
-	})
+			restart(t, r.Stores)
+			added := r.Fronts[2]
+			require.Eventually(t, func() bool { return endJob(added, "kept") == http.StatusOK }, servesAgainAfter, 50*time.Millisecond)
+		})
+	}
 	t.Run("the job is submitted again", func(t *testing.T) {
 		t.Parallel()
 		r := openDiskRig(t)
