disk, keep: Sync the removal of a disk's ID to the disk

A node that leaves with an empty disk removes the disk's ID before its record in the key-value service, so that a later process takes no job for a disk without a record. The removal was not synced: a loss of power within seconds could bring the ID back, and in an outage the next process would accept jobs that nobody misses.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -41,6 +41,18 @@
 	return errors.Wrap(err, "write file")
 }
 
+// Remove removes a file, if there is one, and syncs its removal to disk.
+func Remove(name string) error {
+	err := os.Remove(name)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err == nil {
+		err = syncDir(filepath.Dir(name))
+	}
+	return errors.Wrap(err, "remove file")
+}
+
 // syncDir syncs a directory to disk, so that the names of its files are durable.
 func syncDir(name string) error {
 	dir, err := os.Open(name)
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -27,3 +27,12 @@
 		require.Equal(t, "content", string(content))
 	}
 }
+
+func TestRemove(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "view")
+	require.NoError(t, disk.Remove(name), "there is no such file")
+	require.NoError(t, disk.Replace(name, []byte("content")))
+	require.NoError(t, disk.Remove(name))
+	require.NoFileExists(t, name)
+	require.Error(t, disk.Remove(filepath.Join(name, "x", "\x00")), "invalid name")
+}
--- a/keep/disk.go
+++ b/keep/disk.go
@@ -50,9 +50,5 @@
 
 // RemoveID removes the ID of the disk from a data directory.
 func RemoveID(dir string) error {
-	err := os.Remove(filepath.Join(dir, idFile))
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	return errors.Wrap(err, "remove the ID of the disk")
+	return errors.Wrap(disk.Remove(filepath.Join(dir, idFile)), "remove the ID of the disk")
 }
